--- /dev/null
+++ b/decision/calls/call_runner.cpp
@@ -0,0 +1,590 @@
+#include "decision/calls/call_runner.h"
+
+#include <algorithm>
+
+#include "core/mechanisms.h"
+
+namespace almondnotch {
+
+namespace {
+
+/// Hedges start when a call takes longer than this share of recent ones.
+constexpr double hedgeQuantile = 0.95;
+
+bool isServerFailure(const shared_response &response)
+{
+    return response->status >= 500 && response->status != 501;
+}
+
+} // namespace
+
+call_runner::call_runner(call_settings settings, call_runner_parts parts)
+    : m_settings(settings), m_parts(parts)
+{ }
+
+void call_runner::callReceived(instant now, const call_received &input, const shared_config &config,
+                               action_list &actions)
+{
+    call_record record;
+    record.call = input.call;
+    record.request = input.request;
+    admit(now, std::move(record), config, actions);
+}
+
+void call_runner::forwardedCall(instant now, const process_id &from, const forwarded_call &input,
+                                const shared_config &config, action_list &actions)
+{
+    std::shared_ptr<call_request> request = std::make_shared<call_request>(*input.request);
+    request->timeout = input.timeLeft;
+    call_record record;
+    record.call = static_cast<call_id>(m_nextForwardedCall++);
+    record.request = std::move(request);
+    record.origin = forward_origin {from, input.forwardId};
+    m_parts.counters.add("forwarded_calls_received_total");
+    admit(now, std::move(record), config, actions);
+}
+
+std::optional<call_runner::ending> call_runner::routeCall(instant now, call_record &record,
+                                                          const shared_config &config) const
+{
+    if (m_calls.size() >= m_settings.inProgressMax)
+        return ending {503,
+                       "too-many-calls",
+                       "Too many calls in progress",
+                       "admit",
+                       "",
+                       "at most " + std::to_string(m_settings.inProgressMax) + " are accepted",
+                       seconds(1)};
+    if (!config)
+        return ending {503, "no-configuration", "No configuration is in force yet", "admit", "",
+                       "",  seconds(1)};
+    if (record.request->depth >= callDepthMax)
+        return ending {508,
+                       "call-too-deep",
+                       "Chain of calls is too deep",
+                       "admit",
+                       "",
+                       "at most " + std::to_string(callDepthMax) + " hops are forwarded",
+                       std::nullopt};
+    const std::optional<route> target
+        = config->findRoute(record.request->method, record.request->target);
+    if (!target)
+        return ending {404,
+                       "no-matching-rule",
+                       "No routing rule matches",
+                       "route",
+                       "",
+                       record.request->method + " " + record.request->target,
+                       std::nullopt};
+    record.config = config;
+    record.target = *target;
+    const duration asked = record.request->timeout.value_or(target->service->timeout);
+    record.deadline = now + std::min(asked, m_settings.timeoutMax);
+    return std::nullopt;
+}
+
+void call_runner::admit(instant now, call_record incoming, const shared_config &config,
+                        action_list &actions)
+{
+    m_parts.counters.add("calls_total");
+    incoming.arrivedAt = now;
+    const std::optional<ending> refused = routeCall(now, incoming, config);
+    if (refused) {
+        m_parts.counters.add("calls_refused_total{reason=\"" + std::string(refused->type) + "\"}");
+        finishWith(now, incoming, *refused, actions);
+        return;
+    }
+
+    call_record &record
+        = *m_calls.emplace(incoming.call, std::make_unique<call_record>(std::move(incoming)))
+               .first->second;
+    m_parts.invariants.check("calls_within_bound", m_calls.size() <= m_settings.inProgressMax);
+    addTimer(record.deadline, record.call);
+
+    const bool keyed = !record.target.rule->idempotent && !record.request->idempotencyKey.empty();
+    if (keyed && !claimKey(now, record, actions))
+        return;
+    if (m_parts.quarantine.isActive()
+        && m_parts.quarantine.isQuarantined(now, digestOf(*record.request))) {
+        m_parts.counters.add("calls_refused_total{reason=\"quarantined\"}");
+        finishWith(now, record,
+                   {422, "request-quarantined", "Request is quarantined", "admit", "",
+                    "it crashed two workers; it is refused for a time", std::nullopt},
+                   actions);
+        return;
+    }
+    service_state &service = stateOf(record);
+    service.retries.ordinary(record.target.service->retryBudget);
+    service.hedges.ordinary(record.target.service->hedgeBudget);
+    if (startAttempt(now, record, actions))
+        planHedge(now, record);
+}
+
+bool call_runner::claimKey(instant now, call_record &record, action_list &actions)
+{
+    const claim_result verdict
+        = m_parts.claims.begin(now, *record.request, digestOf(*record.request), record.call);
+    switch (verdict.verdict) {
+    case claim_verdict::run_here:
+        record.claimed = true;
+        return true;
+    case claim_verdict::wait:
+        record.stage = call_stage::waiting;
+        return false;
+    case claim_verdict::replay:
+    case claim_verdict::refuse:
+        finish(now, record, verdict.response, actions);
+        return false;
+    case claim_verdict::forward:
+        forward(now, record, verdict.owner, actions);
+        return false;
+    }
+    return false;
+}
+
+void call_runner::forward(instant now, call_record &record, const process_id &owner,
+                          action_list &actions)
+{
+    record.stage = call_stage::forwarded;
+    const std::optional<std::string> address = m_parts.directory.peerAddress(owner);
+    if (!address) {
+        m_parts.counters.add("forwards_without_owner_total");
+        finishWith(now, record,
+                   {502, "key-owner-gone", "Owner of the idempotency key is gone", "forward",
+                    toString(owner), "the operation may have run there; it is not run again",
+                    std::nullopt},
+                   actions);
+        return;
+    }
+    if (record.origin && !m_parts.claims.isSealed()) {
+        // Only a process that handed its claims over sends a forwarded call on.
+        finishWith(now, record,
+                   {502, "key-owner-moved", "Forwarded to a process that does not own the key",
+                    "forward", toString(owner), "", std::nullopt},
+                   actions);
+        return;
+    }
+    record.forwardId = m_nextForward++;
+    m_forwards.emplace(record.forwardId, record.call);
+    m_parts.counters.add("forwards_total");
+    actions.push_back(
+        send_peer_message {*address, 0,
+                           forwarded_call {record.forwardId, record.request,
+                                           record.deadline - now - m_settings.responseReserve}});
+}
+
+void call_runner::forwardedResponse(instant now, const forwarded_response &input,
+                                    action_list &actions)
+{
+    const auto found = m_forwards.find(input.forwardId);
+    if (found == m_forwards.end()) {
+        m_parts.counters.add("forwarded_responses_late_total");
+        return;
+    }
+    call_record *record = find(found->second);
+    if (record == nullptr || !input.response)
+        return;
+    finish(now, *record, input.response, actions);
+}
+
+bool call_runner::startAttempt(instant now, call_record &record, action_list &actions)
+{
+    const duration timeLeft = record.deadline - now - m_settings.responseReserve;
+    if (timeLeft <= duration {0} && isMechanismEnabled("deadline_check")) {
+        finishWith(now, record,
+                   {504, "deadline-passed", "Deadline passed", "start attempt", "",
+                    "no time is left to send the call", std::nullopt},
+                   actions);
+        return false;
+    }
+    const std::optional<selected_worker> chosen
+        = m_parts.workers.select({record.target.group, record.triedWorkers(), timeLeft, now});
+    if (!chosen) {
+        finishWith(now, record,
+                   {503, "no-worker-available", "No worker is available", "select worker",
+                    record.target.group->name,
+                    std::to_string(record.attempts.size()) + " workers were tried", seconds(1)},
+                   actions);
+        return false;
+    }
+    attempt_record attempt;
+    attempt.attempt = static_cast<attempt_id>(m_nextAttempt++);
+    attempt.worker = chosen->worker;
+    attempt.workerName = chosen->name;
+    attempt.startedAt = now;
+    m_attempts.emplace(attempt.attempt, record.call);
+    m_parts.workers.attemptStarted(now, chosen->worker);
+    m_parts.counters.add("attempts_total");
+    m_parts.invariants.check("no_attempt_after_deadline", now < record.deadline,
+                             record.request->requestId);
+    m_parts.invariants.check("non_idempotent_sent_once",
+                             record.target.rule->idempotent || !record.mayHaveRun(),
+                             record.request->requestId);
+    start_attempt order;
+    order.attempt = attempt.attempt;
+    order.request = record.request;
+    order.workerAddress = chosen->address;
+    order.workerName = chosen->name;
+    order.timeLimit = timeLeft;
+    order.attemptNumber = record.request->attempt + static_cast<unsigned>(record.attempts.size());
+    order.idempotent = record.target.rule->idempotent;
+    order.connectionLimit = chosen->connectionLimit;
+    actions.push_back(std::move(order));
+    record.attempts.push_back(std::move(attempt));
+    return true;
+}
+
+void call_runner::planHedge(instant now, call_record &record)
+{
+    // Hedging at one layer of a chain only; the same rule as for retries.
+    if (!record.target.rule->idempotent || record.request->depth > 0
+        || record.target.service->hedgeBudget <= 0)
+        return;
+    const duration delay = stateOf(record).latency.quantile(hedgeQuantile);
+    if (delay <= duration {0} || now + delay >= record.deadline)
+        return;
+    record.hedgeAt = now + delay;
+    addTimer(record.hedgeAt, record.call);
+}
+
+void call_runner::hedge(instant now, call_record &record, action_list &actions)
+{
+    record.hedgeAt = instant::never();
+    if (record.runningAttempts() != 1 || record.attempts.size() >= m_settings.attemptsMax)
+        return;
+    if (!hasOtherWorker(now, record))
+        return;
+    if (!stateOf(record).hedges.takeExtra()) {
+        m_parts.counters.add("hedges_denied_total");
+        return;
+    }
+    m_parts.counters.add("hedges_total");
+    startAttempt(now, record, actions);
+}
+
+void call_runner::observe(instant now, const call_record &record, attempt_record &attempt,
+                          const attempt_finished &input)
+{
+    attempt.end = input.end;
+    attempt.refusedNotRun = input.end == attempt_end::answered && input.refusedNotRun;
+    attempt_observation seen;
+    seen.worker = attempt.worker;
+    seen.end = input.end;
+    seen.elapsed = now - attempt.startedAt;
+    seen.status = input.response ? input.response->status : 0;
+    seen.refusedNotRun = attempt.refusedNotRun;
+    seen.load = input.load;
+    m_parts.workers.attemptFinished(now, seen);
+    m_parts.counters.add("attempt_ends_total{end=\"" + std::string(toString(input.end)) + "\"}");
+
+    switch (input.end) {
+    case attempt_end::answered:
+        m_parts.quarantine.workerAnswered(attempt.workerName);
+        if (!attempt.refusedNotRun)
+            stateOf(record).latency.add(seen.elapsed);
+        break;
+    case attempt_end::broken:
+        m_parts.quarantine.connectionBroke(now, digestOf(*record.request), attempt.workerName);
+        break;
+    case attempt_end::not_sent:
+        m_parts.quarantine.workerUnreachable(now, attempt.workerName);
+        break;
+    case attempt_end::timed_out:
+    case attempt_end::cancelled:
+        break;
+    }
+}
+
+void call_runner::attemptFinished(instant now, const attempt_finished &input, action_list &actions)
+{
+    const auto known = m_attempts.find(input.attempt);
+    if (known == m_attempts.end()) {
+        m_parts.invariants.check("attempt_ends_once", false);
+        return;
+    }
+    call_record *record = find(known->second);
+    m_attempts.erase(known);
+    if (record == nullptr)
+        return;
+    const auto attempt = std::find_if(
+        record->attempts.begin(), record->attempts.end(),
+        [&input](const attempt_record &entry) { return entry.attempt == input.attempt; });
+    observe(now, *record, *attempt, input);
+
+    if (input.end == attempt_end::answered && !input.refusedNotRun) {
+        responseArrived(now, *record, input, actions);
+        return;
+    }
+    if (record->runningAttempts() > 0)
+        return; // The other attempt may still succeed.
+    if (mayRetry(now, *record, input))
+        startAttempt(now, *record, actions);
+    else
+        finishWith(now, *record, describeFailure(now, *record, input), actions);
+}
+
+void call_runner::responseArrived(instant now, call_record &record, const attempt_finished &input,
+                                  action_list &actions)
+{
+    if (isServerFailure(input.response)) {
+        if (record.runningAttempts() > 0)
+            return; // The other attempt may still succeed.
+        if (hasOtherWorker(now, record) && mayRetry(now, record, input)) {
+            startAttempt(now, record, actions);
+            return;
+        }
+    }
+    finish(now, record, input.response, actions);
+}
+
+bool call_runner::hasOtherWorker(instant now, const call_record &record)
+{
+    const duration timeLeft = record.deadline - now - m_settings.responseReserve;
+    return timeLeft > duration {0}
+           && m_parts.workers.select({record.target.group, record.triedWorkers(), timeLeft, now});
+}
+
+bool call_runner::mayRetry(instant now, call_record &record, const attempt_finished &input)
+{
+    if (record.abandoned && !record.claimed)
+        return false;
+    if (record.attempts.size() >= m_settings.attemptsMax
+        || record.deadline - now <= m_settings.responseReserve)
+        return false;
+    // A repeat after `not_sent` loads no worker, so it needs no budget.
+    if (input.end == attempt_end::not_sent)
+        return true;
+    const bool didNotRun = input.end == attempt_end::answered && input.refusedNotRun;
+    if (!didNotRun) {
+        if (!record.target.rule->idempotent && isMechanismEnabled("retry_idempotent_only"))
+            return false;
+        // One layer of a chain retries: with 10% at each of 10 layers the load would grow 2.6
+        // times.
+        if (record.request->depth > 0 && isMechanismEnabled("retry_one_layer"))
+            return false;
+    }
+    if (m_parts.quarantine.isActive()
+        && m_parts.quarantine.isQuarantined(now, digestOf(*record.request)))
+        return false;
+    if (!stateOf(record).retries.takeExtra() && isMechanismEnabled("retry_budget")) {
+        m_parts.counters.add("retries_denied_total");
+        return false;
+    }
+    m_parts.counters.add("retries_total");
+    return true;
+}
+
+call_runner::ending call_runner::describeFailure(instant now, const call_record &record,
+                                                 const attempt_finished &input)
+{
+    const std::string &peer = record.attempts.back().workerName;
+    if (input.end == attempt_end::timed_out || now >= record.deadline)
+        return {504,  "deadline-passed", "Deadline passed", "await response",
+                peer, input.detail,      std::nullopt};
+    if (input.refusedNotRun)
+        return {503,
+                "worker-refused",
+                "Worker refused the call",
+                "await response",
+                peer,
+                "the worker said that the call did not run",
+                seconds(1)};
+    if (input.end == attempt_end::not_sent)
+        return {503,
+                "worker-unreachable",
+                "Worker could not be reached",
+                "connect",
+                peer,
+                input.detail,
+                seconds(1)};
+    return {502,
+            "response-incomplete",
+            "Worker gave no whole response",
+            "await response",
+            peer,
+            input.detail,
+            std::nullopt};
+}
+
+void call_runner::callerDisconnected(instant now, const caller_disconnected &input,
+                                     action_list &actions)
+{
+    call_record *record = find(input.call);
+    if (record == nullptr)
+        return;
+    m_parts.counters.add("callers_disconnected_total");
+    record->abandoned = true;
+    // A claimed operation goes on, so that a repeat with the same key gets its response.
+    if (record->claimed || record->stage == call_stage::forwarded)
+        return;
+    finishWith(now, *record,
+               {499, "caller-disconnected", "Caller closed the connection", "await response", "",
+                "", std::nullopt},
+               actions);
+}
+
+void call_runner::cancelAttempts(call_record &record, action_list &actions)
+{
+    for (const attempt_record &attempt : record.attempts) {
+        if (!attempt.end) {
+            m_parts.counters.add("attempts_cancelled_total");
+            actions.push_back(cancel_attempt {attempt.attempt});
+        }
+    }
+}
+
+void call_runner::finishWith(instant now, call_record &record, const ending &cause,
+                             action_list &actions)
+{
+    problem details;
+    details.status = cause.status;
+    details.type = std::string(cause.type);
+    details.title = std::string(cause.title);
+    details.outcome = record.mayHaveRun() ? call_outcome::unknown : call_outcome::not_run;
+    details.step = std::string(cause.step);
+    details.peer = cause.peer;
+    details.detail = cause.detail;
+    details.requestId = record.request->requestId;
+    if (details.outcome == call_outcome::not_run || record.target.rule == nullptr
+        || record.target.rule->idempotent)
+        details.retryAfter = cause.retryAfter;
+    finish(now, record, makeProblemResponse(details), actions);
+}
+
+void call_runner::finish(instant now, call_record &record, shared_response response,
+                         action_list &actions)
+{
+    cancelAttempts(record, actions);
+    if (record.stage == call_stage::running)
+        m_parts.invariants.check("not_run_was_not_sent",
+                                 response->outcome != call_outcome::not_run || !record.mayHaveRun(),
+                                 record.request->requestId);
+    m_parts.counters.add("responses_total{outcome=\"" + std::string(toString(response->outcome))
+                         + "\"}");
+    if (!record.abandoned)
+        respond(record, response, actions);
+    if (record.stage == call_stage::waiting)
+        m_parts.claims.stopWaiting(record.request->idempotencyKey, record.call);
+    if (record.forwardId != 0)
+        m_forwards.erase(record.forwardId);
+
+    std::vector<call_id> waiting;
+    if (record.claimed)
+        waiting
+            = m_parts.claims.finish(record.request->idempotencyKey, response->outcome, response);
+    m_timers.erase({record.deadline, record.call});
+    if (record.hedgeAt != instant::never())
+        m_timers.erase({record.hedgeAt, record.call});
+    m_calls.erase(record.call); // `record` ends here.
+    for (const call_id call : waiting) {
+        call_record *repeat = find(call);
+        if (repeat != nullptr)
+            finish(now, *repeat, response, actions);
+    }
+}
+
+void call_runner::respond(const call_record &record, const shared_response &response,
+                          action_list &actions)
+{
+    if (!record.origin) {
+        actions.push_back(send_response {record.call, response, m_leaving});
+        return;
+    }
+    const std::optional<std::string> address = m_parts.directory.peerAddress(record.origin->from);
+    if (!address) {
+        m_parts.counters.add("forwarded_responses_without_receiver_total");
+        return;
+    }
+    actions.push_back(
+        send_peer_message {*address, 0, forwarded_response {record.origin->forwardId, response}});
+}
+
+void call_runner::timerExpired(instant now, action_list &actions)
+{
+    while (!m_timers.empty() && m_timers.begin()->first <= now) {
+        const std::pair<instant, call_id> due = *m_timers.begin();
+        m_timers.erase(m_timers.begin());
+        call_record *record = find(due.second);
+        if (record == nullptr)
+            continue;
+        if (now >= record->deadline) {
+            finishWith(
+                now, *record,
+                {504, "deadline-passed", "Deadline passed", "await response",
+                 record->attempts.empty() ? std::string() : record->attempts.back().workerName,
+                 "no whole response arrived in time", std::nullopt},
+                actions);
+        } else if (now >= record->hedgeAt) {
+            hedge(now, *record, actions);
+        }
+    }
+}
+
+void call_runner::endAll(instant now, std::string_view reason, action_list &actions)
+{
+    while (!m_calls.empty()) {
+        call_record &record = *m_calls.begin()->second;
+        m_parts.counters.add("calls_ended_by_drain_total");
+        finishWith(now, record,
+                   {503, "gateway-leaving", "Gateway left before the call ended", "drain", "",
+                    std::string(reason), std::nullopt},
+                   actions);
+    }
+}
+
+void call_runner::addTimer(instant at, call_id call)
+{
+    m_timers.emplace(at, call);
+}
+
+call_runner::service_state &call_runner::stateOf(const call_record &record)
+{
+    return m_services[record.target.service->name];
+}
+
+call_record *call_runner::find(call_id call)
+{
+    const auto found = m_calls.find(call);
+    return found == m_calls.end() ? nullptr : found->second.get();
+}
+
+instant call_runner::nextWake() const
+{
+    return m_timers.empty() ? instant::never() : m_timers.begin()->first;
+}
+
+nlohmann::json call_runner::dump(instant now) const
+{
+    /// Rows of calls in progress that a dump shows, oldest first.
+    constexpr std::size_t rowsMax = 100;
+    nlohmann::json calls = nlohmann::json::array();
+    for (const std::pair<const call_id, std::unique_ptr<call_record>> &entry : m_calls) {
+        if (calls.size() >= rowsMax)
+            break;
+        const call_record &record = *entry.second;
+        calls.push_back({{"request_id", record.request->requestId},
+                         {"service", record.target.service->name},
+                         {"stage", toString(record.stage)},
+                         {"age_ms", toMilliseconds(now - record.arrivedAt)},
+                         {"time_left_ms", toMilliseconds(record.deadline - now)},
+                         {"attempts", record.attempts.size()}});
+    }
+    nlohmann::json services = nlohmann::json::object();
+    for (const std::pair<const std::string, service_state> &entry : m_services) {
+        const service_state &service = entry.second;
+        services[entry.first] = {{"first_attempts", service.retries.ordinaryCount()},
+                                 {"retries", service.retries.extraCount()},
+                                 {"retries_denied", service.retries.deniedCount()},
+                                 {"retry_tokens", service.retries.tokens()},
+                                 {"hedges", service.hedges.extraCount()},
+                                 {"hedges_denied", service.hedges.deniedCount()},
+                                 {"hedge_tokens", service.hedges.tokens()},
+                                 {"p95_ms", toMilliseconds(service.latency.quantile(0.95))}};
+    }
+    return {{"in_progress", m_calls.size()},
+            {"in_progress_max", m_settings.inProgressMax},
+            {"calls", calls},
+            {"services", services}};
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/calls/call_runner.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include <nlohmann/json.hpp>
+
+#include "config/model.h"
+#include "core/counters.h"
+#include "core/invariants.h"
+#include "core/time.h"
+#include "decision/actions.h"
+#include "decision/balance/balancer.h"
+#include "decision/calls/call_record.h"
+#include "decision/calls/call_settings.h"
+#include "decision/calls/latency_tracker.h"
+#include "decision/calls/quarantine_table.h"
+#include "decision/calls/share_budget.h"
+#include "decision/claims/claim_table.h"
+#include "decision/events.h"
+
+namespace almondnotch {
+
+/// What the runner must know of other processes.
+class process_directory
+{
+public:
+    virtual ~process_directory() = default;
+
+    /// Peer address of a process, or nothing if it is gone or was never seen.
+    virtual std::optional<std::string> peerAddress(const process_id &process) const = 0;
+};
+
+/// The parts that the runner uses; all outlive it.
+struct call_runner_parts
+{
+    balancer &workers;
+    claim_table &claims;
+    quarantine_table &quarantine;
+    const process_directory &directory;
+    invariant_set &invariants;
+    counter_set &counters;
+};
+
+/// Runs calls: routes them, claims keys, starts attempts, retries and hedges within their budgets,
+/// and sends exactly one response for each call.
+class call_runner
+{
+public:
+    call_runner(call_settings settings, call_runner_parts parts);
+
+    /// \param config configuration in force; null before the first one.
+    void callReceived(instant now, const call_received &input, const shared_config &config,
+                      action_list &actions);
+    void forwardedCall(instant now, const process_id &from, const forwarded_call &input,
+                       const shared_config &config, action_list &actions);
+    void forwardedResponse(instant now, const forwarded_response &input, action_list &actions);
+    void attemptFinished(instant now, const attempt_finished &input, action_list &actions);
+    void callerDisconnected(instant now, const caller_disconnected &input, action_list &actions);
+
+    /// Ends calls whose deadline has passed and starts hedges that are due.
+    void timerExpired(instant now, action_list &actions);
+
+    /// Ends all calls at once, as at the deadline of a drain.
+    void endAll(instant now, std::string_view reason, action_list &actions);
+
+    /// From now on connections are closed after their response.
+    void beginLeaving() { m_leaving = true; }
+
+    std::size_t inProgress() const { return m_calls.size(); }
+    instant nextWake() const;
+    nlohmann::json dump(instant now) const;
+
+private:
+    /// State of one service that outlives its calls.
+    struct service_state
+    {
+        share_budget retries;
+        share_budget hedges;
+        latency_tracker latency;
+    };
+
+    /// Why a call ends without a worker's response.
+    struct ending
+    {
+        int status = 500;
+        std::string_view type;
+        std::string_view title;
+        std::string_view step;
+        std::string peer;
+        std::string detail;
+        std::optional<seconds> retryAfter;
+    };
+
+    void admit(instant now, call_record record, const shared_config &config, action_list &actions);
+    std::optional<ending> routeCall(instant now, call_record &record,
+                                    const shared_config &config) const;
+    bool claimKey(instant now, call_record &record, action_list &actions);
+    void forward(instant now, call_record &record, const process_id &owner, action_list &actions);
+    bool startAttempt(instant now, call_record &record, action_list &actions);
+    void planHedge(instant now, call_record &record);
+    void hedge(instant now, call_record &record, action_list &actions);
+    bool mayRetry(instant now, call_record &record, const attempt_finished &input);
+    void observe(instant now, const call_record &record, attempt_record &attempt,
+                 const attempt_finished &input);
+    void responseArrived(instant now, call_record &record, const attempt_finished &input,
+                         action_list &actions);
+    bool hasOtherWorker(instant now, const call_record &record);
+    static ending describeFailure(instant now, const call_record &record,
+                                  const attempt_finished &input);
+    void cancelAttempts(call_record &record, action_list &actions);
+    /// Ends a call with a problem; the outcome follows from the record of what was sent.
+    void finishWith(instant now, call_record &record, const ending &cause, action_list &actions);
+    void finish(instant now, call_record &record, shared_response response, action_list &actions);
+    void respond(const call_record &record, const shared_response &response, action_list &actions);
+    void addTimer(instant at, call_id call);
+    service_state &stateOf(const call_record &record);
+    call_record *find(call_id call);
+
+    call_settings m_settings;
+    call_runner_parts m_parts;
+    bool m_leaving = false;
+    std::unordered_map<call_id, std::unique_ptr<call_record>> m_calls;
+    std::unordered_map<attempt_id, call_id> m_attempts;
+    std::unordered_map<std::uint64_t, call_id> m_forwards;
+    /// Deadlines and hedges; an entry may be stale and is then skipped.
+    std::set<std::pair<instant, call_id>> m_timers;
+    std::map<std::string, service_state, std::less<>> m_services;
+    std::uint64_t m_nextAttempt = 1;
+    std::uint64_t m_nextForward = 1;
+    /// Identifiers of forwarded calls; the upper bit keeps them apart from the entry port's.
+    std::uint64_t m_nextForwardedCall = 1ULL << 63U;
+};
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/calls/latency_tracker.cpp
@@ -0,0 +1,46 @@
+#include "decision/calls/latency_tracker.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace almondnotch {
+
+namespace {
+
+constexpr double smallestUs = 64;
+constexpr double bucketsPerDoubling = 4;
+constexpr std::uint32_t samplesMin = 50;
+
+} // namespace
+
+void latency_tracker::add(duration latency)
+{
+    const double us = std::max(static_cast<double>(latency.count()), smallestUs);
+    const double position = std::log2(us / smallestUs) * bucketsPerDoubling;
+    const std::size_t bucket = std::min(static_cast<std::size_t>(position), bucketCount - 1);
+    ++m_buckets.at(bucket);
+    if (++m_total < samplesBeforeHalving)
+        return;
+    m_total = 0;
+    for (std::uint32_t &count : m_buckets) {
+        count /= 2;
+        m_total += count;
+    }
+}
+
+duration latency_tracker::quantile(double share) const
+{
+    if (m_total < samplesMin)
+        return duration {0};
+    const double wanted = share * m_total;
+    double seen = 0;
+    for (std::size_t i = 0; i < bucketCount; ++i) {
+        seen += m_buckets.at(i);
+        if (seen >= wanted)
+            return duration(static_cast<std::int64_t>(
+                smallestUs * std::exp2(static_cast<double>(i + 1) / bucketsPerDoubling)));
+    }
+    return seconds(70);
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/claims/claim_table.cpp
@@ -0,0 +1,392 @@
+#include "decision/claims/claim_table.h"
+
+#include <algorithm>
+
+#include "core/mechanisms.h"
+
+namespace almondnotch {
+
+namespace {
+
+/// Claims outlive the time at which their absence is proof by this much, which covers the drift of
+/// two machines' clocks over the lifetime of a key range that was handed over.
+constexpr duration forgetMargin = seconds(10);
+
+/// Callers that may wait for one running operation.
+constexpr std::size_t waitingPerClaimMax = 16;
+
+/// Successors that are remembered; each process that left in the last key lifetime has one.
+constexpr std::size_t successorsMax = 4096;
+
+/// Payload of one handover chunk; leaves room for the envelope in the peer message bound.
+constexpr std::size_t chunkBytesMax = 1000000;
+
+claim_result refusal(int status, std::string_view type, std::string_view title,
+                     call_outcome outcome, std::string_view detail, const std::string &requestId,
+                     std::optional<seconds> retryAfter = std::nullopt)
+{
+    problem cause;
+    cause.status = status;
+    cause.type = std::string(type);
+    cause.title = std::string(title);
+    cause.outcome = outcome;
+    cause.step = "claim";
+    cause.detail = std::string(detail);
+    cause.requestId = requestId;
+    cause.retryAfter = retryAfter;
+    claim_result verdict;
+    verdict.response = makeProblemResponse(cause);
+    return verdict;
+}
+
+std::size_t storedSize(const shared_response &response)
+{
+    if (!response)
+        return 0;
+    std::size_t bytes = response->body.size();
+    for (const header_field &field : response->headers)
+        bytes += field.name.size() + field.value.size();
+    return bytes;
+}
+
+} // namespace
+
+claim_table::claim_table(claim_settings settings, process_id self, invariant_set &invariants,
+                         counter_set &counters)
+    : m_settings(std::move(settings)), m_self(std::move(self)), m_invariants(invariants),
+      m_counters(counters)
+{
+    m_owned[m_self] = {duration {0}, m_settings.accept, m_settings.repeat};
+}
+
+std::string claim_table::mintRange(const process_id &home, duration homeClock,
+                                   std::uint64_t rangeNumber)
+{
+    if (m_settings.tokenKeys.empty())
+        return {};
+    m_counters.add("key_ranges_minted_total");
+    const key_range range {home, milliseconds(toMilliseconds(homeClock)), rangeNumber};
+    return formatKeyRange(range, m_settings.tokenKeys.front());
+}
+
+claim_result claim_table::begin(instant now, const call_request &request,
+                                std::uint64_t requestDigest, call_id call)
+{
+    const result<operation_key> key
+        = parseOperationKey(request.idempotencyKey, m_settings.tokenKeys);
+    if (!key && key.error().code == error_code::authentication_failed) {
+        m_counters.add("claims_refused_total{reason=\"mac\"}");
+        // The secret may have been rotated out since the operation ran, so this is not `not_run`.
+        return refusal(403, "key-not-authentic", "Idempotency key is not authentic",
+                       call_outcome::unknown, key.error().message, request.requestId);
+    }
+    if (!key) {
+        m_counters.add("claims_refused_total{reason=\"format\"}");
+        return refusal(400, "invalid-idempotency-key", "Idempotency key is malformed",
+                       call_outcome::not_run, key.error().message, request.requestId);
+    }
+
+    const auto owned = m_owned.find(key->range.home);
+    if (owned != m_owned.end())
+        return beginOwned(now, *key, request.idempotencyKey, owned->second, requestDigest, call,
+                          request.requestId);
+
+    claim_result verdict;
+    verdict.verdict = claim_verdict::forward;
+    verdict.owner = key->range.home;
+    // A chain of handovers has no cycle, since a process hands over only once, when it leaves.
+    for (std::size_t hops = 0; hops < successorsMax; ++hops) {
+        const auto successor = m_successors.find(verdict.owner);
+        if (successor == m_successors.end())
+            break;
+        verdict.owner = successor->second;
+    }
+    return verdict;
+}
+
+instant claim_table::expiryOf(const key_range &range, const owned_ranges &ranges) const
+{
+    return instant(range.minted - ranges.clockOffset) + ranges.accept + ranges.repeat
+           + forgetMargin;
+}
+
+claim_result claim_table::beginOwned(instant now, const operation_key &key, const std::string &text,
+                                     const owned_ranges &ranges, std::uint64_t requestDigest,
+                                     call_id call, const std::string &requestId)
+{
+    const auto found = m_claims.find(text);
+    if (found != m_claims.end() && isMechanismEnabled("claim_table"))
+        return continueClaim(found->second, requestDigest, call, requestId);
+
+    const duration age = now.sinceOrigin() + ranges.clockOffset - key.range.minted;
+    if (age >= ranges.accept + ranges.repeat && isMechanismEnabled("claim_expiry")) {
+        m_counters.add("claims_refused_total{reason=\"expired\"}");
+        return refusal(410, "key-range-expired", "Key range has expired", call_outcome::unknown,
+                       "claims of this key range are no longer kept; it may have run before",
+                       requestId);
+    }
+    if (age >= ranges.accept) {
+        m_counters.add("claims_refused_total{reason=\"too_old\"}");
+        return refusal(409, "key-range-too-old", "Key range accepts no new operations",
+                       call_outcome::not_run, "ask for a new key range", requestId);
+    }
+    if (m_sealed && isMechanismEnabled("claim_seal")) {
+        m_counters.add("claims_refused_total{reason=\"sealed\"}");
+        return refusal(503, "gateway-leaving", "Gateway is leaving", call_outcome::not_run,
+                       "the key was never used here; send it again", requestId, seconds(1));
+    }
+    if (m_claims.size() >= m_settings.claimsMax) {
+        m_counters.add("claims_refused_total{reason=\"table_full\"}");
+        return refusal(503, "claim-table-full", "Too many operations are remembered",
+                       call_outcome::not_run,
+                       "at most " + std::to_string(m_settings.claimsMax) + " claims are kept",
+                       requestId, seconds(5));
+    }
+
+    m_invariants.check("no_claim_after_seal", !m_sealed, text);
+    claim record;
+    record.requestDigest = requestDigest;
+    record.running = true;
+    record.owner = key.range.home;
+    insert(expiryOf(key.range, ranges), text, std::move(record));
+    ++m_running;
+    m_counters.add("claims_total");
+    claim_result verdict;
+    verdict.verdict = claim_verdict::run_here;
+    return verdict;
+}
+
+claim_result claim_table::continueClaim(claim &known, std::uint64_t requestDigest, call_id call,
+                                        const std::string &requestId)
+{
+    if (known.requestDigest != requestDigest) {
+        m_counters.add("claims_refused_total{reason=\"other_request\"}");
+        return refusal(
+            422, "key-reused", "Idempotency key belongs to another request", call_outcome::not_run,
+            "method, target or body differ from the first request with this key", requestId);
+    }
+    if (known.running) {
+        if (known.waiting.size() >= waitingPerClaimMax) {
+            m_counters.add("claims_refused_total{reason=\"waiting_full\"}");
+            return refusal(503, "too-many-repeats", "Too many repeats of one operation",
+                           call_outcome::unknown, "the operation is still running", requestId,
+                           seconds(1));
+        }
+        known.waiting.push_back(call);
+        m_counters.add("claims_waited_total");
+        claim_result verdict;
+        verdict.verdict = claim_verdict::wait;
+        return verdict;
+    }
+    m_counters.add("claims_replayed_total");
+    if (known.outcome == call_outcome::run && known.response) {
+        claim_result verdict;
+        verdict.verdict = claim_verdict::replay;
+        verdict.response = known.response;
+        return verdict;
+    }
+    if (known.outcome == call_outcome::run)
+        return refusal(409, "response-not-kept", "Operation ran; its response is not kept",
+                       call_outcome::run, "the response was larger than the bound", requestId);
+    return refusal(502, "outcome-unknown", "Outcome of the operation is unknown",
+                   call_outcome::unknown, "an earlier attempt may have run; it is not run again",
+                   requestId);
+}
+
+void claim_table::insert(instant expiry, const std::string &key, claim record)
+{
+    m_expiry.emplace(expiry, key);
+    record.expiry = expiry;
+    m_claims.emplace(key, std::move(record));
+    m_invariants.check("claims_within_bound", m_claims.size() <= m_settings.claimsMax);
+}
+
+void claim_table::keepResponse(claim &record, const shared_response &response)
+{
+    const std::size_t bytes = storedSize(response);
+    if (bytes > m_settings.storedResponseBytesMax
+        || m_storedBytes + bytes > m_settings.storedBytesMax) {
+        m_counters.add("claims_response_not_kept_total");
+        return;
+    }
+    record.response = response;
+    m_storedBytes += bytes;
+    m_invariants.check("stored_responses_within_bound", m_storedBytes <= m_settings.storedBytesMax);
+}
+
+std::vector<call_id> claim_table::finish(const std::string &key, call_outcome outcome,
+                                         const shared_response &response)
+{
+    const auto found = m_claims.find(key);
+    if (found == m_claims.end() || !found->second.running) {
+        m_invariants.check("claim_finished_once", false, key);
+        return {};
+    }
+    claim &record = found->second;
+    record.running = false;
+    record.outcome = outcome;
+    --m_running;
+    std::vector<call_id> waiting = std::move(record.waiting);
+    record.waiting.clear();
+    if (outcome == call_outcome::not_run) {
+        // The operation never ran, so that the same key may run later.
+        m_expiry.erase({record.expiry, key});
+        m_claims.erase(found);
+        return waiting;
+    }
+    if (outcome == call_outcome::run)
+        keepResponse(record, response);
+    return waiting;
+}
+
+void claim_table::stopWaiting(const std::string &key, call_id call)
+{
+    const auto found = m_claims.find(key);
+    if (found != m_claims.end())
+        std::erase(found->second.waiting, call);
+}
+
+void claim_table::expire(instant now)
+{
+    while (!m_expiry.empty() && m_expiry.begin()->first <= now) {
+        const auto first = m_expiry.begin();
+        const auto found = m_claims.find(first->second);
+        if (found != m_claims.end() && found->second.running) {
+            // A running claim is kept until its run ends, and looked at again later.
+            const std::string key = first->second;
+            m_expiry.erase(first);
+            found->second.expiry = now + seconds(1);
+            m_expiry.emplace(found->second.expiry, key);
+            continue;
+        }
+        if (found != m_claims.end()) {
+            m_storedBytes -= storedSize(found->second.response);
+            m_claims.erase(found);
+        }
+        m_expiry.erase(first);
+    }
+}
+
+std::vector<process_id> claim_table::ownedProcesses() const
+{
+    std::vector<process_id> owned;
+    for (const std::pair<const process_id, owned_ranges> &entry : m_owned)
+        owned.push_back(entry.first);
+    return owned;
+}
+
+std::vector<handover_chunk> claim_table::exportClaims(const process_id &owner) const
+{
+    std::vector<handover_chunk> chunks;
+    std::size_t bytes = 0;
+    for (const std::pair<const std::string, claim> &entry : m_claims) {
+        if (entry.second.owner != owner)
+            continue;
+        const std::size_t size = entry.first.size() + storedSize(entry.second.response) + 64;
+        if (chunks.empty() || chunks.back().claims.size() >= m_settings.chunkClaimsMax
+            || bytes + size > chunkBytesMax) {
+            handover_chunk chunk;
+            chunk.from = owner;
+            chunk.sequence = static_cast<std::uint32_t>(chunks.size());
+            chunks.push_back(std::move(chunk));
+            bytes = 0;
+        }
+        bytes += size;
+        chunks.back().claims.push_back(
+            {entry.first, entry.second.requestDigest, entry.second.outcome, entry.second.response});
+    }
+    return chunks;
+}
+
+handover_commit claim_table::makeCommit(instant now, const process_id &owner,
+                                        std::uint32_t chunks) const
+{
+    handover_commit commit;
+    commit.from = owner;
+    commit.chunkCount = chunks;
+    const auto found = m_owned.find(owner);
+    if (found == m_owned.end())
+        return commit;
+    commit.clock = now.sinceOrigin() + found->second.clockOffset;
+    commit.accept = found->second.accept;
+    commit.repeat = found->second.repeat;
+    return commit;
+}
+
+void claim_table::handOver(const process_id &owner, const process_id &successor)
+{
+    m_invariants.check("handover_only_when_sealed", m_sealed, toString(owner));
+    m_owned.erase(owner);
+    // Ranges that were adopted keep their first record, "owner to this process"; the record of this
+    // process leads on from there, so that every process has one successor.
+    if (owner == m_self)
+        learnHandover({m_self, successor});
+}
+
+bool claim_table::adopt(instant now, const process_id &sender, const handover_commit &commit,
+                        const std::vector<claim_record> &claims)
+{
+    if (m_sealed || m_claims.size() + claims.size() > m_settings.claimsMax)
+        return false;
+    if (m_owned.contains(commit.from))
+        return true;
+    const owned_ranges ranges {commit.clock - now.sinceOrigin(), commit.accept, commit.repeat};
+    for (const claim_record &record : claims) {
+        const result<operation_key> key = parseOperationKey(record.key, m_settings.tokenKeys);
+        if (!key || key->range.home != commit.from || m_claims.contains(record.key))
+            continue;
+        claim kept;
+        kept.requestDigest = record.requestDigest;
+        kept.outcome = record.outcome;
+        kept.owner = commit.from;
+        if (record.outcome == call_outcome::run && record.response)
+            keepResponse(kept, record.response);
+        insert(expiryOf(key->range, ranges), record.key, std::move(kept));
+    }
+    m_owned[commit.from] = ranges;
+    learnHandover({commit.from, commit.from == sender ? m_self : sender});
+    m_counters.add("claims_adopted_total", claims.size());
+    return true;
+}
+
+void claim_table::learnHandover(const handover_record &record)
+{
+    if (record.from == record.to || (record.from == m_self && !m_sealed))
+        return;
+    if (m_successors.size() >= successorsMax && !m_successors.contains(record.from)) {
+        m_counters.add("handovers_forgotten_total");
+        m_successors.erase(m_successors.begin());
+    }
+    const auto inserted = m_successors.emplace(record.from, record.to);
+    m_invariants.check("one_successor_per_process",
+                       inserted.second || inserted.first->second == record.to,
+                       toString(record.from));
+}
+
+std::vector<handover_record> claim_table::handovers() const
+{
+    std::vector<handover_record> records;
+    for (const std::pair<const process_id, process_id> &entry : m_successors)
+        records.push_back({entry.first, entry.second});
+    return records;
+}
+
+nlohmann::json claim_table::dump() const
+{
+    nlohmann::json owned = nlohmann::json::array();
+    for (const std::pair<const process_id, owned_ranges> &entry : m_owned)
+        owned.push_back(toString(entry.first));
+    nlohmann::json successors = nlohmann::json::object();
+    for (const std::pair<const process_id, process_id> &entry : m_successors)
+        successors[toString(entry.first)] = toString(entry.second);
+    return {{"claims", m_claims.size()},
+            {"claims_max", m_settings.claimsMax},
+            {"running", m_running},
+            {"stored_bytes", m_storedBytes},
+            {"stored_bytes_max", m_settings.storedBytesMax},
+            {"sealed", m_sealed},
+            {"owned_processes", owned},
+            {"successors", successors}};
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/claims/handover_receiver.cpp
@@ -0,0 +1,103 @@
+#include "decision/claims/handover_receiver.h"
+
+#include <iterator>
+
+namespace almondnotch {
+
+namespace {
+
+/// A sender repeats its chunks every 250 ms; one that is silent for this long is gone.
+constexpr duration stagingLifetime = seconds(60);
+
+/// Handovers that may be staged at once: all VMs of the smallest fleet may leave together.
+constexpr std::size_t stagedSendersMax = 32;
+
+constexpr std::size_t missingReportedMax = 1000;
+
+/// Claims that may be staged over all senders; as many as one table holds.
+constexpr std::size_t stagedClaimsMax = 100000;
+
+} // namespace
+
+handover_ack handover_receiver::chunkReceived(instant now, const process_id &,
+                                              const handover_chunk &chunk)
+{
+    handover_ack ack;
+    ack.from = chunk.from;
+    if (m_claims.owns(chunk.from)) {
+        ack.committed = true;
+        return ack;
+    }
+    const bool known = m_staged.contains(chunk.from);
+    std::size_t staged = chunk.claims.size();
+    for (const std::pair<const process_id, staging> &entry : m_staged)
+        staged += entry.second.claims;
+    if (m_claims.isSealed() || (!known && m_staged.size() >= stagedSendersMax)
+        || staged > stagedClaimsMax) {
+        m_counters.add("handover_chunks_refused_total");
+        ack.refused = true;
+        return ack;
+    }
+    staging &stage = m_staged[chunk.from];
+    stage.lastChunk = now;
+    if (stage.chunks.emplace(chunk.sequence, chunk).second)
+        stage.claims += chunk.claims.size();
+    // Only the commit tells how many chunks there are, so gaps up to the highest are reported here.
+    const std::uint32_t highest = stage.chunks.rbegin()->first;
+    for (std::uint32_t i = 0; i < highest && ack.missing.size() < missingReportedMax; ++i) {
+        if (!stage.chunks.contains(i))
+            ack.missing.push_back(i);
+    }
+    return ack;
+}
+
+handover_ack handover_receiver::commitReceived(instant now, const process_id &sender,
+                                               const handover_commit &commit)
+{
+    handover_ack ack;
+    ack.from = commit.from;
+    if (m_claims.owns(commit.from)) {
+        ack.committed = true;
+        return ack;
+    }
+    const auto found = m_staged.find(commit.from);
+    std::vector<claim_record> claims;
+    for (std::uint32_t i = 0; i < commit.chunkCount; ++i) {
+        if (found == m_staged.end() || !found->second.chunks.contains(i)) {
+            if (ack.missing.size() < missingReportedMax)
+                ack.missing.push_back(i);
+            continue;
+        }
+        const std::vector<claim_record> &part = found->second.chunks.at(i).claims;
+        claims.insert(claims.end(), part.begin(), part.end());
+    }
+    if (!ack.missing.empty())
+        return ack;
+    if (!m_claims.adopt(now, sender, commit, claims)) {
+        m_counters.add("handover_commits_refused_total");
+        ack.refused = true;
+        return ack;
+    }
+    if (found != m_staged.end())
+        m_staged.erase(found);
+    m_counters.add("handovers_adopted_total");
+    ack.committed = true;
+    return ack;
+}
+
+void handover_receiver::expire(instant now)
+{
+    for (auto it = m_staged.begin(); it != m_staged.end();)
+        it = now - it->second.lastChunk > stagingLifetime ? m_staged.erase(it) : std::next(it);
+}
+
+nlohmann::json handover_receiver::dump() const
+{
+    nlohmann::json staged = nlohmann::json::object();
+    for (const std::pair<const process_id, staging> &entry : m_staged)
+        staged[toString(entry.first)]
+            = {{"chunks", entry.second.chunks.size()}, {"claims", entry.second.claims}};
+    return {{"staged", staged}, {"staged_senders_max", stagedSendersMax}};
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/claims/handover_receiver.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "core/counters.h"
+#include "core/time.h"
+#include "decision/claims/claim_table.h"
+#include "decision/peer_messages.h"
+
+namespace almondnotch {
+
+/// Collects the chunks of handovers and adopts the claims when a commit finds all of them.
+///
+/// Staged chunks give no ownership: until the commit nothing of the sender's ranges runs here.
+class handover_receiver
+{
+public:
+    handover_receiver(claim_table &claims, counter_set &counters)
+        : m_claims(claims), m_counters(counters)
+    { }
+
+    /// \return the acknowledgement to send back.
+    handover_ack chunkReceived(instant now, const process_id &sender, const handover_chunk &chunk);
+    handover_ack commitReceived(instant now, const process_id &sender,
+                                const handover_commit &commit);
+
+    /// Drops staged chunks whose sender has fallen silent.
+    void expire(instant now);
+
+    nlohmann::json dump() const;
+
+private:
+    struct staging
+    {
+        std::map<std::uint32_t, handover_chunk> chunks;
+        std::size_t claims = 0;
+        instant lastChunk;
+    };
+
+    claim_table &m_claims;
+    counter_set &m_counters;
+    std::map<process_id, staging> m_staged;
+};
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/claims/key_range.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/error.h"
+#include "core/time.h"
+#include "decision/types.h"
+
+namespace almondnotch {
+
+/// Longest idempotency key that is accepted, bytes.
+constexpr std::size_t idempotencyKeyBytesMax = 256;
+
+/// A range of idempotency keys that names the one process that may run its operations.
+///
+/// Text form: "vm.start_number.minted_ms.range_number.mac". The MAC is HMAC-SHA256 over the text
+/// before it, cut to 128 bits, so that a caller cannot invent a range.
+struct key_range
+{
+    process_id home;
+    /// Reading of the home's clock when the range was minted, whole milliseconds.
+    duration minted {0};
+    std::uint64_t rangeNumber = 0;
+
+    bool operator==(const key_range &) const = default;
+};
+
+/// One operation's key: a range and the caller's number in it.
+struct operation_key
+{
+    key_range range;
+    std::uint32_t number = 0;
+
+    bool operator==(const operation_key &) const = default;
+};
+
+/// Text of a range, signed with `secret`.
+std::string formatKeyRange(const key_range &range, std::string_view secret);
+
+/// Parses "TOKEN/NUMBER" and verifies the MAC against each of `secrets`.
+///
+/// Only the canonical spelling is accepted (decimal, no leading zeros), since two spellings of one
+/// key would be two operations.
+/// \return invalid_argument for a malformed key, authentication_failed for a wrong MAC.
+result<operation_key> parseOperationKey(std::string_view text,
+                                        const std::vector<std::string> &secrets);
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/gateway.cpp
@@ -0,0 +1,573 @@
+#include "decision/gateway.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <set>
+
+#include "core/mechanisms.h"
+#include "core/random_source.h"
+#include "decision/calls/call_runner.h"
+#include "decision/calls/quarantine_table.h"
+#include "decision/claims/claim_table.h"
+#include "decision/claims/handover_receiver.h"
+#include "decision/claims/handover_sender.h"
+
+namespace almondnotch {
+
+namespace {
+
+/// How often tables are swept for entries whose lifetime is over.
+constexpr duration sweepInterval = milliseconds(500);
+
+/// Difference between the platform's wall clock and this VM's that is allowed for; a leaving VM
+/// ends its work this much before the notice period does.
+constexpr duration clockErrorMax = seconds(2);
+
+/// Entry responses carry a lifetime with up to a quarter of jitter; a leaving gateway serves for
+/// at least as long as the longest of them.
+constexpr double entryKeepJitter = 0.25;
+
+/// Time kept back at the end of a drain for the handover of claims.
+constexpr duration handoverReserve = seconds(3);
+
+/// Facts of one kind that one exchange carries at most.
+constexpr std::size_t factsPerExchangeMax = 32;
+
+/// Where the process is in its life.
+enum class life_stage { serving, leaving, handing_over, finished };
+
+std::string_view toString(life_stage stage)
+{
+    static constexpr std::array<std::string_view, 4> names {"serving", "leaving", "handing-over",
+                                                            "finished"};
+    return names.at(static_cast<std::size_t>(stage));
+}
+
+} // namespace
+
+/// The parts of the gateway and the rules that connect them.
+struct gateway::state : public process_directory
+{
+    explicit state(gateway_settings given);
+
+    std::optional<std::string> peerAddress(const process_id &process) const override
+    {
+        return members->peerAddress(process);
+    }
+
+    void start(instant now, action_list &actions);
+    void handle(instant now, const event &input, action_list &actions);
+    instant nextWake() const;
+    nlohmann::json dump(instant now) const;
+
+    void on(instant now, const call_received &input, action_list &actions);
+    void on(instant now, const caller_disconnected &input, action_list &actions);
+    void on(instant now, const attempt_finished &input, action_list &actions);
+    void on(instant now, const probe_finished &input, action_list &actions);
+    void on(instant now, const entry_query &input, action_list &actions);
+    void on(instant now, const peer_message_received &input, action_list &actions);
+    void on(instant now, const peer_send_failed &input, action_list &actions);
+    void on(instant now, const platform_read_finished &input, action_list &actions);
+    void on(instant now, const drain_requested &input, action_list &actions);
+    void on(instant now, const timer_expired &input, action_list &actions);
+
+    void on(instant now, const process_id &from, const forwarded_call &input, action_list &actions);
+    void on(instant now, const process_id &from, const forwarded_response &input,
+            action_list &actions);
+    void on(instant now, const process_id &from, const handover_chunk &input, action_list &actions);
+    void on(instant now, const process_id &from, const handover_commit &input,
+            action_list &actions);
+    void on(instant now, const process_id &from, const handover_ack &input, action_list &actions);
+    template <typename Message>
+    void on(instant now, const process_id &from, const Message &input, action_list &actions)
+    {
+        takeOver(now, members->peerMessage(now, from, input, actions), actions);
+    }
+
+    /// Dispatch tables: one member pointer for each type of event and of peer message.
+    template <typename Event>
+    void dispatchEvent(instant now, const event &input, action_list &actions)
+    {
+        on(now, std::get<Event>(input), actions);
+    }
+    template <typename Message>
+    void dispatchMessage(instant now, const process_id &from, const peer_message &input,
+                         action_list &actions)
+    {
+        on(now, from, std::get<Message>(input), actions);
+    }
+    using event_handler = void (state::*)(instant, const event &, action_list &);
+    using message_handler
+        = void (state::*)(instant, const process_id &, const peer_message &, action_list &);
+    static const std::array<event_handler, std::variant_size_v<event>> eventHandlers;
+    static const std::array<message_handler, std::variant_size_v<peer_message>> messageHandlers;
+
+    void detectPause(instant now, action_list &actions);
+    void takeOver(instant now, const fleet_changes &changes, action_list &actions);
+    void takeOverVmList(instant now, const std::vector<listed_vm> &list, action_list &actions);
+    void startProbes(instant now, action_list &actions);
+    void sweep(instant now);
+    void publishFacts(instant now);
+    void beginLeaving(instant now, instant deadline, std::string_view cause, action_list &actions);
+    void continueLeaving(instant now, action_list &actions);
+    std::vector<successor_candidate> successorCandidates() const;
+    std::string mintRangeFor(instant now, const std::string &entryAddress);
+    void sendAck(const process_id &to, handover_ack ack, action_list &actions);
+
+    gateway_settings settings;
+    counter_set counters;
+    invariant_set invariants;
+    random_source random;
+    std::unique_ptr<fleet> members;
+    std::unique_ptr<balancer> workers;
+    claim_table claims;
+    quarantine_table quarantine;
+    call_runner calls;
+    handover_sender handoverOut;
+    handover_receiver handoverIn;
+
+    std::map<probe_id, worker_index> probes;
+    std::uint64_t nextProbe = 1;
+    std::set<std::string> leavingVms;
+    instant nextSweep;
+    /// Value of `nextWake` after the last input; shows a pause if the next input is much later.
+    instant expectedWake = instant::never();
+
+    life_stage stage = life_stage::serving;
+    instant leavingSince;
+    /// Until then some caller may hold an entry response that names this process.
+    instant entriesExpireAt;
+    instant leaveDeadline = instant::never();
+};
+
+const std::array<gateway::state::event_handler, std::variant_size_v<event>>
+    gateway::state::eventHandlers {
+        &state::dispatchEvent<call_received>,    &state::dispatchEvent<caller_disconnected>,
+        &state::dispatchEvent<attempt_finished>, &state::dispatchEvent<probe_finished>,
+        &state::dispatchEvent<entry_query>,      &state::dispatchEvent<peer_message_received>,
+        &state::dispatchEvent<peer_send_failed>, &state::dispatchEvent<platform_read_finished>,
+        &state::dispatchEvent<drain_requested>,  &state::dispatchEvent<timer_expired>,
+    };
+
+const std::array<gateway::state::message_handler, std::variant_size_v<peer_message>>
+    gateway::state::messageHandlers {
+        &state::dispatchMessage<fleet_digest>,       &state::dispatchMessage<config_request>,
+        &state::dispatchMessage<config_data>,        &state::dispatchMessage<forwarded_call>,
+        &state::dispatchMessage<forwarded_response>, &state::dispatchMessage<handover_chunk>,
+        &state::dispatchMessage<handover_commit>,    &state::dispatchMessage<handover_ack>,
+    };
+
+gateway::state::state(gateway_settings given)
+    : settings(std::move(given)), random(settings.seed),
+      members(fleet::create(settings.fleetPart, random, invariants, counters)),
+      workers(balancer::create(settings.balancerPart, random, invariants, counters)),
+      claims(settings.claims, settings.fleetPart.self, invariants, counters),
+      quarantine(settings.calls.quarantineTime, settings.calls.crashRecordsMax, counters),
+      calls(settings.calls, {*workers, claims, quarantine, *this, invariants, counters}),
+      handoverOut(claims, counters), handoverIn(claims, counters)
+{ }
+
+void gateway::state::start(instant now, action_list &actions)
+{
+    nextSweep = now + sweepInterval;
+    members->start(now, actions);
+    expectedWake = nextWake();
+}
+
+void gateway::state::handle(instant now, const event &input, action_list &actions)
+{
+    if (stage == life_stage::finished)
+        return;
+    detectPause(now, actions);
+    // Deadlines go before new work, so that nothing is sent for a call whose time is over. A
+    // response that is here already still goes to its caller.
+    if (!std::holds_alternative<attempt_finished>(input))
+        calls.timerExpired(now, actions);
+    (this->*eventHandlers.at(input.index()))(now, input, actions);
+    if (stage != life_stage::serving)
+        continueLeaving(now, actions);
+    expectedWake = nextWake();
+}
+
+void gateway::state::detectPause(instant now, action_list &actions)
+{
+    if (expectedWake == instant::never() || now - expectedWake <= settings.pauseThreshold
+        || !isMechanismEnabled("pause_detection"))
+        return;
+    counters.add("pauses_total");
+    actions.push_back(
+        write_log {log_level::warning,
+                   "gateway",
+                   "The process did not run for a while.",
+                   {{"late_ms", std::to_string(toMilliseconds(now - expectedWake))}}});
+    workers->pauseDetected(now);
+    members->pauseDetected(now, actions);
+}
+
+instant gateway::state::nextWake() const
+{
+    if (stage == life_stage::finished)
+        return instant::never();
+    instant wake = std::min({calls.nextWake(), workers->nextWake(), members->nextWake(), nextSweep,
+                             handoverOut.nextWake()});
+    if (stage != life_stage::serving)
+        wake = std::min(wake, leaveDeadline);
+    return wake;
+}
+
+void gateway::state::on(instant now, const call_received &input, action_list &actions)
+{
+    calls.callReceived(now, input, members->config(), actions);
+}
+
+void gateway::state::on(instant now, const caller_disconnected &input, action_list &actions)
+{
+    calls.callerDisconnected(now, input, actions);
+}
+
+void gateway::state::on(instant now, const attempt_finished &input, action_list &actions)
+{
+    calls.attemptFinished(now, input, actions);
+}
+
+void gateway::state::on(instant now, const probe_finished &input, action_list &)
+{
+    const auto found = probes.find(input.probe);
+    if (found == probes.end()) {
+        invariants.check("probe_ends_once", false);
+        return;
+    }
+    workers->probeFinished(now, found->second, input.load, input.bytes);
+    probes.erase(found);
+}
+
+void gateway::state::on(instant now, const entry_query &input, action_list &actions)
+{
+    counters.add("entry_queries_total");
+    send_entry_response response;
+    response.query = input.query;
+    const shared_config &config = members->config();
+    if (!config || config->service(input.service) == nullptr) {
+        response.refusal = config ? "no service has this name" : "no configuration is in force yet";
+        actions.push_back(std::move(response));
+        return;
+    }
+    response.addresses = members->entryAddresses(now, input.service);
+    if (response.addresses.empty()) {
+        response.refusal = "no gateway is available";
+        actions.push_back(std::move(response));
+        return;
+    }
+    const double jitter = 1.0 + entryKeepJitter * random.uniform();
+    response.keep = duration(static_cast<std::int64_t>(
+        static_cast<double>(config->objects().limits.entryKeep.count()) * jitter));
+    response.keyRange = mintRangeFor(now, response.addresses.front());
+    invariants.check("leaving_gateway_not_named",
+                     stage == life_stage::serving
+                         || std::find(response.addresses.begin(), response.addresses.end(),
+                                      settings.fleetPart.entryAddress)
+                                == response.addresses.end());
+    actions.push_back(std::move(response));
+}
+
+std::string gateway::state::mintRangeFor(instant now, const std::string &entryAddress)
+{
+    const std::uint64_t number = random.next();
+    if (entryAddress != settings.fleetPart.entryAddress) {
+        for (const member_update &peer : members->livePeers()) {
+            if (peer.entryAddress == entryAddress && peer.clock > duration {0})
+                return claims.mintRange(peer.process, peer.clock, number);
+        }
+    }
+    // Calls with this range are forwarded here if the caller uses another address.
+    if (stage != life_stage::serving)
+        return {};
+    return claims.mintRange(settings.fleetPart.self, now.sinceOrigin(), number);
+}
+
+void gateway::state::on(instant now, const peer_message_received &input, action_list &actions)
+{
+    counters.add("peer_messages_total{type=\"" + std::string(messageName(input.message)) + "\"}");
+    (this->*messageHandlers.at(input.message.index()))(now, input.from, input.message, actions);
+}
+
+void gateway::state::on(instant now, const process_id &from, const forwarded_call &input,
+                        action_list &actions)
+{
+    if (input.request)
+        calls.forwardedCall(now, from, input, members->config(), actions);
+}
+
+void gateway::state::on(instant now, const process_id &, const forwarded_response &input,
+                        action_list &actions)
+{
+    calls.forwardedResponse(now, input, actions);
+}
+
+void gateway::state::on(instant now, const process_id &from, const handover_chunk &input,
+                        action_list &actions)
+{
+    sendAck(from, handoverIn.chunkReceived(now, from, input), actions);
+}
+
+void gateway::state::on(instant now, const process_id &from, const handover_commit &input,
+                        action_list &actions)
+{
+    sendAck(from, handoverIn.commitReceived(now, from, input), actions);
+    publishFacts(now);
+}
+
+void gateway::state::on(instant now, const process_id &from, const handover_ack &input,
+                        action_list &actions)
+{
+    handoverOut.acknowledged(now, from, input, actions);
+}
+
+void gateway::state::sendAck(const process_id &to, handover_ack ack, action_list &actions)
+{
+    const std::optional<std::string> address = members->peerAddress(to);
+    if (!address) {
+        counters.add("handover_acks_without_receiver_total");
+        return;
+    }
+    actions.push_back(send_peer_message {*address, 0, std::move(ack)});
+}
+
+void gateway::state::on(instant now, const peer_send_failed &input, action_list &)
+{
+    members->peerSendFailed(now, input.peerAddress);
+}
+
+void gateway::state::on(instant now, const platform_read_finished &input, action_list &actions)
+{
+    takeOver(now, members->platformReadFinished(now, input, actions), actions);
+}
+
+void gateway::state::on(instant now, const drain_requested &input, action_list &actions)
+{
+    beginLeaving(now, input.deadline, "requested", actions);
+}
+
+void gateway::state::on(instant now, const timer_expired &, action_list &actions)
+{
+    takeOver(now, members->timerExpired(now, actions), actions);
+    if (now >= nextSweep)
+        sweep(now);
+    if (handoverOut.isStarted())
+        handoverOut.timerExpired(now, successorCandidates(), actions);
+    startProbes(now, actions);
+}
+
+void gateway::state::takeOver(instant now, const fleet_changes &changes, action_list &actions)
+{
+    if (changes.configChanged) {
+        workers->applyConfig(now, members->config());
+        counters.set("config_version", static_cast<double>(members->config()->version()));
+    }
+    if (changes.vmList)
+        takeOverVmList(now, *changes.vmList, actions);
+    for (const worker_drain &drain : changes.drains)
+        workers->markDraining(now, drain.worker, drain.age);
+    for (const crash_record &crash : changes.crashes)
+        quarantine.learn(now, crash);
+    for (const handover_record &record : changes.handovers)
+        claims.learnHandover(record);
+}
+
+void gateway::state::takeOverVmList(instant now, const std::vector<listed_vm> &list,
+                                    action_list &actions)
+{
+    std::set<std::string> leavingNow;
+    for (const listed_vm &vm : list) {
+        if (!vm.leaving)
+            continue;
+        const instant leaveAt
+            = vm.leaveAtUnixMs == 0
+                  ? instant::never()
+                  : instant(milliseconds(vm.leaveAtUnixMs - settings.unixMsAtOrigin))
+                        - clockErrorMax;
+        leavingNow.insert(vm.name);
+        workers->markVmLeaving(now, vm.name, leaveAt);
+        if (vm.name == settings.fleetPart.self.vm)
+            beginLeaving(now, leaveAt, "VM is leaving", actions);
+    }
+    for (const std::string &vm : leavingVms) {
+        if (!leavingNow.contains(vm))
+            workers->clearVmLeaving(now, vm);
+    }
+    leavingVms = std::move(leavingNow);
+}
+
+void gateway::state::startProbes(instant now, action_list &actions)
+{
+    for (const probe_order &order : workers->dueProbes(now)) {
+        const probe_id probe = static_cast<probe_id>(nextProbe++);
+        probes.emplace(probe, order.worker);
+        actions.push_back(start_probe {probe, order.address, order.timeLimit});
+    }
+}
+
+void gateway::state::sweep(instant now)
+{
+    nextSweep = now + sweepInterval;
+    claims.expire(now);
+    quarantine.expire(now);
+    handoverIn.expire(now);
+    publishFacts(now);
+}
+
+void gateway::state::publishFacts(instant now)
+{
+    local_facts facts;
+    facts.callsInProgress = static_cast<std::uint32_t>(calls.inProgress());
+    facts.drains = workers->recentDrains(now, factsPerExchangeMax);
+    facts.crashes = quarantine.records(now, factsPerExchangeMax);
+    facts.handovers = claims.handovers();
+    members->setLocalFacts(std::move(facts));
+}
+
+void gateway::state::beginLeaving(instant now, instant deadline, std::string_view cause,
+                                  action_list &actions)
+{
+    const instant limit = std::min(deadline, now + settings.drainTimeMax);
+    if (stage != life_stage::serving) {
+        leaveDeadline = std::min(leaveDeadline, limit);
+        return;
+    }
+    stage = life_stage::leaving;
+    leavingSince = now;
+    leaveDeadline = limit;
+    const shared_config &config = members->config();
+    const duration keep = config ? config->objects().limits.entryKeep : duration {0};
+    entriesExpireAt = now
+                      + duration(static_cast<std::int64_t>(static_cast<double>(keep.count())
+                                                           * (1.0 + entryKeepJitter)));
+    calls.beginLeaving();
+    members->beginLeaving(now, actions);
+    counters.set("leaving", 1);
+    actions.push_back(
+        write_log {log_level::info,
+                   "gateway",
+                   "Leaving; entry responses no longer name this process.",
+                   {{"cause", std::string(cause)},
+                    {"deadline_ms", std::to_string(toMilliseconds(leaveDeadline - now))}}});
+}
+
+void gateway::state::continueLeaving(instant now, action_list &actions)
+{
+    const bool late = now + handoverReserve >= leaveDeadline;
+    if (stage == life_stage::leaving) {
+        const bool entriesExpired = now >= entriesExpireAt;
+        if (!late && !(entriesExpired && calls.inProgress() == 0))
+            return;
+        // At the deadline what is left is reported, never dropped.
+        calls.endAll(now, "the deadline of the drain has come", actions);
+        stage = life_stage::handing_over;
+        claims.seal();
+        handoverOut.start(now, successorCandidates(), actions);
+    }
+    if (stage != life_stage::handing_over)
+        return;
+    if (!handoverOut.isFinished() && now < leaveDeadline)
+        return;
+    calls.endAll(now, "the process ends", actions);
+    stage = life_stage::finished;
+    actions.push_back(
+        exit_process {handoverOut.isFinished() ? "drained" : "deadline of the drain has come"});
+}
+
+std::vector<successor_candidate> gateway::state::successorCandidates() const
+{
+    std::vector<successor_candidate> candidates;
+    for (const member_update &peer : members->livePeers())
+        candidates.push_back({peer.process, peer.peerAddress});
+    return candidates;
+}
+
+nlohmann::json gateway::state::dump(instant now) const
+{
+    const shared_config &config = members->config();
+    return {{"process", toString(settings.fleetPart.self)},
+            {"interface_version", decisionInterfaceVersion},
+            {"stage", toString(stage)},
+            {"drain",
+             {{"age_ms", stage == life_stage::serving ? 0 : toMilliseconds(now - leavingSince)},
+              {"time_left_ms",
+               leaveDeadline == instant::never() ? -1 : toMilliseconds(leaveDeadline - now)}}},
+            {"config_version", config ? config->version() : 0},
+            {"calls", calls.dump(now)},
+            {"claims", claims.dump()},
+            {"handover_out", handoverOut.dump()},
+            {"handover_in", handoverIn.dump()},
+            {"quarantine", quarantine.dump(now)},
+            {"workers", workers->dump(now)},
+            {"fleet", members->dump(now)},
+            {"probes_in_flight", probes.size()},
+            {"invariants", invariants.dump()},
+            {"counters", counters.dump()}};
+}
+
+gateway::gateway(std::unique_ptr<state> data) : m_state(std::move(data)) { }
+
+gateway::~gateway() = default;
+
+result<std::unique_ptr<gateway>> gateway::create(gateway_settings settings)
+{
+    if (settings.fleetPart.self.vm.empty())
+        return fail(error_code::invalid_settings, "create gateway", "",
+                    "the name of the VM is empty");
+    if (settings.claims.accept <= duration {0} || settings.claims.repeat <= duration {0})
+        return fail(error_code::invalid_settings, "create gateway", "",
+                    "lifetimes of claims must be positive");
+    return std::unique_ptr<gateway>(new gateway(std::make_unique<state>(std::move(settings))));
+}
+
+void gateway::start(instant now, action_list &actions)
+{
+    m_state->start(now, actions);
+}
+
+void gateway::handle(instant now, const event &input, action_list &actions)
+{
+    m_state->handle(now, input, actions);
+}
+
+instant gateway::nextWake() const
+{
+    return m_state->nextWake();
+}
+
+nlohmann::json gateway::dump(instant now) const
+{
+    return m_state->dump(now);
+}
+
+nlohmann::json gateway::explain(instant now, std::string_view method, std::string_view target) const
+{
+    const shared_config &config = m_state->members->config();
+    if (!config)
+        return {{"refusal", "no configuration is in force yet"}};
+    const std::optional<route> found = config->findRoute(method, target);
+    if (!found)
+        return {{"refusal", "no routing rule matches"}};
+    return {{"config_version", config->version()},
+            {"rule", found->rule->name},
+            {"service", found->service->name},
+            {"group", found->group->name},
+            {"idempotent", found->rule->idempotent},
+            {"selection", config->objects().limits.selection},
+            {"workers", m_state->workers->explain(now, *found->group)}};
+}
+
+const counter_set &gateway::counters() const
+{
+    return m_state->counters;
+}
+
+invariant_set &gateway::invariants()
+{
+    return m_state->invariants;
+}
+
+} // namespace almondnotch
--- a/decision/peer_messages.h
+++ b/decision/peer_messages.h
@@ -29,6 +29,9 @@
     std::string peerAddress;
     /// Calls in progress, for even entry responses.
     std::uint32_t callsInProgress = 0;
+    /// Reading of the process's clock when it sent this of itself, less the time since, so that
+    /// others can mint key ranges for it. 0 if unknown.
+    duration clock {0};
 
     bool operator==(const member_update &) const = default;
 };
@@ -125,10 +128,8 @@
     /// Digest of method, target and body; tells a repeat from another request with the same key.
     std::uint64_t requestDigest = 0;
     call_outcome outcome = call_outcome::unknown;
-    /// Empty if the response was too large to be kept.
+    /// Null if the response was too large to be kept.
     shared_response response;
-    /// Time until the claim may be forgotten.
-    duration timeLeft {0};
 };
 
 /// A numbered part of a handover. Chunks may arrive in any order and more than once.
@@ -144,9 +145,12 @@
 {
     process_id from;
     std::uint32_t chunkCount = 0;
-    /// For how long unused numbers of the sender's key ranges can still be told from used ones.
-    duration acceptTimeLeft {0};
-    duration repeatTimeLeft {0};
+    /// Reading of the clock of `from` when the commit was sent; key ranges carry times of that
+    /// clock.
+    duration clock {0};
+    /// Lifetimes that `from` applied to its claims, which may differ from the receiver's settings.
+    duration accept {0};
+    duration repeat {0};
 };
 
 struct handover_ack
