--- a/decision/calls/call_runner.cpp
+++ b/decision/calls/call_runner.cpp
@@ -95,9 +95,9 @@
         return;
     }
 
+    const call_id call = incoming.call;
     call_record &record
-        = *m_calls.emplace(incoming.call, std::make_unique<call_record>(std::move(incoming)))
-               .first->second;
+        = *m_calls.emplace(call, std::make_unique<call_record>(std::move(incoming))).first->second;
     m_parts.invariants.check("calls_within_bound", m_calls.size() <= m_settings.inProgressMax);
     addTimer(record.deadline, record.call);
 
@@ -451,9 +451,10 @@
     finish(now, record, makeProblemResponse(details), actions);
 }
 
-void call_runner::finish(instant now, call_record &record, shared_response response,
+void call_runner::finish(instant now, call_record &record, const shared_response &given,
                          action_list &actions)
 {
+    const shared_response response = given; // Outlives the record that it may come from.
     cancelAttempts(record, actions);
     if (record.stage == call_stage::running)
         m_parts.invariants.check("not_run_was_not_sent",
--- a/decision/calls/call_runner.h
+++ b/decision/calls/call_runner.h
@@ -117,7 +117,8 @@
     void cancelAttempts(call_record &record, action_list &actions);
     /// Ends a call with a problem; the outcome follows from the record of what was sent.
     void finishWith(instant now, call_record &record, const ending &cause, action_list &actions);
-    void finish(instant now, call_record &record, shared_response response, action_list &actions);
+    void finish(instant now, call_record &record, const shared_response &given,
+                action_list &actions);
     void respond(const call_record &record, const shared_response &response, action_list &actions);
     void addTimer(instant at, call_id call);
     service_state &stateOf(const call_record &record);
--- /dev/null
+++ b/tests/decision/claims/claim_fixture.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <stdexcept>
+#include <string>
+
+#include "core/counters.h"
+#include "core/invariants.h"
+#include "decision/claims/claim_table.h"
+#include "decision/claims/key_range.h"
+
+namespace almondnotch {
+
+/// A claim table of one process, with invariants that throw.
+struct claim_fixture
+{
+    explicit claim_fixture(const std::string &vm = "vm-a", std::uint32_t claimsMax = 100)
+        : self {vm, 7}, table(makeSettings(claimsMax), self, invariants, counters)
+    {
+        invariants.setFailureHandler([](std::string_view name, const std::string &detail) {
+            throw std::runtime_error(std::string(name) + ": " + detail);
+        });
+    }
+
+    static claim_settings makeSettings(std::uint32_t claimsMax)
+    {
+        claim_settings settings;
+        settings.tokenKeys = {"secret"};
+        settings.claimsMax = claimsMax;
+        settings.accept = seconds(600);
+        settings.repeat = seconds(600);
+        settings.chunkClaimsMax = 2;
+        return settings;
+    }
+
+    /// A key of this process whose range was minted at the given time.
+    std::string key(unsigned number, duration minted = duration {0}) const
+    {
+        return formatKeyRange({self, minted, 1}, "secret") + "/" + std::to_string(number);
+    }
+
+    claim_result begin(instant now, const std::string &text, std::uint64_t digest = 1)
+    {
+        call_request request;
+        request.idempotencyKey = text;
+        return table.begin(now, request, digest, static_cast<call_id>(++lastCall));
+    }
+
+    process_id self;
+    invariant_set invariants;
+    counter_set counters;
+    claim_table table;
+    std::uint64_t lastCall = 0;
+};
+
+inline shared_response makeResponse(std::string body)
+{
+    std::shared_ptr<call_response> response = std::make_shared<call_response>();
+    response->status = 201;
+    response->body = std::move(body);
+    return response;
+}
+
+/// Instant a number of seconds after the origin.
+inline instant at(double time)
+{
+    return instant(duration(static_cast<std::int64_t>(time * 1e6)));
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/tests/decision/claims/handover_test.cpp
@@ -0,0 +1,155 @@
+#include <boost/test/unit_test.hpp>
+
+#include "decision/claims/handover_receiver.h"
+#include "decision/claims/handover_sender.h"
+#include "tests/decision/claims/claim_fixture.h"
+
+namespace almondnotch {
+
+namespace {
+
+/// A leaving process with five ended operations and a successor, with messages passed by hand.
+struct handover_fixture
+{
+    handover_fixture()
+    {
+        for (unsigned i = 1; i <= 5; ++i) {
+            leaver.begin(at(1), leaver.key(i));
+            leaver.table.finish(leaver.key(i), call_outcome::run, makeResponse("done"));
+        }
+        leaver.table.seal();
+    }
+
+    void start() { sender.start(at(10), {{successor.self, "successor:1"}}, actions); }
+
+    /// Delivers one message to the successor and its acknowledgement to the leaver.
+    void deliver(const peer_message &message)
+    {
+        handover_ack ack;
+        if (std::holds_alternative<handover_chunk>(message))
+            ack = receiver.chunkReceived(at(11), leaver.self, std::get<handover_chunk>(message));
+        else
+            ack = receiver.commitReceived(at(11), leaver.self, std::get<handover_commit>(message));
+        sender.acknowledged(at(11), successor.self, ack, actions);
+    }
+
+    std::vector<peer_message> takeMessages()
+    {
+        std::vector<peer_message> messages;
+        for (const action &entry : actions)
+            messages.push_back(std::get<send_peer_message>(entry).message);
+        actions.clear();
+        return messages;
+    }
+
+    claim_fixture leaver {"vm-a"};
+    claim_fixture successor {"vm-b"};
+    handover_sender sender {leaver.table, leaver.counters};
+    handover_receiver receiver {successor.table, successor.counters};
+    action_list actions;
+};
+
+} // namespace
+
+// Guards against operations that are lost when a gateway leaves.
+BOOST_AUTO_TEST_CASE(successor_answers_repeats_after_the_commit)
+{
+    handover_fixture fixture;
+    fixture.start();
+    for (int round = 0; round < 5 && !fixture.sender.isFinished(); ++round) {
+        for (const peer_message &message : fixture.takeMessages())
+            fixture.deliver(message);
+    }
+    BOOST_TEST(fixture.sender.isFinished());
+    BOOST_TEST(
+        (fixture.successor.begin(at(12), fixture.leaver.key(3)).verdict == claim_verdict::replay));
+    BOOST_TEST((fixture.successor.begin(at(12), fixture.leaver.key(9)).verdict
+                == claim_verdict::run_here));
+    const claim_result old = fixture.leaver.begin(at(12), fixture.leaver.key(3));
+    BOOST_TEST((old.verdict == claim_verdict::forward));
+    BOOST_TEST((old.owner == fixture.successor.self));
+}
+
+// Guards against two owners when the handover is cut before its commit.
+BOOST_AUTO_TEST_CASE(cut_before_the_commit_leaves_no_second_owner)
+{
+    handover_fixture fixture;
+    fixture.start();
+    const std::vector<peer_message> chunks = fixture.takeMessages();
+    BOOST_REQUIRE(chunks.size() == 3U);
+    fixture.receiver.chunkReceived(at(11), fixture.leaver.self,
+                                   std::get<handover_chunk>(chunks[0]));
+    BOOST_TEST(
+        (fixture.successor.begin(at(12), fixture.leaver.key(9)).verdict == claim_verdict::forward));
+    BOOST_TEST(
+        (fixture.leaver.begin(at(12), fixture.leaver.key(9)).verdict == claim_verdict::refuse));
+}
+
+// Guards against a commit that takes effect while a chunk is missing.
+BOOST_AUTO_TEST_CASE(commit_waits_for_lost_chunks)
+{
+    handover_fixture fixture;
+    fixture.start();
+    const std::vector<peer_message> chunks = fixture.takeMessages();
+    fixture.deliver(chunks[0]);
+    const std::vector<peer_message> commits = fixture.takeMessages();
+    BOOST_REQUIRE(commits.size() == 1U);
+    fixture.deliver(commits[0]);
+    BOOST_TEST(!fixture.sender.isFinished());
+    BOOST_TEST(!fixture.successor.table.owns(fixture.leaver.self));
+    for (int round = 0; round < 5 && !fixture.sender.isFinished(); ++round) {
+        for (const peer_message &message : fixture.takeMessages())
+            fixture.deliver(message);
+    }
+    BOOST_TEST(fixture.sender.isFinished());
+}
+
+// Guards against a paused sender that wakes up and picks another successor after its commit.
+BOOST_AUTO_TEST_CASE(successor_is_fixed_once_a_commit_was_sent)
+{
+    handover_fixture fixture;
+    fixture.start();
+    fixture.deliver(fixture.takeMessages()[0]);
+    fixture.takeMessages();
+    fixture.sender.timerExpired(at(60), {{{"vm-c", 3}, "other:1"}}, fixture.actions);
+    BOOST_REQUIRE(!fixture.actions.empty());
+    for (const action &entry : fixture.actions)
+        BOOST_TEST(std::get<send_peer_message>(entry).peerAddress == "successor:1");
+}
+
+// Guards against a repeated commit that resets claims which changed since.
+BOOST_AUTO_TEST_CASE(repeated_commit_changes_nothing)
+{
+    handover_fixture fixture;
+    fixture.start();
+    std::vector<peer_message> all;
+    for (int round = 0; round < 5 && !fixture.sender.isFinished(); ++round) {
+        for (const peer_message &message : fixture.takeMessages()) {
+            all.push_back(message);
+            fixture.deliver(message);
+        }
+    }
+    BOOST_TEST((fixture.successor.begin(at(12), fixture.leaver.key(9)).verdict
+                == claim_verdict::run_here));
+    for (const peer_message &message : all)
+        fixture.deliver(message);
+    BOOST_TEST(
+        (fixture.successor.begin(at(13), fixture.leaver.key(9)).verdict == claim_verdict::wait));
+}
+
+// Guards against a successor that forgets adopted claims earlier than their first owner would.
+BOOST_AUTO_TEST_CASE(adopted_claims_keep_their_lifetime_on_another_clock)
+{
+    handover_fixture fixture;
+    fixture.start();
+    for (int round = 0; round < 5 && !fixture.sender.isFinished(); ++round) {
+        for (const peer_message &message : fixture.takeMessages())
+            fixture.deliver(message);
+    }
+    // The leaver's clock read 10 s to 11 s at the commit, the successor's 11 s.
+    fixture.successor.table.expire(at(1200));
+    BOOST_TEST((fixture.successor.begin(at(1200), fixture.leaver.key(1)).verdict
+                == claim_verdict::replay));
+}
+
+} // namespace almondnotch
