Parse and check the published configuration

The interfaces of config/ had no implementation. The parser reads every text of a set, collects all faults with file, line and object, and then checks the set as a whole: names, references, groups without workers, shadowed rules, fallback cycles, budgets, connections and bounds.

--- /dev/null
+++ b/config/checker.cpp
@@ -0,0 +1,322 @@
+#include "config/checker.h"
+
+#include <algorithm>
+#include <map>
+#include <sstream>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "config/bounds.h"
+
+namespace almondnotch {
+
+namespace {
+
+std::string formatNumber(double value)
+{
+    std::ostringstream out;
+    out << value;
+    return out.str();
+}
+
+/// Objects of one kind by name.
+template <typename T>
+class name_table
+{
+public:
+    /// Reports names that are taken.
+    name_table(const std::vector<located<T>> &objects, fault_list &faults)
+    {
+        m_byName.reserve(objects.size());
+        for (const located<T> &each : objects) {
+            // A missing or malformed name has its own fault.
+            if (each.object.name.empty())
+                continue;
+            const auto [found, isNew] = m_byName.emplace(each.object.name, &each);
+            if (!isNew)
+                faults.add(each.where, "name",
+                           "the name " + quoted(each.object.name) + " is taken by the "
+                               + std::string(each.where.kind) + " at "
+                               + faults.place(found->second->where));
+        }
+    }
+
+    const located<T> *find(std::string_view name) const
+    {
+        const auto found = m_byName.find(name);
+        return found == m_byName.end() ? nullptr : found->second;
+    }
+
+    /// Names for suggestions, made on first use.
+    const std::vector<std::string> &names()
+    {
+        if (m_names.empty()) {
+            for (const auto &[name, object] : m_byName)
+                m_names.emplace_back(name);
+            // Hash order must not decide between equally close suggestions.
+            std::sort(m_names.begin(), m_names.end());
+        }
+        return m_names;
+    }
+
+private:
+    std::unordered_map<std::string_view, const located<T> *> m_byName;
+    std::vector<std::string> m_names;
+};
+
+class checker
+{
+public:
+    checker(const located_set &set, fault_list &faults)
+        : m_set(set), m_faults(faults), m_domains(set.failureDomains, faults),
+          m_entryVms(set.entryVms, faults), m_budgets(set.budgets, faults),
+          m_classes(set.priorityClasses, faults), m_groups(set.groups, faults),
+          m_workers(set.workers, faults), m_services(set.services, faults),
+          m_rules(set.rules, faults)
+    {
+        if (set.limits)
+            m_limits = set.limits->object;
+    }
+
+    void run()
+    {
+        checkPresence();
+        checkEntryVms();
+        checkBudgets();
+        checkGroups();
+        checkWorkers();
+        checkServices();
+        checkFallbackCycles();
+        checkRules();
+    }
+
+private:
+    template <typename T>
+    void checkReference(const object_location &where, std::string_view key, std::string_view kind,
+                        const std::string &name, name_table<T> &table)
+    {
+        // In an incomplete set the object may stand in the part that could not be read.
+        if (name.empty() || m_set.incomplete || table.find(name) != nullptr)
+            return;
+        if (m_faults.isFull()) {
+            m_faults.add(where, key, {});
+            return;
+        }
+        m_faults.add(where, key,
+                     std::string(key) + ": expected the name of a [[" + std::string(kind)
+                         + "]], found " + quoted(name) + m_faults.suggestion(name, table.names()));
+    }
+
+    /// Reports an address that another object of the map has.
+    void checkAddress(const object_location &where, std::string_view key,
+                      const std::string &address, std::string_view reason)
+    {
+        if (address.empty())
+            return;
+        const auto [found, isNew] = m_addresses.emplace(address, &where);
+        if (!isNew)
+            m_faults.add(where, key,
+                         std::string(key) + ": " + quoted(address) + " is taken by the "
+                             + std::string(found->second->kind) + " at "
+                             + m_faults.place(*found->second) + "; " + std::string(reason));
+    }
+
+    void checkPresence()
+    {
+        if (m_set.incomplete)
+            return;
+        const bool nothing = !m_set.limits && m_set.failureDomains.empty() && m_set.entryVms.empty()
+                             && m_set.budgets.empty() && m_set.priorityClasses.empty()
+                             && m_set.groups.empty() && m_set.workers.empty()
+                             && m_set.services.empty() && m_set.rules.empty();
+        object_location nowhere;
+        if (nothing)
+            m_faults.addAtLine(nowhere, 0, "expected a configuration, found no object at all");
+        else if (!m_set.services.empty() && m_set.rules.empty())
+            m_faults.addAtLine(nowhere, 0,
+                               "expected at least one [[rule]]: no call reaches the services");
+    }
+
+    void checkEntryVms()
+    {
+        for (const located<entry_vm> &each : m_set.entryVms) {
+            checkReference(each.where, "failure_domain", "failure_domain",
+                           each.object.failureDomain, m_domains);
+            checkAddress(each.where, "entry_address", each.object.entryAddress,
+                         "one address has one listener");
+            checkAddress(each.where, "peer_address", each.object.peerAddress,
+                         "one address has one listener");
+        }
+        if (m_set.entryVms.size() > m_limits.maxGateways) {
+            const object_location &where
+                = m_set.limits ? m_set.limits->where : m_set.entryVms.front().where;
+            m_faults.add(where, "max_gateways",
+                         "max_gateways: expected at least the number of [[entry_vm]], "
+                             + std::to_string(m_set.entryVms.size()) + ", found "
+                             + std::to_string(m_limits.maxGateways)
+                             + "; the measuring budget is divided by it");
+        }
+    }
+
+    void checkBudgets()
+    {
+        const double least = m_limits.maxGateways / probeIntervalMaxSeconds;
+        for (const located<measuring_budget> &each : m_set.budgets) {
+            // Absent or faulty values have their own faults.
+            if (hasKey(each.where, "probes_per_second") && each.object.probesPerSecond < least)
+                m_faults.add(each.where, "probes_per_second",
+                             "probes_per_second: expected at least " + formatNumber(least)
+                                 + ", so that each of " + std::to_string(m_limits.maxGateways)
+                                 + " gateways probes a worker once in "
+                                 + formatNumber(probeIntervalMaxSeconds / 60) + " minutes, found "
+                                 + formatNumber(each.object.probesPerSecond));
+            const double bytes = each.object.probesPerSecond * probeBytes;
+            if (hasKey(each.where, "bytes_per_second") && each.object.bytesPerSecond < bytes)
+                m_faults.add(each.where, "bytes_per_second",
+                             "bytes_per_second: expected at least " + formatNumber(bytes) + " for "
+                                 + formatNumber(each.object.probesPerSecond) + " probes of "
+                                 + formatNumber(probeBytes) + " bytes, found "
+                                 + formatNumber(each.object.bytesPerSecond));
+        }
+    }
+
+    static bool hasKey(const object_location &where, std::string_view key)
+    {
+        for (const object_location::key_line &candidate : where.keys) {
+            if (candidate.key == key)
+                return true;
+        }
+        return false;
+    }
+
+    void checkGroups()
+    {
+        std::unordered_set<std::string_view> used;
+        for (const located<worker_entry> &each : m_set.workers)
+            used.insert(each.object.group);
+        for (const located<worker_group> &each : m_set.groups) {
+            checkReference(each.where, "budget", "budget", each.object.budget, m_budgets);
+            if (hasKey(each.where, "connections") && each.object.connections < m_limits.maxGateways)
+                m_faults.add(each.where, "connections",
+                             "connections: expected at least max_gateways, "
+                                 + std::to_string(m_limits.maxGateways) + ", found "
+                                 + std::to_string(each.object.connections)
+                                 + "; each gateway needs one to a worker");
+            if (!m_set.incomplete && !each.object.name.empty() && used.count(each.object.name) == 0)
+                m_faults.addAtLine(each.where, each.where.line,
+                                   "expected at least one [[worker]] with group = "
+                                       + quoted(each.object.name));
+        }
+    }
+
+    void checkWorkers()
+    {
+        for (const located<worker_entry> &each : m_set.workers) {
+            checkReference(each.where, "group", "group", each.object.group, m_groups);
+            checkReference(each.where, "failure_domain", "failure_domain",
+                           each.object.failureDomain, m_domains);
+            checkAddress(each.where, "address", each.object.address,
+                         "a worker listed twice would be measured twice");
+        }
+    }
+
+    void checkServices()
+    {
+        for (const located<service_entry> &each : m_set.services) {
+            checkReference(each.where, "group", "group", each.object.group, m_groups);
+            checkReference(each.where, "class", "class", each.object.priorityClass, m_classes);
+            checkReference(each.where, "fallback", "service", each.object.fallback, m_services);
+        }
+    }
+
+    /// Follows the fallbacks of each service once. Every service has at most one, so that a cycle
+    /// is met exactly when a walk returns to a service of its own.
+    void checkFallbackCycles()
+    {
+        std::unordered_map<std::string_view, std::size_t> walkOf;
+        for (std::size_t walk = 0; walk < m_set.services.size(); ++walk) {
+            const located<service_entry> *at = m_services.find(m_set.services[walk].object.name);
+            while (at != nullptr && walkOf.emplace(at->object.name, walk).second)
+                at = m_services.find(at->object.fallback);
+            if (at != nullptr && walkOf[at->object.name] == walk)
+                reportCycle(*at);
+        }
+    }
+
+    void reportCycle(const located<service_entry> &start)
+    {
+        constexpr int shownMax = 10;
+        std::string path = start.object.name;
+        const located<service_entry> *at = m_services.find(start.object.fallback);
+        for (int shown = 0; at != nullptr && at != &start && shown < shownMax; ++shown) {
+            path += " -> " + at->object.name;
+            at = m_services.find(at->object.fallback);
+        }
+        path += at == &start ? " -> " + start.object.name : " -> ...";
+        m_faults.add(start.where, "fallback",
+                     "fallback: expected a chain that ends, found the cycle " + path);
+    }
+
+    void checkRules()
+    {
+        // For each prefix, the rule that takes each method; "" stands for every method.
+        std::unordered_map<std::string_view,
+                           std::map<std::string_view, const located<routing_rule> *>>
+            taken;
+        for (const located<routing_rule> &each : m_set.rules) {
+            checkReference(each.where, "service", "service", each.object.service, m_services);
+            if (each.object.pathPrefix.empty())
+                continue;
+            std::map<std::string_view, const located<routing_rule> *> &methods
+                = taken[each.object.pathPrefix];
+            std::vector<std::string_view> wanted(each.object.methods.begin(),
+                                                 each.object.methods.end());
+            const auto all = methods.find("");
+            if (all != methods.end()) {
+                reportOverlap(each, *all->second, "every method");
+            } else if (wanted.empty() && !methods.empty()) {
+                reportOverlap(each, *methods.begin()->second, std::string(methods.begin()->first));
+            }
+            if (wanted.empty())
+                wanted.emplace_back("");
+            for (const std::string_view method : wanted) {
+                const auto [found, isNew] = methods.emplace(method, &each);
+                if (!isNew && !method.empty())
+                    reportOverlap(each, *found->second, std::string(method));
+            }
+        }
+    }
+
+    void reportOverlap(const located<routing_rule> &late, const located<routing_rule> &early,
+                       const std::string &what)
+    {
+        m_faults.add(late.where, "path_prefix",
+                     "can never match all its calls: the rule " + early.object.name + " at "
+                         + m_faults.place(early.where) + " takes " + what + " of "
+                         + quoted(late.object.pathPrefix)
+                         + "; expected methods that no other rule of the prefix has");
+    }
+
+    const located_set &m_set;
+    fault_list &m_faults;
+    fleet_limits m_limits;
+    name_table<failure_domain> m_domains;
+    name_table<entry_vm> m_entryVms;
+    name_table<measuring_budget> m_budgets;
+    name_table<priority_class> m_classes;
+    name_table<worker_group> m_groups;
+    name_table<worker_entry> m_workers;
+    name_table<service_entry> m_services;
+    name_table<routing_rule> m_rules;
+    std::unordered_map<std::string_view, const object_location *> m_addresses;
+};
+
+} // namespace
+
+void checkSet(const located_set &set, fault_list &faults)
+{
+    checker(set, faults).run();
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/config/checker.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "config/fault_list.h"
+#include "config/located_set.h"
+
+namespace almondnotch {
+
+/// Checks a set as a whole: doubled names and addresses, dangling references, groups without
+/// workers, shadowed rules, fallback cycles, and budgets and connections that cannot be met.
+void checkSet(const located_set &set, fault_list &faults);
+
+} // namespace almondnotch
--- a/config/model.h
+++ b/config/model.h
@@ -97,6 +97,8 @@
     double retryBudget = 0.1;
     /// Hedges as a share of first attempts, 0 to 1; 0 turns hedges off.
     double hedgeBudget = 0.05;
+    /// Service that takes the calls when this one cannot; empty if there is none.
+    std::string fallback;
 
     bool operator==(const service_entry &) const = default;
 };
@@ -157,7 +159,7 @@
 class config_set
 {
 public:
-    /// \param objects must have passed `checkObjects`.
+    /// \param objects must come from `parseConfig`.
     static std::shared_ptr<const config_set>
     create(std::uint64_t version, std::string manifestSha256, config_objects objects);
     config_set(const config_set &) = delete;
@@ -175,7 +177,8 @@
     const priority_class *priorityClass(std::string_view name) const;
 
     /// The rule with the longest prefix of whole segments that matches the path and the method.
-    /// A query string is ignored. Costs one hash lookup a path segment.
+    /// A query string is ignored; the path is compared byte by byte, without percent-decoding.
+    /// Costs at most one hash lookup for each segment of the longest configured prefix.
     std::optional<route> findRoute(std::string_view method, std::string_view target) const;
 
     /// Expected one-way network time between two failure domains; 0 within one domain.
@@ -204,6 +207,8 @@
     name_index<const failure_domain *> m_failureDomains;
     name_index<const priority_class *> m_priorityClasses;
     name_index<std::vector<const routing_rule *>> m_rulesByPrefix;
+    /// Longest prefix of a rule, bytes. Bounds the work for hostile paths.
+    std::size_t m_prefixBytesMax = 0;
 };
 
 using shared_config = std::shared_ptr<const config_set>;
--- /dev/null
+++ b/config/object_reader.cpp
@@ -0,0 +1,328 @@
+#include "config/object_reader.h"
+
+#include <algorithm>
+#include <cmath>
+#include <sstream>
+
+#include "config/address.h"
+#include "config/bounds.h"
+
+namespace almondnotch {
+
+namespace {
+
+bool isLetterOrDigit(char letter)
+{
+    return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z')
+           || (letter >= '0' && letter <= '9');
+}
+
+bool isName(std::string_view text, std::string_view extraLetters)
+{
+    if (text.empty() || text.size() > nameBytesMax || !isLetterOrDigit(text.front()))
+        return false;
+    return std::all_of(text.begin(), text.end(), [extraLetters](char letter) {
+        return isLetterOrDigit(letter) || extraLetters.find(letter) != std::string_view::npos;
+    });
+}
+
+const std::vector<std::string> &knownMethods()
+{
+    // CONNECT and TRACE address the gateway itself, not a service behind it.
+    static const std::vector<std::string> methods {"GET",   "HEAD",   "POST",   "PUT",
+                                                   "PATCH", "DELETE", "OPTIONS"};
+    return methods;
+}
+
+std::string join(const std::vector<std::string> &words)
+{
+    std::string out;
+    for (const std::string &word : words)
+        out += (out.empty() ? "" : ", ") + word;
+    return out;
+}
+
+std::string formatNumber(double value)
+{
+    std::ostringstream out;
+    out.precision(12);
+    out << value;
+    return out.str();
+}
+
+/// What is wrong with a path prefix; empty if nothing. Every form refused here could never equal a
+/// request path of whole segments.
+std::string pathPrefixFault(std::string_view prefix)
+{
+    if (prefix.empty() || prefix.front() != '/')
+        return "expected a path that begins with \"/\"";
+    if (prefix.size() > prefixBytesMax)
+        return "expected a path of at most " + std::to_string(prefixBytesMax) + " bytes";
+    if (prefix.size() > 1 && prefix.back() == '/')
+        return "expected a path without \"/\" at the end (a prefix matches whole segments)";
+    const bool printable = std::all_of(prefix.begin(), prefix.end(), [](char letter) {
+        return letter > ' ' && letter < '\x7f' && letter != '?' && letter != '#';
+    });
+    if (!printable)
+        return "expected a path of printable ASCII without blanks, \"?\" and \"#\"";
+    const std::string closed = std::string(prefix) + "/";
+    for (const std::string_view odd : {"//", "/./", "/../"}) {
+        if (prefix.size() > 1 && closed.find(odd) != std::string::npos)
+            return "expected a path without empty, \".\" and \"..\" segments";
+    }
+    if (closed.rfind("/.well-known/almondnotch/", 0) == 0)
+        return "expected a path outside /.well-known/almondnotch, which the gateway answers itself";
+    return {};
+}
+
+} // namespace
+
+std::string describeNode(const toml::node &node)
+{
+    if (node.is_string())
+        return "text " + quoted(node.ref<std::string>());
+    if (node.is_integer())
+        return std::to_string(node.ref<std::int64_t>());
+    if (node.is_floating_point())
+        return formatNumber(node.ref<double>());
+    if (node.is_boolean())
+        return node.ref<bool>() ? "true" : "false";
+    if (node.is_table())
+        return "a table";
+    if (node.is_array())
+        return "a list";
+    return "a date or time";
+}
+
+object_reader::object_reader(const toml::table &table, std::size_t text, std::string_view kind,
+                             fault_list &faults)
+    : m_table(table), m_faults(faults)
+{
+    m_where.text = text;
+    m_where.line = static_cast<int>(table.source().begin.line);
+    m_where.kind = kind;
+    // The name is known to all messages about the object, whatever is read first.
+    const toml::node *node = table.get("name");
+    if (node != nullptr && node->is_string() && isName(node->ref<std::string>(), "_-."))
+        m_where.name = node->ref<std::string>();
+}
+
+void object_reader::refuse(const toml::node &node, const std::string &message)
+{
+    m_faults.addAtLine(m_where, static_cast<int>(node.source().begin.line), message);
+}
+
+const toml::node *object_reader::find(std::string_view key, presence needed,
+                                      std::string_view expected)
+{
+    m_known.emplace_back(key);
+    const toml::node *node = m_table.get(key);
+    if (node != nullptr)
+        m_where.keys.push_back({key, static_cast<int>(node->source().begin.line)});
+    else if (needed == presence::required)
+        m_faults.addAtLine(m_where, m_where.line,
+                           "the key \"" + std::string(key) + "\" is missing: expected "
+                               + std::string(expected));
+    return node;
+}
+
+std::optional<std::string> object_reader::textValue(std::string_view key, presence needed,
+                                                    std::string_view expected)
+{
+    const toml::node *node = find(key, needed, expected);
+    if (node == nullptr)
+        return std::nullopt;
+    if (!node->is_string()) {
+        refuse(*node, std::string(key) + ": expected " + std::string(expected) + ", found "
+                          + describeNode(*node));
+        return std::nullopt;
+    }
+    return node->ref<std::string>();
+}
+
+void object_reader::readName(std::string_view key, std::string &out, presence needed,
+                             std::string_view expected, std::string_view extraLetters)
+{
+    const std::optional<std::string> value = textValue(key, needed, expected);
+    if (!value)
+        return;
+    if (!isName(*value, extraLetters)) {
+        m_faults.add(m_where, key,
+                     std::string(key) + ": expected " + std::string(expected) + " (1 to "
+                         + std::to_string(nameBytesMax) + " ASCII letters, digits and any of "
+                         + std::string(extraLetters) + ", beginning with a letter or digit), found "
+                         + quoted(*value));
+        return;
+    }
+    out = *value;
+}
+
+void object_reader::name(std::string &out)
+{
+    readName("name", out, presence::required, "a name", "_-");
+}
+
+void object_reader::nameOf(std::string_view key, std::string &out, presence needed)
+{
+    readName(key, out, needed, "a name", "_-");
+}
+
+void object_reader::hostName(std::string_view key, std::string &out)
+{
+    readName(key, out, presence::required, "the name of a VM", "_-.");
+}
+
+void object_reader::address(std::string_view key, std::string &out)
+{
+    const std::optional<std::string> value
+        = textValue(key, presence::required, "an address \"ip:port\"");
+    if (!value)
+        return;
+    const result<ip_address> parsed = parseAddress(*value);
+    if (!parsed) {
+        m_faults.add(m_where, key, std::string(key) + ": " + parsed.error().message);
+        return;
+    }
+    out = toString(*parsed);
+}
+
+void object_reader::pathPrefix(std::string_view key, std::string &out)
+{
+    const std::optional<std::string> value
+        = textValue(key, presence::required, "a path, as in \"/orders\"");
+    if (!value)
+        return;
+    const std::string fault = pathPrefixFault(*value);
+    if (!fault.empty()) {
+        m_faults.add(m_where, key, std::string(key) + ": " + fault + ", found " + quoted(*value));
+        return;
+    }
+    out = *value;
+}
+
+void object_reader::methods(std::string_view key, std::vector<std::string> &out)
+{
+    const std::string expected = "a list of HTTP methods, as in [\"GET\", \"HEAD\"]";
+    const toml::node *node = find(key, presence::optional, expected);
+    if (node == nullptr)
+        return;
+    if (!node->is_array()) {
+        refuse(*node,
+               std::string(key) + ": expected " + expected + ", found " + describeNode(*node));
+        return;
+    }
+    for (const toml::node &element : *node->as_array()) {
+        const std::string value = element.value_or<std::string>("");
+        if (!element.is_string()) {
+            refuse(element, std::string(key) + ": expected " + expected + ", found "
+                                + describeNode(element));
+        } else if (std::find(knownMethods().begin(), knownMethods().end(), value)
+                   == knownMethods().end()) {
+            std::string upper = value;
+            std::transform(upper.begin(), upper.end(), upper.begin(), [](char letter) {
+                return letter >= 'a' && letter <= 'z' ? static_cast<char>(letter - 'a' + 'A')
+                                                      : letter;
+            });
+            refuse(element, std::string(key) + ": expected upper-case methods out of "
+                                + join(knownMethods()) + ", found " + quoted(value)
+                                + m_faults.suggestion(upper, knownMethods()));
+        } else if (std::find(out.begin(), out.end(), value) != out.end()) {
+            refuse(element, std::string(key) + ": " + quoted(value) + " is listed twice");
+        } else {
+            out.push_back(value);
+        }
+    }
+    // An empty list in the text is ambiguous between "none" and "all".
+    if (node->as_array()->empty())
+        refuse(*node, std::string(key)
+                          + ": expected at least one method; leave the key out to "
+                            "match every method");
+}
+
+void object_reader::word(std::string_view key, std::string &out,
+                         const std::vector<std::string> &words)
+{
+    const std::string expected = "one of " + join(words);
+    const std::optional<std::string> value = textValue(key, presence::optional, expected);
+    if (!value)
+        return;
+    if (std::find(words.begin(), words.end(), *value) == words.end()) {
+        m_faults.add(m_where, key,
+                     std::string(key) + ": expected " + expected + ", found " + quoted(*value)
+                         + m_faults.suggestion(*value, words));
+        return;
+    }
+    out = *value;
+}
+
+std::optional<double> object_reader::numberValue(std::string_view key, number_range range,
+                                                 presence needed, bool whole)
+{
+    const std::string expected = (whole ? "a whole number from " : "a number from ")
+                                 + formatNumber(range.minimum) + " to "
+                                 + formatNumber(range.maximum);
+    const toml::node *node = find(key, needed, expected);
+    if (node == nullptr)
+        return std::nullopt;
+    const bool typed = whole ? node->is_integer() : node->is_number();
+    const double value = typed ? node->value_or<double>(0.0) : 0.0;
+    // The negated form refuses NaN as well.
+    if (!typed || !(value >= range.minimum && value <= range.maximum)) {
+        refuse(*node,
+               std::string(key) + ": expected " + expected + ", found " + describeNode(*node));
+        return std::nullopt;
+    }
+    return value;
+}
+
+void object_reader::integer(std::string_view key, unsigned &out, number_range range,
+                            presence needed)
+{
+    const std::optional<double> value = numberValue(key, range, needed, true);
+    if (value)
+        out = static_cast<unsigned>(*value);
+}
+
+void object_reader::number(std::string_view key, double &out, number_range range, presence needed)
+{
+    const std::optional<double> value = numberValue(key, range, needed, false);
+    if (value)
+        out = *value;
+}
+
+void object_reader::time(std::string_view key, duration &out, number_range rangeMs, presence needed)
+{
+    const std::optional<double> value = numberValue(key, rangeMs, needed, false);
+    if (value)
+        out = duration(std::llround(*value * 1000));
+}
+
+void object_reader::truth(std::string_view key, bool &out)
+{
+    const toml::node *node = find(key, presence::optional, "true or false");
+    if (node == nullptr)
+        return;
+    if (!node->is_boolean()) {
+        refuse(*node, std::string(key) + ": expected true or false, found " + describeNode(*node));
+        return;
+    }
+    out = node->ref<bool>();
+}
+
+object_location object_reader::finish()
+{
+    // Without unknown keys every key of the table has a line in the location.
+    if (m_where.keys.size() == m_table.size())
+        return m_where;
+    for (const auto &[key, node] : m_table) {
+        if (std::find(m_known.begin(), m_known.end(), key.str()) != m_known.end())
+            continue;
+        const std::string near = m_faults.suggestion(key.str(), m_known);
+        m_faults.addAtLine(m_where, static_cast<int>(key.source().begin.line),
+                           "unknown key " + quoted(key.str())
+                               + (near.empty() ? "; expected keys out of " + join(m_known) : near));
+    }
+    return m_where;
+}
+
+} // namespace almondnotch
--- a/config/parser.h
+++ b/config/parser.h
@@ -10,7 +10,7 @@
 namespace almondnotch {
 
 /// Largest value that the platform holds, bytes.
-constexpr std::size_t configValueBytesMax = 1000 * 1000;
+constexpr std::size_t configValueBytesMax = 1'000'000;
 /// Most parts of one configuration set.
 constexpr std::size_t configPartsMax = 4096;
 
--- /dev/null
+++ b/config/set_reader.cpp
@@ -0,0 +1,329 @@
+#include "config/set_reader.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "config/bounds.h"
+#include "config/nesting.h"
+
+namespace almondnotch {
+
+namespace {
+
+/// Syntax faults that one text may show; each costs another parse of the text.
+constexpr int syntaxFaultsMax = 10;
+
+/// Replaces the objects around a syntax fault by empty lines, so that a further parse finds the
+/// faults behind it with the right line numbers.
+class fault_eraser
+{
+public:
+    explicit fault_eraser(std::string text) : m_text(std::move(text)) { }
+
+    const std::string &text() const { return m_text; }
+
+    /// Erases from the last header above the line up to the next header below it. An unclosed
+    /// value shows only at the header that follows it, so a header line takes the object above
+    /// along.
+    void erase(int line)
+    {
+        const std::size_t at = startOf(line);
+        std::size_t begin = at;
+        while (begin > 0) {
+            begin = begin < 2 ? 0 : previousLine(begin);
+            if (m_text[begin] == '[')
+                break;
+        }
+        std::size_t end = nextLine(at);
+        while (end < m_text.size() && m_text[end] != '[')
+            end = nextLine(end);
+        std::replace_if(
+            m_text.begin() + static_cast<std::ptrdiff_t>(begin),
+            m_text.begin() + static_cast<std::ptrdiff_t>(std::min(end, m_text.size())),
+            [](char letter) { return letter != '\n'; }, ' ');
+    }
+
+private:
+    std::size_t startOf(int line) const
+    {
+        std::size_t at = 0;
+        for (int current = 1; current < line && at < m_text.size(); ++current)
+            at = nextLine(at);
+        return std::min(at, m_text.size());
+    }
+
+    std::size_t nextLine(std::size_t at) const
+    {
+        const std::size_t lineEnd = m_text.find('\n', at);
+        return lineEnd == std::string::npos ? m_text.size() : lineEnd + 1;
+    }
+
+    /// \param begin start of a line, at least 2.
+    std::size_t previousLine(std::size_t begin) const
+    {
+        const std::size_t lineEnd = m_text.rfind('\n', begin - 2);
+        return lineEnd == std::string::npos ? 0 : lineEnd + 1;
+    }
+
+    std::string m_text;
+};
+
+template <typename T>
+std::vector<T> withoutPlaces(std::vector<located<T>> &objects)
+{
+    std::vector<T> out;
+    out.reserve(objects.size());
+    for (located<T> &each : objects)
+        out.push_back(std::move(each.object));
+    return out;
+}
+
+} // namespace
+
+config_objects located_set::release()
+{
+    config_objects objects;
+    if (limits)
+        objects.limits = limits->object;
+    objects.failureDomains = withoutPlaces(failureDomains);
+    objects.entryVms = withoutPlaces(entryVms);
+    objects.budgets = withoutPlaces(budgets);
+    objects.priorityClasses = withoutPlaces(priorityClasses);
+    objects.groups = withoutPlaces(groups);
+    objects.workers = withoutPlaces(workers);
+    objects.services = withoutPlaces(services);
+    objects.rules = withoutPlaces(rules);
+    return objects;
+}
+
+set_reader::set_reader(std::size_t text, located_set &into, fault_list &faults)
+    : m_text(text), m_set(into), m_faults(faults)
+{ }
+
+const std::vector<set_reader::object_kind> &set_reader::kinds()
+{
+    static const std::vector<object_kind> table {
+        {"failure_domain", failureDomainsMax, &set_reader::readFailureDomain,
+         [](const located_set &set) { return set.failureDomains.size(); }},
+        {"entry_vm", entryVmsMax, &set_reader::readEntryVm,
+         [](const located_set &set) { return set.entryVms.size(); }},
+        {"budget", budgetsMax, &set_reader::readBudget,
+         [](const located_set &set) { return set.budgets.size(); }},
+        {"class", priorityClassesMax, &set_reader::readPriorityClass,
+         [](const located_set &set) { return set.priorityClasses.size(); }},
+        {"group", groupsMax, &set_reader::readGroup,
+         [](const located_set &set) { return set.groups.size(); }},
+        {"worker", workersMax, &set_reader::readWorker,
+         [](const located_set &set) { return set.workers.size(); }},
+        {"service", servicesMax, &set_reader::readService,
+         [](const located_set &set) { return set.services.size(); }},
+        {"rule", rulesMax, &set_reader::readRule,
+         [](const located_set &set) { return set.rules.size(); }},
+    };
+    return table;
+}
+
+void set_reader::refuse(int line, const std::string &message)
+{
+    object_location where;
+    where.text = m_text;
+    m_faults.addAtLine(where, line, message);
+}
+
+void set_reader::read(std::string_view toml)
+{
+    if (toml.size() > configValueBytesMax) {
+        m_set.incomplete = true;
+        refuse(0, "expected at most " + std::to_string(configValueBytesMax) + " bytes, found "
+                      + std::to_string(toml.size()));
+        return;
+    }
+    const std::optional<int> deep = findDeepNesting(toml);
+    if (deep) {
+        m_set.incomplete = true;
+        refuse(*deep, "not a configuration: lists, tables or keys nest deeper than "
+                          + std::to_string(tomlNestingMax));
+        return;
+    }
+    std::optional<fault_eraser> remaining;
+    for (int round = 0; round < syntaxFaultsMax; ++round) {
+        try {
+            const toml::table root
+                = toml::parse(remaining ? std::string_view(remaining->text()) : toml);
+            readTables(root);
+            return;
+        } catch (const toml::parse_error &failure) {
+            m_set.incomplete = true;
+            const int line = static_cast<int>(failure.source().begin.line);
+            refuse(line, "not TOML: " + std::string(failure.description()));
+            if (!remaining)
+                remaining.emplace(std::string(toml));
+            remaining->erase(line);
+        }
+    }
+}
+
+void set_reader::readTables(const toml::table &root)
+{
+    std::vector<std::string> names {"limits"};
+    for (const object_kind &kind : kinds())
+        names.emplace_back(kind.table);
+    for (const auto &[key, node] : root) {
+        const std::string_view name = key.str();
+        if (name == "limits") {
+            if (node.is_table())
+                readLimits(*node.as_table());
+            else
+                refuse(static_cast<int>(node.source().begin.line),
+                       "expected one table [limits], found " + describeNode(node));
+            continue;
+        }
+        const auto found
+            = std::find_if(kinds().begin(), kinds().end(),
+                           [name](const object_kind &kind) { return kind.table == name; });
+        if (found != kinds().end()) {
+            readKind(*found, node);
+            continue;
+        }
+        m_set.incomplete = true;
+        refuse(static_cast<int>(key.source().begin.line),
+               "unknown table or key " + quoted(name) + m_faults.suggestion(name, names));
+    }
+}
+
+void set_reader::readKind(const object_kind &kind, const toml::node &node)
+{
+    const std::string header = "[[" + std::string(kind.table) + "]]";
+    if (!node.is_array()) {
+        m_set.incomplete = true;
+        refuse(static_cast<int>(node.source().begin.line),
+               "expected tables " + header + ", found " + describeNode(node));
+        return;
+    }
+    for (const toml::node &element : *node.as_array()) {
+        const int line = static_cast<int>(element.source().begin.line);
+        if (!element.is_table()) {
+            m_set.incomplete = true;
+            refuse(line, "expected tables " + header + ", found " + describeNode(element));
+            continue;
+        }
+        if (kind.count(m_set) >= kind.most) {
+            m_set.incomplete = true;
+            refuse(line, "expected at most " + std::to_string(kind.most) + " tables " + header
+                             + " in the set");
+            return;
+        }
+        (this->*kind.read)(*element.as_table());
+    }
+}
+
+void set_reader::readLimits(const toml::table &table)
+{
+    object_reader reader(table, m_text, "limits", m_faults);
+    fleet_limits object;
+    reader.integer("max_gateways", object.maxGateways, {1, 1000}, presence::optional);
+    reader.time("entry_keep_ms", object.entryKeep, {100, 60000}, presence::optional);
+    reader.word(
+        "selection", object.selection,
+        {"uniform_random", "round_robin", "least_in_flight", "power_of_two", "expected_wait"});
+    object_location where = reader.finish();
+    if (m_set.limits) {
+        m_faults.addAtLine(where, where.line,
+                           "expected one table [limits] in the set; the other is at "
+                               + m_faults.place(m_set.limits->where));
+        return;
+    }
+    m_set.limits = {object, std::move(where)};
+}
+
+void set_reader::readFailureDomain(const toml::table &table)
+{
+    object_reader reader(table, m_text, "failure_domain", m_faults);
+    failure_domain object;
+    reader.name(object.name);
+    reader.nameOf("region", object.region, presence::required);
+    reader.time("one_way_ms", object.oneWay, {0, 1000}, presence::required);
+    m_set.failureDomains.push_back({std::move(object), reader.finish()});
+}
+
+void set_reader::readEntryVm(const toml::table &table)
+{
+    object_reader reader(table, m_text, "entry_vm", m_faults);
+    entry_vm object;
+    reader.name(object.name);
+    reader.nameOf("failure_domain", object.failureDomain, presence::required);
+    reader.address("entry_address", object.entryAddress);
+    reader.address("peer_address", object.peerAddress);
+    m_set.entryVms.push_back({std::move(object), reader.finish()});
+}
+
+void set_reader::readBudget(const toml::table &table)
+{
+    object_reader reader(table, m_text, "budget", m_faults);
+    measuring_budget object;
+    reader.name(object.name);
+    reader.number("probes_per_second", object.probesPerSecond, {0, 10000}, presence::required);
+    reader.number("bytes_per_second", object.bytesPerSecond, {0, 1e9}, presence::required);
+    m_set.budgets.push_back({std::move(object), reader.finish()});
+}
+
+void set_reader::readPriorityClass(const toml::table &table)
+{
+    object_reader reader(table, m_text, "class", m_faults);
+    priority_class object;
+    reader.name(object.name);
+    reader.integer("rank", object.rank, {0, 1000}, presence::required);
+    m_set.priorityClasses.push_back({std::move(object), reader.finish()});
+}
+
+void set_reader::readGroup(const toml::table &table)
+{
+    object_reader reader(table, m_text, "group", m_faults);
+    worker_group object;
+    reader.name(object.name);
+    reader.nameOf("budget", object.budget, presence::required);
+    reader.integer("slots", object.slots, {1, 10000}, presence::required);
+    reader.integer("connections", object.connections, {1, 100000}, presence::required);
+    reader.number("ejection_share_max", object.ejectionShareMax, {0, 1}, presence::optional);
+    m_set.groups.push_back({std::move(object), reader.finish()});
+}
+
+void set_reader::readWorker(const toml::table &table)
+{
+    object_reader reader(table, m_text, "worker", m_faults);
+    worker_entry object;
+    reader.name(object.name);
+    reader.nameOf("group", object.group, presence::required);
+    reader.nameOf("failure_domain", object.failureDomain, presence::required);
+    reader.hostName("vm", object.vm);
+    reader.address("address", object.address);
+    m_set.workers.push_back({std::move(object), reader.finish()});
+}
+
+void set_reader::readService(const toml::table &table)
+{
+    object_reader reader(table, m_text, "service", m_faults);
+    service_entry object;
+    reader.name(object.name);
+    reader.nameOf("group", object.group, presence::required);
+    reader.nameOf("class", object.priorityClass, presence::required);
+    reader.time("timeout_ms", object.timeout, {1, 600000}, presence::optional);
+    reader.number("retry_budget", object.retryBudget, {0, 1}, presence::optional);
+    reader.number("hedge_budget", object.hedgeBudget, {0, 1}, presence::optional);
+    reader.nameOf("fallback", object.fallback, presence::optional);
+    m_set.services.push_back({std::move(object), reader.finish()});
+}
+
+void set_reader::readRule(const toml::table &table)
+{
+    object_reader reader(table, m_text, "rule", m_faults);
+    routing_rule object;
+    reader.name(object.name);
+    reader.pathPrefix("path_prefix", object.pathPrefix);
+    reader.methods("methods", object.methods);
+    reader.nameOf("service", object.service, presence::required);
+    reader.truth("idempotent", object.idempotent);
+    m_set.rules.push_back({std::move(object), reader.finish()});
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/config/set_reader.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include <toml++/toml.h>
+
+#include "config/fault_list.h"
+#include "config/located_set.h"
+#include "config/object_reader.h"
+
+namespace almondnotch {
+
+/// Reads the objects of one text into the set.
+class set_reader
+{
+public:
+    /// \param text index of the text in the set. \param into, faults outlive the reader.
+    set_reader(std::size_t text, located_set &into, fault_list &faults);
+
+    void read(std::string_view toml);
+
+private:
+    using read_function = void (set_reader::*)(const toml::table &);
+
+    /// A kind of object, its table name in TOML, and how many a set may have.
+    struct object_kind
+    {
+        std::string_view table;
+        std::size_t most;
+        read_function read;
+        std::size_t (*count)(const located_set &);
+    };
+
+    static const std::vector<object_kind> &kinds();
+
+    void readTables(const toml::table &root);
+    void readKind(const object_kind &kind, const toml::node &node);
+    void readLimits(const toml::table &table);
+    void readFailureDomain(const toml::table &table);
+    void readEntryVm(const toml::table &table);
+    void readBudget(const toml::table &table);
+    void readPriorityClass(const toml::table &table);
+    void readGroup(const toml::table &table);
+    void readWorker(const toml::table &table);
+    void readService(const toml::table &table);
+    void readRule(const toml::table &table);
+    void refuse(int line, const std::string &message);
+
+    std::size_t m_text;
+    located_set &m_set;
+    fault_list &m_faults;
+};
+
+} // namespace almondnotch
