Silence a false positive of clang-tidy 14 in instant's comparison

modernize-use-nullptr reports the 0 that the compiler generates for a defaulted operator<=>, in every file that compares instants. scripts/lint.sh was therefore not clean for any such file; with the NOLINT it is.

--- a/core/time.h
+++ b/core/time.h
@@ -25,7 +25,8 @@
 
     constexpr duration sinceOrigin() const { return m_sinceOrigin; }
 
-    constexpr auto operator<=>(const instant &) const = default;
+    // clang-tidy 14 takes the 0 in the comparison that the compiler generates for a null pointer.
+    constexpr auto operator<=>(const instant &) const = default; // NOLINT(modernize-use-nullptr)
 
     friend constexpr instant operator+(instant at, duration length)
     {
