Add the balancer with strategies, drains, ejection and probe budget

Implements decision/balance/balancer.h: worker table, five selection strategies, load estimate with age and observed latency, bounded ejection with slow start, drains from reports, peers and the VM list, and probes within a token bucket for each worker.

balancer_settings gets the constants of the estimate, so that measurements can vary them.

--- a/decision/balance/balancer.h
+++ b/decision/balance/balancer.h
@@ -13,6 +13,7 @@
 #include "core/invariants.h"
 #include "core/random_source.h"
 #include "core/time.h"
+#include "decision/balance/load_estimate.h"
 #include "decision/peer_messages.h"
 #include "decision/types.h"
 
@@ -30,6 +31,8 @@
     duration slowStart {seconds(5)};
     /// Time for which a failing worker is left out after its first ejection.
     duration ejectionTime {seconds(2)};
+    /// Constants of the load estimate; changed by measurements only.
+    estimate_tuning tuning;
 
     bool operator==(const balancer_settings &) const = default;
 };
--- /dev/null
+++ b/decision/balance/drain_table.cpp
@@ -0,0 +1,78 @@
+#include "decision/balance/drain_table.h"
+
+#include <algorithm>
+
+namespace almondnotch {
+
+bool drain_table::add(std::string_view worker, instant observedAt)
+{
+    const auto found = m_drains.find(worker);
+    if (found != m_drains.end()) {
+        found->second = std::min(found->second, observedAt);
+        return false;
+    }
+    const auto ready = m_ready.find(worker);
+    if (ready != m_ready.end()) {
+        if (observedAt <= ready->second)
+            return false;
+        m_ready.erase(ready);
+    }
+    if (makeRoom(m_drains))
+        ++m_dropped;
+    m_drains.emplace(std::string(worker), observedAt);
+    return true;
+}
+
+bool drain_table::seenReady(std::string_view worker, instant at)
+{
+    const auto found = m_drains.find(worker);
+    if (found == m_drains.end() || at - found->second < readyDistrust)
+        return false;
+    replaced(worker, at);
+    return true;
+}
+
+void drain_table::replaced(std::string_view worker, instant at)
+{
+    const auto found = m_drains.find(worker);
+    if (found != m_drains.end())
+        m_drains.erase(found);
+    makeRoom(m_ready);
+    m_ready.insert_or_assign(std::string(worker), at);
+}
+
+bool drain_table::contains(std::string_view worker) const
+{
+    return m_drains.find(worker) != m_drains.end();
+}
+
+std::vector<worker_drain> drain_table::recent(instant now, std::size_t limit) const
+{
+    std::vector<worker_drain> out;
+    out.reserve(m_drains.size());
+    for (const std::pair<const std::string, instant> &entry : m_drains)
+        out.push_back({entry.first, std::max(duration(0), now - entry.second)});
+    const std::size_t count = std::min(limit, out.size());
+    std::partial_sort(out.begin(), out.begin() + static_cast<std::ptrdiff_t>(count), out.end(),
+                      [](const worker_drain &left, const worker_drain &right) {
+                          return left.age != right.age ? left.age < right.age
+                                                       : left.worker < right.worker;
+                      });
+    out.resize(count);
+    return out;
+}
+
+bool drain_table::makeRoom(time_by_name &table)
+{
+    if (table.size() < drainsMax)
+        return false;
+    auto oldest = table.begin();
+    for (auto it = table.begin(); it != table.end(); ++it) {
+        if (it->second < oldest->second)
+            oldest = it;
+    }
+    table.erase(oldest);
+    return true;
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/balance/expected_wait.cpp
@@ -0,0 +1,50 @@
+#include "decision/balance/expected_wait.h"
+
+#include <limits>
+
+namespace almondnotch {
+
+namespace {
+
+/// Cost of a failed attempt in service times: a retry elsewhere, or an error for the caller. High
+/// enough that a worker that fails half of its calls is chosen only if all others are overloaded.
+constexpr double failureCost = 40;
+
+/// Sum of three uniform numbers, scaled to mean 0 and variance 1. The tails end at 3 deviations,
+/// which keeps a rare draw from sending a call to a worker known to be overloaded.
+double deviate(random_source &random)
+{
+    const std::uint64_t bits = random.next();
+    const double first = static_cast<double>(bits & 0x1fffff);
+    const double second = static_cast<double>((bits >> 21) & 0x1fffff);
+    const double third = static_cast<double>((bits >> 42) & 0x1fffff);
+    return ((first + second + third) * 0x1.0p-21 - 1.5) * 2;
+}
+
+} // namespace
+
+std::size_t expected_wait::choose(const selection_context &context,
+                                  const std::vector<candidate> &candidates) const
+{
+    std::size_t best = 0;
+    double bestScore = std::numeric_limits<double>::max();
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const worker_record &worker = context.workers.at(candidates[i].worker);
+        const load_prediction prediction
+            = worker.load.predict(context.now, context.group.estimate, context.tuning, worker.slots,
+                                  worker.roundTripS, deviate(context.random));
+        const double cost = score(prediction, context.group.estimate);
+        if (cost < bestScore) {
+            best = i;
+            bestScore = cost;
+        }
+    }
+    return best;
+}
+
+double expected_wait::score(const load_prediction &prediction, const group_estimate &group)
+{
+    return prediction.timeS + prediction.failureExcess * failureCost * group.serviceS();
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/balance/selection_strategy.cpp
@@ -0,0 +1,117 @@
+#include "decision/balance/selection_strategy.h"
+
+#include <algorithm>
+
+#include "decision/balance/expected_wait.h"
+
+namespace almondnotch {
+
+namespace {
+
+class uniform_random : public selection_strategy
+{
+public:
+    std::string_view name() const override { return "uniform_random"; }
+    std::size_t choose(const selection_context &context,
+                       const std::vector<candidate> &candidates) const override
+    {
+        return context.random.below(candidates.size());
+    }
+};
+
+/// Takes the members in turn. In a group of which only some members are candidates, the next
+/// candidate after the last choice.
+class round_robin : public selection_strategy
+{
+public:
+    std::string_view name() const override { return "round_robin"; }
+    bool takesTurns() const override { return true; }
+    std::size_t choose(const selection_context &context,
+                       const std::vector<candidate> &candidates) const override
+    {
+        const std::size_t count = std::max<std::size_t>(1, context.group.members.size());
+        std::size_t best = 0;
+        std::size_t bestDistance = count;
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            const std::size_t distance
+                = (candidates[i].position + count - context.group.cursor % count) % count;
+            if (distance < bestDistance) {
+                best = i;
+                bestDistance = distance;
+            }
+        }
+        context.group.cursor = candidates[best].position + 1;
+        return best;
+    }
+};
+
+/// Fewest own calls in flight; ties at random.
+class least_in_flight : public selection_strategy
+{
+public:
+    std::string_view name() const override { return "least_in_flight"; }
+    std::size_t choose(const selection_context &context,
+                       const std::vector<candidate> &candidates) const override
+    {
+        std::size_t best = 0;
+        unsigned fewest = 0;
+        std::uint64_t ties = 0;
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            const unsigned inFlight = context.workers.at(candidates[i].worker).load.inFlight();
+            if (ties == 0 || inFlight < fewest) {
+                best = i;
+                fewest = inFlight;
+                ties = 1;
+            } else if (inFlight == fewest && context.random.below(++ties) == 0) {
+                best = i;
+            }
+        }
+        return best;
+    }
+};
+
+/// Of two random workers, that with the shorter queue in its last report, whatever its age
+/// (Mitzenmacher, "The power of two choices in randomized load balancing", 2001).
+class power_of_two : public selection_strategy
+{
+public:
+    std::string_view name() const override { return "power_of_two"; }
+    std::size_t choose(const selection_context &context,
+                       const std::vector<candidate> &candidates) const override
+    {
+        const std::size_t count = candidates.size();
+        const std::size_t first = context.random.below(count);
+        if (count == 1)
+            return first;
+        const std::size_t second = (first + 1 + context.random.below(count - 1)) % count;
+        const unsigned firstTotal = reportedTotal(context, candidates[first]);
+        const unsigned secondTotal = reportedTotal(context, candidates[second]);
+        return secondTotal < firstTotal ? second : first;
+    }
+
+private:
+    static unsigned reportedTotal(const selection_context &context, const candidate &from)
+    {
+        const std::optional<load_report> &report = context.workers.at(from.worker).load.report();
+        return report ? report->running + report->queued : 0;
+    }
+};
+
+} // namespace
+
+std::unique_ptr<selection_strategy> makeSelectionStrategy(std::string_view name)
+{
+    if (name == "uniform_random")
+        return std::make_unique<uniform_random>();
+    if (name == "round_robin")
+        return std::make_unique<round_robin>();
+    if (name == "least_in_flight")
+        return std::make_unique<least_in_flight>();
+    if (name == "power_of_two")
+        return std::make_unique<power_of_two>();
+    if (name == "expected_wait")
+        return std::make_unique<expected_wait>();
+    return nullptr;
+}
+
+} // namespace almondnotch
