Add the fleet component

Gateways agree on the published configuration, on who is alive and on who reads the platform by exchanging bounded digests. The configuration store assembles sets part by part and switches them whole; the membership table follows SWIM with refutation by incarnation; readers are chosen by rendezvous hashing in each failure domain and limited by a token bucket.

The digest gains the leaving VMs of the platform's list, the age of the newest platform read, the age of each member record and the processes that do not answer the sender. listed_vm moves to decision/types.h.

--- a/decision/events.h
+++ b/decision/events.h
@@ -73,17 +73,6 @@
     std::uint64_t messageId = 0;
 };
 
-/// State of a VM on the platform's list.
-struct listed_vm
-{
-    std::string name;
-    bool leaving = false;
-    /// End of the notice period by the platform's wall clock; 0 if none is known.
-    std::int64_t leaveAtUnixMs = 0;
-
-    bool operator==(const listed_vm &) const = default;
-};
-
 /// A value or the VM list was read, or a watch ended without change.
 struct platform_value
 {
--- /dev/null
+++ b/decision/fleet/config_fetch.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "core/counters.h"
+#include "core/random_source.h"
+#include "core/time.h"
+#include "decision/fleet/config_store.h"
+#include "decision/fleet/platform_reader.h"
+#include "decision/peer_messages.h"
+
+namespace almondnotch {
+
+/// Decides from whom the values of the next configuration set are fetched: the peer that advertised
+/// it, another one that did, or the platform. One set is fetched at a time, the newest.
+class config_fetch
+{
+public:
+    struct peer_request
+    {
+        std::string peerAddress;
+        config_request request;
+    };
+
+    /// All arguments outlive the object.
+    config_fetch(config_store &store, platform_reader &reader, random_source &random,
+                 counter_set &counters);
+
+    /// A peer has this set in force. Starts to fetch it if it is newer than what is known.
+    void advertised(instant now, const std::string &peerAddress, std::uint64_t version,
+                    const std::string &sha256);
+    void forgetPeer(const std::string &peerAddress);
+    /// The peer did not get a message: its request is due again.
+    void peerFailed(instant now, const std::string &peerAddress);
+
+    /// The store assembles a set whose manifest came from the platform.
+    void startFromPlatform(instant now);
+
+    /// True if the manifest was requested and has not arrived.
+    bool expectsManifest(std::uint64_t version, const std::string &sha256) const;
+    /// A value of the set arrived, the manifest if `key` is "manifest".
+    void arrived(instant now, const std::string &key);
+    /// Ends the fetch if its set went into force, was staged, refused or superseded.
+    void settle();
+
+    /// Request to be sent now, if one is due.
+    std::optional<peer_request> next(instant now);
+    instant nextWake() const;
+
+    nlohmann::json dump() const;
+
+private:
+    struct advertisement
+    {
+        std::uint64_t version = 0;
+        std::string sha256;
+    };
+
+    std::optional<std::string> pickPeer(const std::string &except);
+    bool changeSource(instant now);
+    void giveUp();
+    void finish();
+
+    config_store &m_store;
+    platform_reader &m_reader;
+    random_source &m_random;
+    counter_set &m_counters;
+    /// Newest set of each peer; the owner forgets peers that are gone.
+    std::map<std::string, advertisement> m_advertised;
+    /// The set that is being fetched; version 0 if none is.
+    std::uint64_t m_version = 0;
+    std::string m_sha256;
+    bool m_manifestHeld = false;
+    bool m_fromPlatform = false;
+    std::string m_peerAddress;
+    /// Parts that were requested and have not arrived.
+    std::set<std::string> m_requested;
+    bool m_requestSent = false;
+    instant m_retryAt;
+    unsigned m_attempts = 0;
+};
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/fleet/config_store.cpp
@@ -0,0 +1,281 @@
+#include "decision/fleet/config_store.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/digest.h"
+
+namespace almondnotch {
+
+namespace {
+
+void appendLog(action_list &actions, log_level level, std::string sentence,
+               std::vector<header_field> fields)
+{
+    actions.emplace_back(write_log {level, "config", std::move(sentence), std::move(fields)});
+}
+
+/// What is wrong with a manifest beyond its syntax; empty if nothing is.
+std::vector<std::string> manifestFaults(const config_manifest &manifest)
+{
+    std::vector<std::string> faults;
+    if (manifest.version == 0)
+        faults.emplace_back("manifest: expected a version of at least 1, found 0");
+    if (manifest.parts.size() > configPartsMax)
+        faults.push_back("manifest: expected at most " + std::to_string(configPartsMax)
+                         + " parts, found " + std::to_string(manifest.parts.size()));
+    std::uint64_t total = 0;
+    std::map<std::string, std::uint64_t> sizes;
+    for (const manifest_part &part : manifest.parts) {
+        if (part.bytes > configValueBytesMax) {
+            faults.push_back("part " + part.name + ": expected at most "
+                             + std::to_string(configValueBytesMax) + " bytes, found "
+                             + std::to_string(part.bytes));
+            continue;
+        }
+        total += part.bytes;
+        if (sizes.try_emplace(part.sha256, part.bytes).first->second != part.bytes)
+            faults.push_back("part " + part.name
+                             + ": expected one size for each hash, found two for " + part.sha256);
+    }
+    if (total > configSetBytesMax)
+        faults.push_back("manifest: expected at most " + std::to_string(configSetBytesMax)
+                         + " bytes in all parts, found " + std::to_string(total));
+    return faults;
+}
+
+} // namespace
+
+config_store::config_store(invariant_set &invariants, counter_set &counters)
+    : m_invariants(invariants), m_counters(counters)
+{ }
+
+offer_outcome config_store::offerManifest(std::string text, action_list &actions)
+{
+    const std::string sha256 = sha256Hex(text);
+    if (sha256 == m_inForce.sha256 || sha256 == m_staged.sha256)
+        return offer_outcome::known;
+    if (sha256 == m_pending.sha256)
+        return offer_outcome::pending;
+    if (wasRefused(sha256))
+        return offer_outcome::faulty;
+    if (text.size() > configValueBytesMax)
+        return refuse(0, sha256,
+                      {"manifest: expected at most " + std::to_string(configValueBytesMax)
+                       + " bytes, found " + std::to_string(text.size())},
+                      actions);
+    result<config_manifest> manifest = parseManifest(text);
+    if (!manifest)
+        return refuse(0, sha256, {toString(manifest.error())}, actions);
+    if (manifest->version < version() && manifest->version != 0) {
+        m_counters.add("config_refused_total{reason=\"older\"}");
+        return offer_outcome::older;
+    }
+    for (const stored_set *held : {&m_inForce, &m_staged, &m_pending}) {
+        if (!held->sha256.empty() && held->manifest.version == manifest->version) {
+            noteConflict(manifest->version, sha256, actions);
+            return offer_outcome::conflicting;
+        }
+    }
+    const std::vector<std::string> faults = manifestFaults(*manifest);
+    if (!faults.empty())
+        return refuse(manifest->version, sha256, faults, actions);
+    if (manifest->version < std::max(m_staged.manifest.version, m_pending.manifest.version))
+        return offer_outcome::older;
+
+    stored_set next;
+    std::set<std::string> missing;
+    for (const manifest_part &part : manifest->parts) {
+        const shared_text held = findPart(part.sha256);
+        if (held == nullptr) {
+            missing.insert(part.sha256);
+        } else if (held->size() != part.bytes) {
+            return refuse(manifest->version, sha256,
+                          {"part " + part.name + ": expected " + std::to_string(part.bytes)
+                           + " bytes, found " + std::to_string(held->size())},
+                          actions);
+        } else {
+            next.parts[part.sha256] = held;
+        }
+    }
+    next.manifest = std::move(*manifest);
+    next.sha256 = sha256;
+    next.text = std::make_shared<const std::string>(std::move(text));
+    m_pending = std::move(next);
+    m_missing = std::move(missing);
+    return m_missing.empty() ? checkPending(actions) : offer_outcome::pending;
+}
+
+offer_outcome config_store::offerPart(const std::string &sha256, std::string text,
+                                      action_list &actions)
+{
+    const auto found = m_missing.find(sha256);
+    if (found == m_missing.end())
+        return offer_outcome::unwanted_part;
+    const auto position
+        = std::find_if(m_pending.manifest.parts.begin(), m_pending.manifest.parts.end(),
+                       [&](const manifest_part &part) { return part.sha256 == sha256; });
+    const std::string step = "part " + position->name;
+    if (sha256Hex(text) != sha256) {
+        // A damaged copy says nothing about the set: another source may hold the right one.
+        m_counters.add("config_parts_refused_total{reason=\"hash\"}");
+        return offer_outcome::pending;
+    }
+    if (text.size() != position->bytes)
+        return refuse(m_pending.manifest.version, m_pending.sha256,
+                      {step + ": expected " + std::to_string(position->bytes) + " bytes, found "
+                       + std::to_string(text.size())},
+                      actions);
+    m_pending.parts[sha256] = std::make_shared<const std::string>(std::move(text));
+    m_missing.erase(found);
+    return m_missing.empty() ? checkPending(actions) : offer_outcome::pending;
+}
+
+bool config_store::setFloor(std::uint64_t version, action_list &actions)
+{
+    m_floor = version;
+    if (m_staged.config == nullptr || m_staged.manifest.version < m_floor)
+        return false;
+    return activate(std::exchange(m_staged, {}), actions);
+}
+
+void config_store::noteConflict(std::uint64_t version, const std::string &sha256,
+                                action_list &actions)
+{
+    m_counters.add("config_refused_total{reason=\"conflicting\"}");
+    // The bound keeps a peer with ever new hashes from filling the memory and the log.
+    if (m_loggedConflicts.size() >= configRefusalsMax || !m_loggedConflicts.insert(sha256).second)
+        return;
+    appendLog(actions, log_level::error,
+              "refused a manifest whose version is held with another hash",
+              {{"version", std::to_string(version)}, {"sha256", sha256}});
+}
+
+void config_store::dropPending()
+{
+    if (m_pending.sha256.empty())
+        return;
+    m_counters.add("config_pending_dropped_total");
+    m_pending = {};
+    m_missing.clear();
+}
+
+bool config_store::wants(std::uint64_t version, const std::string &sha256) const
+{
+    return version > this->version()
+           && version >= std::max(m_staged.manifest.version, m_pending.manifest.version)
+           && sha256 != m_staged.sha256 && !wasRefused(sha256);
+}
+
+config_store::shared_text config_store::part(const std::string &sha256) const
+{
+    const auto found = m_inForce.parts.find(sha256);
+    return found == m_inForce.parts.end() ? nullptr : found->second;
+}
+
+bool config_store::wasRefused(const std::string &sha256) const
+{
+    return std::any_of(m_refusals.begin(), m_refusals.end(),
+                       [&](const refusal &entry) { return entry.sha256 == sha256; });
+}
+
+offer_outcome config_store::refuse(std::uint64_t version, const std::string &sha256,
+                                   const std::vector<std::string> &faults, action_list &actions)
+{
+    m_counters.add("config_refused_total{reason=\"faulty\"}");
+    appendLog(actions, log_level::error, "refused a configuration set",
+              {{"version", std::to_string(version)},
+               {"sha256", sha256},
+               {"faults", std::to_string(faults.size())},
+               {"first", faults.front()}});
+    refusal entry {version, sha256, faults, faults.size()};
+    if (entry.faults.size() > configFaultsMax)
+        entry.faults.resize(configFaultsMax);
+    if (m_refusals.size() == configRefusalsMax)
+        m_refusals.pop_front();
+    m_refusals.push_back(std::move(entry));
+    if (sha256 == m_pending.sha256) {
+        m_pending = {};
+        m_missing.clear();
+    }
+    return offer_outcome::faulty;
+}
+
+offer_outcome config_store::checkPending(action_list &actions)
+{
+    std::vector<config_text> texts;
+    texts.reserve(m_pending.manifest.parts.size());
+    for (const manifest_part &part : m_pending.manifest.parts)
+        texts.push_back({part.name, *m_pending.parts.at(part.sha256)});
+    tl::expected<config_objects, std::vector<config_fault>> objects = parseConfig(texts);
+    if (!objects) {
+        std::vector<std::string> faults;
+        for (const config_fault &fault : objects.error())
+            faults.push_back(toString(fault));
+        if (faults.empty())
+            faults.emplace_back("the set was refused without a fault");
+        return refuse(m_pending.manifest.version, std::string(m_pending.sha256), faults, actions);
+    }
+    stored_set set = std::exchange(m_pending, {});
+    set.config = config_set::create(set.manifest.version, set.sha256, std::move(objects.value()));
+    if (set.manifest.version < m_floor) {
+        m_staged = std::move(set);
+        return offer_outcome::staged;
+    }
+    return activate(std::move(set), actions) ? offer_outcome::in_force : offer_outcome::older;
+}
+
+bool config_store::activate(stored_set set, action_list &actions)
+{
+    if (!m_invariants.check("config_version_never_falls", set.manifest.version > version(),
+                            "in force " + std::to_string(version()) + ", new "
+                                + std::to_string(set.manifest.version)))
+        return false;
+    appendLog(actions, log_level::info, "put a configuration into force",
+              {{"version", std::to_string(set.manifest.version)},
+               {"before", std::to_string(version())},
+               {"sha256", set.sha256},
+               {"parts", std::to_string(set.manifest.parts.size())}});
+    m_inForce = std::move(set);
+    if (m_staged.manifest.version <= version())
+        m_staged = {};
+    m_counters.add("config_accepted_total");
+    m_counters.set("config_version", static_cast<double>(version()));
+    return true;
+}
+
+config_store::shared_text config_store::findPart(const std::string &sha256) const
+{
+    for (const stored_set *held : {&m_inForce, &m_staged, &m_pending}) {
+        const auto found = held->parts.find(sha256);
+        if (found != held->parts.end())
+            return found->second;
+    }
+    return nullptr;
+}
+
+nlohmann::json config_store::dump() const
+{
+    nlohmann::json refusals = nlohmann::json::array();
+    for (const refusal &entry : m_refusals)
+        refusals.push_back({{"version", entry.version},
+                            {"manifest_sha256", entry.sha256},
+                            {"fault_count", entry.faultCount},
+                            {"faults", entry.faults}});
+    return {{"version", version()},
+            {"manifest_sha256", m_inForce.sha256},
+            {"parts", m_inForce.parts.size()},
+            {"parts_max", configPartsMax},
+            {"set_bytes_max", configSetBytesMax},
+            {"staged_version", m_staged.manifest.version},
+            {"pending",
+             {{"version", m_pending.manifest.version},
+              {"manifest_sha256", m_pending.sha256},
+              {"parts", m_pending.manifest.parts.size()},
+              {"missing", m_missing.size()}}},
+            {"refused", refusals},
+            {"refused_max", configRefusalsMax},
+            {"faults_max", configFaultsMax}};
+}
+
+} // namespace almondnotch
--- a/decision/fleet/fleet.h
+++ b/decision/fleet/fleet.h
@@ -46,6 +46,8 @@
     duration goneAfter {seconds(10)};
     /// Calls a second to the platform over all readers.
     double platformCallsPerSecond = 2000;
+    /// Gateways assumed for the share of these calls before a configuration is known.
+    unsigned gatewaysAssumed = 256;
 
     bool operator==(const fleet_settings &) const = default;
 };
@@ -54,7 +56,8 @@
 struct fleet_changes
 {
     bool configChanged = false;
-    /// The VM list, if it changed.
+    /// The leaving VMs of the platform's list, if they changed; a VM that is not in it does not
+    /// leave. This process's own VM is left out if the entry is about an earlier VM of that name.
     std::optional<std::vector<listed_vm>> vmList;
     std::vector<worker_drain> drains;
     std::vector<crash_record> crashes;
@@ -101,7 +104,7 @@
     /// Announces that this process leaves. From then on no entry response names it.
     void beginLeaving(instant now, action_list &actions);
 
-    /// Facts for the next exchange.
+    /// Facts for the next exchange. Their ages count from the input handled last.
     void setLocalFacts(local_facts facts);
 
     /// Configuration in force; null until one was accepted.
--- /dev/null
+++ b/decision/fleet/membership.cpp
@@ -0,0 +1,312 @@
+#include "decision/fleet/membership.h"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+namespace almondnotch {
+
+namespace {
+
+/// Longer ages from peers are cut, which keeps the arithmetic with instants in range.
+constexpr duration heardAgeMax = std::chrono::hours(24);
+
+/// True if `left` takes precedence over `right` for the same VM.
+bool precedes(const member_update &left, const member_update &right)
+{
+    if (left.process.startNumber != right.process.startNumber)
+        return left.process.startNumber > right.process.startNumber;
+    if (left.incarnation != right.incarnation)
+        return left.incarnation > right.incarnation;
+    return left.state > right.state;
+}
+
+} // namespace
+
+membership::membership(membership_settings settings, member_update self, counter_set &counters)
+    : m_settings(settings), m_self(std::move(self)), m_counters(counters)
+{ }
+
+void membership::beginLeaving()
+{
+    m_self.state = gateway_state::leaving;
+    ++m_self.incarnation;
+}
+
+merge_outcome membership::mergeSelf(const member_update &update)
+{
+    if (update.process.startNumber > m_self.process.startNumber) {
+        m_superseded = true;
+        return merge_outcome::superseded;
+    }
+    if (update.process.startNumber < m_self.process.startNumber || !precedes(update, m_self))
+        return merge_outcome::unchanged;
+    m_self.incarnation = update.incarnation + 1;
+    m_counters.add("member_refutations_total");
+    return merge_outcome::refuted;
+}
+
+merge_outcome membership::merge(instant now, const member_update &update)
+{
+    if (update.process.vm == m_self.process.vm)
+        return mergeSelf(update);
+    const instant heardAt = now - std::min(update.heardAge, heardAgeMax);
+    const auto found = m_records.find(update.process.vm);
+    if (found == m_records.end()) {
+        // Taking up unknown gone processes would let their records circulate for ever, since each
+        // process would start the time for which it keeps them anew.
+        if (update.state == gateway_state::gone || update.heardAge > m_settings.hearsayAgeMax)
+            return merge_outcome::refused;
+        if (m_records.size() >= membersMax && !makeRoom()) {
+            m_counters.add("members_refused_total{reason=\"table_full\"}");
+            return merge_outcome::refused;
+        }
+        member_record &record = m_records[update.process.vm];
+        record.update = update;
+        record.heardAt = heardAt;
+        noteChange(now, record, true);
+        return merge_outcome::changed;
+    }
+    member_record &record = found->second;
+    if (precedes(update, record.update)) {
+        const bool replaced = update.process != record.update.process;
+        const bool stateChanged = replaced || update.state != record.update.state;
+        if (replaced) {
+            record.heardAt = heardAt;
+            record.unansweredSince = instant::never();
+        }
+        record.update = update;
+        noteContact(record, heardAt);
+        noteChange(now, record, stateChanged);
+        return merge_outcome::changed;
+    }
+    if (update.process == record.update.process && heardAt > record.heardAt) {
+        record.update.callsInProgress = update.callsInProgress;
+        noteContact(record, heardAt);
+    }
+    return merge_outcome::unchanged;
+}
+
+merge_outcome membership::heardFrom(instant now, const member_update &update)
+{
+    member_update fresh = update;
+    fresh.heardAge = duration {0};
+    const merge_outcome outcome = merge(now, fresh);
+    if (m_awaitingContact && outcome != merge_outcome::superseded) {
+        // Evidence from before the pause says nothing; the time to answer starts now.
+        pauseDetected(now);
+        m_awaitingContact = false;
+    }
+    return outcome;
+}
+
+void membership::noteContact(member_record &record, instant heardAt)
+{
+    record.heardAt = std::max(record.heardAt, heardAt);
+    if (record.unansweredSince != instant::never() && record.heardAt >= record.unansweredSince)
+        record.unansweredSince = instant::never();
+}
+
+void membership::noteChange(instant now, member_record &record, bool stateChanged)
+{
+    if (stateChanged)
+        record.stateSince = now;
+    // Four times the logarithm of the fleet's size reaches all with high probability (SWIM,
+    // section 4.1), also when a fifth of the messages is lost.
+    record.sendsLeft = 4 * static_cast<unsigned>(std::bit_width(m_records.size() + 1));
+    record.changeNumber = ++m_changes;
+}
+
+bool membership::makeRoom()
+{
+    auto oldest = m_records.end();
+    for (auto it = m_records.begin(); it != m_records.end(); ++it)
+        if (it->second.update.state == gateway_state::gone
+            && (oldest == m_records.end() || it->second.stateSince < oldest->second.stateSince))
+            oldest = it;
+    if (oldest == m_records.end())
+        return false;
+    m_records.erase(oldest);
+    return true;
+}
+
+void membership::contactTried(instant now, const std::string &peerAddress)
+{
+    for (std::pair<const std::string, member_record> &entry : m_records) {
+        member_record &record = entry.second;
+        if (record.update.peerAddress == peerAddress && record.update.state != gateway_state::gone
+            && record.unansweredSince == instant::never())
+            record.unansweredSince = now;
+    }
+}
+
+std::vector<process_id> membership::expire(instant now)
+{
+    std::vector<process_id> gone;
+    for (auto it = m_records.begin(); it != m_records.end();) {
+        member_record &record = it->second;
+        const duration silent = now - record.heardAt;
+        const duration unanswered = record.unansweredSince == instant::never()
+                                        ? duration {0}
+                                        : now - record.unansweredSince;
+        gateway_state next = record.update.state;
+        switch (record.update.state) {
+        case gateway_state::alive:
+            if (std::min(unanswered, silent) >= m_settings.suspectAfter)
+                next = gateway_state::suspect;
+            break;
+        case gateway_state::suspect:
+            if (now - record.stateSince >= m_settings.goneAfter
+                && silent >= m_settings.suspectAfter)
+                next = gateway_state::gone;
+            break;
+        case gateway_state::leaving:
+            if (std::min(unanswered, silent) >= m_settings.goneAfter)
+                next = gateway_state::gone;
+            break;
+        case gateway_state::gone:
+            if (now - record.stateSince >= m_settings.goneKept) {
+                it = m_records.erase(it);
+                continue;
+            }
+            break;
+        }
+        if (next != record.update.state && !m_awaitingContact) {
+            record.update.state = next;
+            noteChange(now, record, true);
+            m_counters.add("member_declared_total{state=\"" + std::string(toString(next)) + "\"}");
+            if (next == gateway_state::gone)
+                gone.push_back(record.update.process);
+        }
+        ++it;
+    }
+    return gone;
+}
+
+void membership::pauseDetected(instant now)
+{
+    m_awaitingContact = true;
+    for (std::pair<const std::string, member_record> &entry : m_records) {
+        entry.second.unansweredSince = instant::never();
+        if (entry.second.update.state == gateway_state::suspect)
+            entry.second.stateSince = now;
+    }
+}
+
+std::vector<member_update> membership::news(instant now, std::size_t most, std::size_t turns)
+{
+    std::vector<member_record *> recent;
+    for (std::pair<const std::string, member_record> &entry : m_records)
+        if (entry.second.sendsLeft > 0)
+            recent.push_back(&entry.second);
+    const std::size_t recentCount = std::min(recent.size(), most - std::min(turns, most));
+    std::partial_sort(recent.begin(), recent.begin() + static_cast<std::ptrdiff_t>(recentCount),
+                      recent.end(), [](const member_record *left, const member_record *right) {
+                          return left->changeNumber > right->changeNumber;
+                      });
+    std::vector<member_update> out;
+    for (std::size_t i = 0; i < recentCount; ++i) {
+        --recent[i]->sendsLeft;
+        out.push_back(*tell(now, recent[i]->update.process.vm));
+    }
+    auto position = m_records.upper_bound(m_turn);
+    for (std::size_t i = 0; i < std::min(turns, m_records.size()) && out.size() < most; ++i) {
+        if (position == m_records.end())
+            position = m_records.begin();
+        m_turn = position->first;
+        if (std::none_of(out.begin(), out.end(),
+                         [&](const member_update &update) { return update.process.vm == m_turn; }))
+            out.push_back(*tell(now, m_turn));
+        ++position;
+    }
+    return out;
+}
+
+std::optional<member_update> membership::tell(instant now, const std::string &vm) const
+{
+    const member_record *record = find(vm);
+    if (record == nullptr)
+        return std::nullopt;
+    member_update update = record->update;
+    update.heardAge = std::max(duration {0}, now - record->heardAt);
+    return update;
+}
+
+const member_record *membership::find(const std::string &vm) const
+{
+    const auto found = m_records.find(vm);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+const member_record *membership::findByAddress(const std::string &peerAddress) const
+{
+    for (const std::pair<const std::string, member_record> &entry : m_records)
+        if (entry.second.update.state != gateway_state::gone
+            && entry.second.update.peerAddress == peerAddress)
+            return &entry.second;
+    return nullptr;
+}
+
+std::vector<const member_record *> membership::contactable() const
+{
+    std::vector<const member_record *> out;
+    for (const std::pair<const std::string, member_record> &entry : m_records)
+        if (entry.second.update.state != gateway_state::gone)
+            out.push_back(&entry.second);
+    return out;
+}
+
+std::vector<process_id> membership::unanswered(instant now, duration patience,
+                                               random_source &random) const
+{
+    std::vector<process_id> out;
+    for (const member_record *record : contactable())
+        if (record->unansweredSince != instant::never() && now - record->unansweredSince > patience)
+            out.push_back(record->update.process);
+    for (std::size_t i = 0; i < std::min(out.size(), digestUnansweredMax); ++i)
+        std::swap(out[i], out[i + random.below(out.size() - i)]);
+    if (out.size() > digestUnansweredMax)
+        out.resize(digestUnansweredMax);
+    return out;
+}
+
+bool membership::isGone(const process_id &process) const
+{
+    if (process.vm == m_self.process.vm)
+        return process.startNumber < m_self.process.startNumber;
+    const member_record *record = find(process.vm);
+    if (record == nullptr)
+        return false;
+    return record->update.process.startNumber > process.startNumber
+           || (record->update.process == process && record->update.state == gateway_state::gone);
+}
+
+nlohmann::json membership::dump(instant now) const
+{
+    nlohmann::json rows = nlohmann::json::array();
+    for (const std::pair<const std::string, member_record> &entry : m_records) {
+        const member_record &record = entry.second;
+        nlohmann::json row = {{"process", toString(record.update.process)},
+                              {"incarnation", record.update.incarnation},
+                              {"state", toString(record.update.state)},
+                              {"failure_domain", record.update.failureDomain},
+                              {"entry_address", record.update.entryAddress},
+                              {"peer_address", record.update.peerAddress},
+                              {"calls_in_progress", record.update.callsInProgress},
+                              {"heard_age_ms", toMilliseconds(now - record.heardAt)},
+                              {"state_age_ms", toMilliseconds(now - record.stateSince)}};
+        if (record.unansweredSince != instant::never())
+            row["unanswered_ms"] = toMilliseconds(now - record.unansweredSince);
+        rows.push_back(std::move(row));
+    }
+    return {{"self",
+             {{"process", toString(m_self.process)},
+              {"incarnation", m_self.incarnation},
+              {"state", toString(m_self.state)},
+              {"superseded", m_superseded}}},
+            {"awaiting_contact", m_awaitingContact},
+            {"members", rows},
+            {"members_max", membersMax}};
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/fleet/peer_checks.cpp
@@ -0,0 +1,133 @@
+#include "decision/fleet/peer_checks.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string>
+
+#include "config/parser.h"
+
+namespace almondnotch {
+
+namespace {
+
+constexpr std::size_t nameBytesMax = 253;
+constexpr std::size_t addressBytesMax = 64;
+/// Facts that are older belong to no process that still runs.
+constexpr duration factAgeMax = std::chrono::hours(24 * 30);
+
+bool isFactAge(duration age)
+{
+    return age >= duration {0} && age <= factAgeMax;
+}
+
+tl::unexpected<error> invalid(std::string_view message)
+{
+    return fail(error_code::invalid_message, "check peer message", {}, message);
+}
+
+bool isName(std::string_view text)
+{
+    return !text.empty() && text.size() <= nameBytesMax
+           && std::all_of(text.begin(), text.end(),
+                          [](char letter) { return letter > ' ' && letter < 127; });
+}
+
+bool isProcess(const process_id &process)
+{
+    return isName(process.vm) && process.startNumber != 0;
+}
+
+bool isMember(const member_update &update)
+{
+    return isProcess(update.process) && isName(update.failureDomain)
+           && isHostPort(update.entryAddress) && isHostPort(update.peerAddress)
+           && update.state <= gateway_state::gone && update.heardAge >= duration {0};
+}
+
+template <typename T, typename Check>
+bool areAll(const std::vector<T> &rows, std::size_t most, Check check)
+{
+    return rows.size() <= most && std::all_of(rows.begin(), rows.end(), check);
+}
+
+} // namespace
+
+bool isSha256Hex(std::string_view text)
+{
+    return text.size() == 64 && std::all_of(text.begin(), text.end(), [](char letter) {
+               return (letter >= '0' && letter <= '9') || (letter >= 'a' && letter <= 'f');
+           });
+}
+
+bool isHostPort(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0 || text.size() > addressBytesMax)
+        return false;
+    const std::string_view host = text.substr(0, colon);
+    const std::string_view port = text.substr(colon + 1);
+    unsigned number = 0;
+    const std::from_chars_result parsed
+        = std::from_chars(port.data(), port.data() + port.size(), number);
+    if (parsed.ec != std::errc {} || parsed.ptr != port.data() + port.size() || number == 0
+        || number > 65535)
+        return false;
+    const bool bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+    const std::string_view digits = bracketed ? host.substr(1, host.size() - 2) : host;
+    return digits.find_first_not_of(bracketed ? "0123456789abcdefABCDEF:." : "0123456789.")
+           == std::string_view::npos;
+}
+
+result<void> checkDigest(const process_id &from, const fleet_digest &digest)
+{
+    if (digest.self.process != from)
+        return invalid("expected the digest of the sender, found one of "
+                       + toString(digest.self.process));
+    if (!isMember(digest.self))
+        return invalid("expected a valid record of the sender, found a malformed one");
+    if (digest.configVersion != 0 && !isSha256Hex(digest.manifestSha256))
+        return invalid("expected a SHA-256 for the manifest, found something else");
+    if (digest.platformReadAge < duration {0} || digest.newestReadAge < duration {0})
+        return invalid("expected ages of at least 0, found a negative one");
+    if (!areAll(digest.members, digestMembersMax, isMember))
+        return invalid("expected at most 16 valid member updates, found others");
+    if (!areAll(digest.unanswered, digestUnansweredMax, isProcess))
+        return invalid("expected at most 4 unanswered processes, found others");
+    if (!areAll(digest.leavingVms, digestLeavingVmsMax,
+                [](const listed_vm &vm) { return isName(vm.name) && vm.leaving; }))
+        return invalid("expected at most 32 leaving VMs, found others");
+    if (!areAll(digest.drains, digestFactsMax, [](const worker_drain &drain) {
+            return isName(drain.worker) && isFactAge(drain.age);
+        }))
+        return invalid("expected at most 32 valid drains, found others");
+    if (!areAll(digest.crashes, digestFactsMax, [](const crash_record &crash) {
+            return isName(crash.worker) && isFactAge(crash.age);
+        }))
+        return invalid("expected at most 32 valid crash records, found others");
+    if (!areAll(digest.handovers, digestFactsMax, [](const handover_record &handover) {
+            return isProcess(handover.from) && isProcess(handover.to);
+        }))
+        return invalid("expected at most 32 valid handovers, found others");
+    return {};
+}
+
+result<void> checkRequest(const config_request &request)
+{
+    if (!isSha256Hex(request.manifestSha256))
+        return invalid("expected a SHA-256 for the manifest, found something else");
+    if (!areAll(request.partSha256, configRequestPartsMax, isSha256Hex))
+        return invalid("expected at most 8 part hashes, found others");
+    return {};
+}
+
+result<void> checkData(const config_data &data)
+{
+    if (data.key != "manifest" && !isSha256Hex(data.key))
+        return invalid("expected the key manifest or a SHA-256, found something else");
+    if (data.text.size() > configValueBytesMax)
+        return invalid("expected a value of at most 1000000 bytes, found "
+                       + std::to_string(data.text.size()));
+    return {};
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/fleet/platform_budget.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <deque>
+
+#include "core/counters.h"
+#include "core/invariants.h"
+#include "core/time.h"
+
+namespace almondnotch {
+
+/// Token bucket for this process's calls to the platform.
+///
+/// Guarantee: over any second no more calls than the share (at least one), since the burst and
+/// what the bucket refills within a second sum up to it.
+class platform_budget
+{
+public:
+    platform_budget(double callsPerSecond, invariant_set &invariants, counter_set &counters);
+
+    void setShare(instant now, double callsPerSecond);
+
+    /// Takes the token of one call. \return false if none is available.
+    bool take(instant now);
+
+    /// When the next token is available, `now` if one is.
+    instant availableAt(instant now) const;
+
+    double share() const { return m_share; }
+
+private:
+    double tokensAt(instant now) const;
+    double burst() const;
+    double refillPerSecond() const;
+
+    invariant_set &m_invariants;
+    counter_set &m_counters;
+    double m_share;
+    double m_tokens;
+    instant m_refilledAt;
+    /// Calls of the last second, and the largest share that held during it.
+    std::deque<instant> m_calls;
+    double m_windowShare;
+    instant m_shareChangedAt;
+};
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/fleet/vm_list.cpp
@@ -0,0 +1,143 @@
+#include "decision/fleet/vm_list.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace almondnotch {
+
+namespace {
+
+tl::unexpected<error> malformed(std::string_view message)
+{
+    return fail(error_code::invalid_message, "parse VM list", "platform", message);
+}
+
+} // namespace
+
+result<published_vm_list> published_vm_list::parse(std::string_view text)
+{
+    const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+    if (!document.is_object())
+        return malformed("expected a JSON object, found something else");
+    const auto version = document.find("version");
+    const auto vms = document.find("vms");
+    if (version == document.end() || !version->is_number_unsigned())
+        return malformed("expected an unsigned version, found none");
+    if (vms == document.end() || !vms->is_array() || vms->size() > listedVmsMax)
+        return malformed("expected an array of at most 65536 VMs, found none");
+    published_vm_list list;
+    list.version = version->get<std::uint64_t>();
+    for (const nlohmann::json &row : *vms) {
+        if (!row.is_object())
+            return malformed("expected an object for each VM, found something else");
+        const auto name = row.find("name");
+        const auto state = row.find("state");
+        const auto leaveAt = row.find("leave_at_unix_ms");
+        if (name == row.end() || !name->is_string() || name->get_ref<const std::string &>().empty()
+            || name->get_ref<const std::string &>().size() > 253)
+            return malformed("expected a VM name of 1 to 253 bytes, found none");
+        if (state == row.end() || (*state != "live" && *state != "leaving"))
+            return malformed("expected the state live or leaving, found something else");
+        if (leaveAt != row.end() && !leaveAt->is_number_integer() && !leaveAt->is_null())
+            return malformed("expected leave_at_unix_ms to be an integer, found something else");
+        list.vms.push_back(
+            {name->get<std::string>(), *state == "leaving",
+             leaveAt == row.end() || leaveAt->is_null() ? 0 : leaveAt->get<std::int64_t>()});
+    }
+    return list;
+}
+
+bool vm_list::takePublished(const published_vm_list &list)
+{
+    if (list.version <= m_version) {
+        if (list.version < m_version)
+            m_counters.add("vm_list_refused_total{reason=\"older\"}");
+        return false;
+    }
+    vm_map vms;
+    for (const listed_vm &vm : list.vms) {
+        if (!vm.leaving)
+            continue;
+        if (vms.size() >= leavingVmsMax) {
+            m_counters.add("vm_list_refused_total{reason=\"too_many_leaving\"}");
+            continue;
+        }
+        vms.insert_or_assign(vm.name, vm);
+    }
+    return replaceWhole(list.version, std::move(vms));
+}
+
+bool vm_list::takePart(std::uint64_t version, std::size_t count, const std::vector<listed_vm> &part)
+{
+    if (version <= m_version || version < m_partVersion || count > leavingVmsMax)
+        return false;
+    const std::vector<listed_vm> before = leaving();
+    if (version > m_partVersion) {
+        m_partVersion = version;
+        m_part.clear();
+    }
+    for (const listed_vm &vm : part)
+        if (m_part.size() < count)
+            m_part.insert_or_assign(vm.name, vm);
+    if (m_part.size() == count)
+        replaceWhole(version, std::exchange(m_part, {}));
+    return leaving() != before;
+}
+
+bool vm_list::replaceWhole(std::uint64_t version, vm_map vms)
+{
+    const std::vector<listed_vm> before = leaving();
+    m_version = version;
+    m_whole = std::move(vms);
+    if (m_partVersion <= version)
+        m_part.clear();
+    return leaving() != before;
+}
+
+std::vector<listed_vm> vm_list::turn(std::size_t most)
+{
+    std::vector<listed_vm> out;
+    auto position = m_whole.upper_bound(m_turn);
+    while (out.size() < std::min(most, m_whole.size())) {
+        if (position == m_whole.end())
+            position = m_whole.begin();
+        m_turn = position->first;
+        out.push_back(position->second);
+        ++position;
+    }
+    return out;
+}
+
+std::vector<listed_vm> vm_list::leaving() const
+{
+    vm_map all = m_part;
+    all.insert(m_whole.begin(), m_whole.end());
+    std::vector<listed_vm> out;
+    out.reserve(all.size());
+    for (const std::pair<const std::string, listed_vm> &entry : all)
+        out.push_back(entry.second);
+    return out;
+}
+
+const listed_vm *vm_list::find(const std::string &vm) const
+{
+    for (const vm_map *vms : {&m_part, &m_whole}) {
+        const auto found = vms->find(vm);
+        if (found != vms->end())
+            return &found->second;
+    }
+    return nullptr;
+}
+
+nlohmann::json vm_list::dump() const
+{
+    nlohmann::json rows = nlohmann::json::array();
+    for (const listed_vm &vm : leaving())
+        rows.push_back({{"name", vm.name}, {"leave_at_unix_ms", vm.leaveAtUnixMs}});
+    return {{"version", m_version},
+            {"part_version", m_part.empty() ? 0 : m_partVersion},
+            {"leaving", rows},
+            {"leaving_max", leavingVmsMax}};
+}
+
+} // namespace almondnotch
--- a/decision/peer_messages.h
+++ b/decision/peer_messages.h
@@ -29,6 +29,9 @@
     std::string peerAddress;
     /// Calls in progress, for even entry responses.
     std::uint32_t callsInProgress = 0;
+    /// Time since the process was last heard, by the sender or by those who told the sender. Lets
+    /// receivers discard what a paused process still believes, and counts as indirect contact.
+    duration heardAge {0};
 
     bool operator==(const member_update &) const = default;
 };
@@ -63,17 +66,40 @@
     bool operator==(const handover_record &) const = default;
 };
 
+/// Bounds of the lists in a digest; a digest that exceeds one is refused.
+constexpr std::size_t digestMembersMax = 16;
+constexpr std::size_t digestLeavingVmsMax = 32;
+constexpr std::size_t digestUnansweredMax = 4;
+constexpr std::size_t digestFactsMax = 32;
+
+/// Most parts that one `config_request` names.
+constexpr std::size_t configRequestPartsMax = 8;
+
 /// Periodic exchange between two gateways.
 struct fleet_digest
 {
     member_update self;
     std::uint64_t configVersion = 0;
     std::string manifestSha256;
-    /// Time since the sender last read the platform itself; maximum value if never.
+    /// Time since the sender last read the platform itself; maximum value if never. A watch that
+    /// waits counts as reading.
     duration platformReadAge {duration::max()};
+    /// The smallest `platformReadAge` of any gateway that the sender knows of, its own included.
+    duration newestReadAge {duration::max()};
     /// True asks the receiver to send its own digest back.
     bool replyWanted = false;
+    /// Version of the platform's VM list; 0 if the sender knows none.
+    std::uint64_t vmListVersion = 0;
+    /// Number of leaving VMs on that list.
+    std::uint32_t leavingVmCount = 0;
+    /// Leaving VMs of that list, at most `digestLeavingVmsMax` by turns.
+    std::vector<listed_vm> leavingVms;
+    /// At most `digestMembersMax`.
     std::vector<member_update> members;
+    /// Processes that do not answer the sender, at most `digestUnansweredMax`. The receiver says
+    /// when it last heard them, or contacts them on behalf of the sender.
+    std::vector<process_id> unanswered;
+    /// At most `digestFactsMax` each of drains, crashes and handovers.
     std::vector<worker_drain> drains;
     std::vector<crash_record> crashes;
     std::vector<handover_record> handovers;
--- a/decision/types.h
+++ b/decision/types.h
@@ -95,6 +95,17 @@
 using shared_request = std::shared_ptr<const call_request>;
 using shared_response = std::shared_ptr<const call_response>;
 
+/// State of a VM on the platform's list.
+struct listed_vm
+{
+    std::string name;
+    bool leaving = false;
+    /// End of the notice period by the platform's wall clock; 0 if none is known.
+    std::int64_t leaveAtUnixMs = 0;
+
+    bool operator==(const listed_vm &) const = default;
+};
+
 /// Deepest chain of calls that is forwarded.
 constexpr unsigned callDepthMax = 10;
 
