--- a/decision/peer_messages.h
+++ b/decision/peer_messages.h
@@ -32,6 +32,9 @@
     /// Time since the process was last heard, by the sender or by those who told the sender. Lets
     /// receivers discard what a paused process still believes, and counts as indirect contact.
     duration heardAge {0};
+    /// Reading of the process's clock: what it last told of itself plus `heardAge`, so that others
+    /// can mint key ranges for it. Never ahead of the true reading; 0 if unknown.
+    duration clock {0};
 
     bool operator==(const member_update &) const = default;
 };
@@ -151,10 +154,8 @@
     /// Digest of method, target and body; tells a repeat from another request with the same key.
     std::uint64_t requestDigest = 0;
     call_outcome outcome = call_outcome::unknown;
-    /// Empty if the response was too large to be kept.
+    /// Null if the response was too large to be kept.
     shared_response response;
-    /// Time until the claim may be forgotten.
-    duration timeLeft {0};
 };
 
 /// A numbered part of a handover. Chunks may arrive in any order and more than once.
@@ -170,9 +171,12 @@
 {
     process_id from;
     std::uint32_t chunkCount = 0;
-    /// For how long unused numbers of the sender's key ranges can still be told from used ones.
-    duration acceptTimeLeft {0};
-    duration repeatTimeLeft {0};
+    /// Reading of the clock of `from` when the commit was sent; key ranges carry times of that
+    /// clock.
+    duration clock {0};
+    /// Lifetimes that `from` applied to its claims, which may differ from the receiver's settings.
+    duration accept {0};
+    duration repeat {0};
 };
 
 struct handover_ack
