--- a/decision/claims/claim_table.cpp
+++ b/decision/claims/claim_table.cpp
@@ -99,7 +99,7 @@
         const auto successor = m_successors.find(verdict.owner);
         if (successor == m_successors.end())
             break;
-        verdict.owner = successor->second;
+        verdict.owner = successor->second.process;
     }
     return verdict;
 }
@@ -248,6 +248,11 @@
 
 void claim_table::expire(instant now)
 {
+    const duration lifetime = m_settings.accept + m_settings.repeat + forgetMargin;
+    std::erase_if(m_successors,
+                  [now, lifetime](const std::pair<const process_id, successor_entry> &entry) {
+                      return now - entry.second.since >= lifetime;
+                  });
     while (!m_expiry.empty() && m_expiry.begin()->first <= now) {
         const auto first = m_expiry.begin();
         const auto found = m_claims.find(first->second);
@@ -313,14 +318,14 @@
     return commit;
 }
 
-void claim_table::handOver(const process_id &owner, const process_id &successor)
+void claim_table::handOver(instant now, const process_id &owner, const process_id &successor)
 {
     m_invariants.check("handover_only_when_sealed", m_sealed, toString(owner));
     m_owned.erase(owner);
     // Ranges that were adopted keep their first record, "owner to this process"; the record of this
     // process leads on from there, so that every process has one successor.
     if (owner == m_self)
-        learnHandover({m_self, successor});
+        learnHandover(now, {m_self, successor, duration {0}});
 }
 
 bool claim_table::adopt(instant now, const process_id &sender, const handover_commit &commit,
@@ -344,30 +349,34 @@
         insert(expiryOf(key->range, ranges), record.key, std::move(kept));
     }
     m_owned[commit.from] = ranges;
-    learnHandover({commit.from, commit.from == sender ? m_self : sender});
+    learnHandover(now, {commit.from, commit.from == sender ? m_self : sender, duration {0}});
     m_counters.add("claims_adopted_total", claims.size());
     return true;
 }
 
-void claim_table::learnHandover(const handover_record &record)
+void claim_table::learnHandover(instant now, const handover_record &record)
 {
-    if (record.from == record.to || (record.from == m_self && !m_sealed))
+    if (record.from == record.to || (record.from == m_self && !m_sealed)
+        || record.age >= m_settings.accept + m_settings.repeat + forgetMargin)
+        return;
+    const auto found = m_successors.find(record.from);
+    if (found != m_successors.end()) {
+        m_invariants.check("one_successor_per_process", found->second.process == record.to,
+                           toString(record.from));
+        return;
+    }
+    if (m_successors.size() >= successorsMax) {
+        m_counters.add("handovers_refused_total");
         return;
-    if (m_successors.size() >= successorsMax && !m_successors.contains(record.from)) {
-        m_counters.add("handovers_forgotten_total");
-        m_successors.erase(m_successors.begin());
     }
-    const auto inserted = m_successors.emplace(record.from, record.to);
-    m_invariants.check("one_successor_per_process",
-                       inserted.second || inserted.first->second == record.to,
-                       toString(record.from));
+    m_successors.emplace(record.from, successor_entry {record.to, now - record.age});
 }
 
-std::vector<handover_record> claim_table::handovers() const
+std::vector<handover_record> claim_table::handovers(instant now) const
 {
     std::vector<handover_record> records;
-    for (const std::pair<const process_id, process_id> &entry : m_successors)
-        records.push_back({entry.first, entry.second});
+    for (const std::pair<const process_id, successor_entry> &entry : m_successors)
+        records.push_back({entry.first, entry.second.process, now - entry.second.since});
     return records;
 }
 
@@ -377,8 +386,8 @@
     for (const std::pair<const process_id, owned_ranges> &entry : m_owned)
         owned.push_back(toString(entry.first));
     nlohmann::json successors = nlohmann::json::object();
-    for (const std::pair<const process_id, process_id> &entry : m_successors)
-        successors[toString(entry.first)] = toString(entry.second);
+    for (const std::pair<const process_id, successor_entry> &entry : m_successors)
+        successors[toString(entry.first)] = toString(entry.second.process);
     return {{"claims", m_claims.size()},
             {"claims_max", m_settings.claimsMax},
             {"running", m_running},
--- a/decision/claims/claim_table.h
+++ b/decision/claims/claim_table.h
@@ -89,7 +89,7 @@
     handover_commit makeCommit(instant now, const process_id &owner, std::uint32_t chunks) const;
 
     /// A commit for `owner` may have been sent to `successor`: from now on it is the owner.
-    void handOver(const process_id &owner, const process_id &successor);
+    void handOver(instant now, const process_id &owner, const process_id &successor);
 
     /// Takes over ranges and claims of `commit.from`, which `sender` owned until now.
     /// \return false if this table is sealed or has no room; nothing was taken over then.
@@ -99,8 +99,10 @@
     bool owns(const process_id &process) const { return m_owned.contains(process); }
 
     /// Learns who took over an ended process's ranges.
-    void learnHandover(const handover_record &record);
-    std::vector<handover_record> handovers() const;
+    void learnHandover(instant now, const handover_record &record);
+
+    /// Handovers that still matter, for the exchange with other gateways.
+    std::vector<handover_record> handovers(instant now) const;
 
     nlohmann::json dump() const;
 
@@ -126,6 +128,12 @@
         duration repeat {0};
     };
 
+    struct successor_entry
+    {
+        process_id process;
+        instant since;
+    };
+
     claim_result beginOwned(instant now, const operation_key &key, const std::string &text,
                             const owned_ranges &ranges, std::uint64_t requestDigest, call_id call,
                             const std::string &requestId);
@@ -146,7 +154,7 @@
     std::set<std::pair<instant, std::string>> m_expiry;
     std::map<process_id, owned_ranges> m_owned;
     /// Who took over; also for processes that this one never owned.
-    std::map<process_id, process_id> m_successors;
+    std::map<process_id, successor_entry> m_successors;
 };
 
 } // namespace almondnotch
--- a/decision/claims/handover_sender.cpp
+++ b/decision/claims/handover_sender.cpp
@@ -116,7 +116,7 @@
         part.commitSent = true;
         part.commit = commit;
         part.commitSentAt = now;
-        m_claims.handOver(part.owner, m_successor->process);
+        m_claims.handOver(now, part.owner, m_successor->process);
     } else {
         commit = part.commit;
         commit.clock = part.commit.clock + (now - part.commitSentAt);
--- a/decision/fleet/peer_checks.cpp
+++ b/decision/fleet/peer_checks.cpp
@@ -105,7 +105,7 @@
         }))
         return invalid("expected at most 32 valid crash records, found others");
     if (!areAll(digest.handovers, digestFactsMax, [](const handover_record &handover) {
-            return isProcess(handover.from) && isProcess(handover.to);
+            return isProcess(handover.from) && isProcess(handover.to) && isFactAge(handover.age);
         }))
         return invalid("expected at most 32 valid handovers, found others");
     return {};
--- a/decision/gateway.cpp
+++ b/decision/gateway.cpp
@@ -372,7 +372,7 @@
     for (const crash_record &crash : changes.crashes)
         quarantine.learn(now, crash);
     for (const handover_record &record : changes.handovers)
-        claims.learnHandover(record);
+        claims.learnHandover(now, record);
 }
 
 void gateway::state::takeOverVmList(instant now, const std::vector<listed_vm> &list,
@@ -423,7 +423,7 @@
     facts.callsInProgress = static_cast<std::uint32_t>(calls.inProgress());
     facts.drains = workers->recentDrains(now, factsPerExchangeMax);
     facts.crashes = quarantine.records(now, factsPerExchangeMax);
-    facts.handovers = claims.handovers();
+    facts.handovers = claims.handovers(now);
     members->setLocalFacts(std::move(facts));
 }
 
--- a/decision/peer_messages.h
+++ b/decision/peer_messages.h
@@ -65,6 +65,8 @@
 {
     process_id from;
     process_id to;
+    /// Time since the handover; a record is dropped once every key of `from` has expired.
+    duration age {0};
 
     bool operator==(const handover_record &) const = default;
 };
--- /dev/null
+++ b/tests/decision/gateway/calls_test.cpp
@@ -0,0 +1,323 @@
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+#include "tests/decision/gateway/gateway_fixture.h"
+
+namespace almondnotch {
+
+namespace {
+
+/// The only response that was sent, which the test requires to exist.
+call_response onlyResponse(gateway_fixture &fixture)
+{
+    const std::vector<send_response> sent = fixture.take<send_response>();
+    BOOST_REQUIRE(sent.size() == 1U);
+    return *sent[0].response;
+}
+
+start_attempt onlyAttempt(gateway_fixture &fixture)
+{
+    const std::vector<start_attempt> started = fixture.take<start_attempt>();
+    BOOST_REQUIRE(started.size() == 1U);
+    return started[0];
+}
+
+} // namespace
+
+// Guards against a broken path from a caller to a worker and back.
+BOOST_AUTO_TEST_CASE(read_is_sent_to_a_worker_and_answered)
+{
+    gateway_fixture fixture;
+    const call_id call = fixture.read("a");
+    const start_attempt attempt = onlyAttempt(fixture);
+    BOOST_TEST(attempt.idempotent);
+    BOOST_TEST(attempt.request->target == "/read/a");
+    fixture.answer(attempt);
+    const std::vector<send_response> sent = fixture.take<send_response>();
+    BOOST_REQUIRE(sent.size() == 1U);
+    BOOST_TEST((sent[0].call == call));
+    BOOST_TEST(sent[0].response->body == "/read/a");
+}
+
+// Guards against a call that is accepted without a rule, a service or a free hop.
+BOOST_AUTO_TEST_CASE(unroutable_calls_are_not_run)
+{
+    gateway_fixture fixture;
+    std::shared_ptr<call_request> request = std::make_shared<call_request>();
+    request->method = "GET";
+    request->target = "/elsewhere";
+    fixture.handle(call_received {static_cast<call_id>(99), request});
+    const call_response unknownPath = onlyResponse(fixture);
+    BOOST_TEST(unknownPath.status == 404);
+    BOOST_TEST((unknownPath.outcome == call_outcome::not_run));
+    fixture.read("deep", std::nullopt, callDepthMax);
+    BOOST_TEST(onlyResponse(fixture).status == 508);
+}
+
+// Guards against a worker that refuses connections and makes the call fail although others run.
+BOOST_AUTO_TEST_CASE(booking_that_was_not_sent_goes_to_another_worker)
+{
+    gateway_fixture fixture;
+    fixture.book("a", fixture.newKey());
+    const start_attempt first = onlyAttempt(fixture);
+    fixture.end(first, attempt_end::not_sent);
+    const start_attempt second = onlyAttempt(fixture);
+    BOOST_TEST(second.workerName != first.workerName);
+    fixture.answer(second);
+    BOOST_TEST((onlyResponse(fixture).outcome == call_outcome::run));
+}
+
+// Guards against a booking that is sent again after a worker may have run it.
+BOOST_AUTO_TEST_CASE(broken_booking_is_unknown_and_never_sent_again)
+{
+    gateway_fixture fixture;
+    const std::string key = fixture.newKey();
+    fixture.book("a", key);
+    fixture.end(onlyAttempt(fixture), attempt_end::broken);
+    BOOST_TEST(fixture.take<start_attempt>().empty());
+    BOOST_TEST((onlyResponse(fixture).outcome == call_outcome::unknown));
+    fixture.book("a", key);
+    BOOST_TEST(fixture.take<start_attempt>().empty());
+    BOOST_TEST((onlyResponse(fixture).outcome == call_outcome::unknown));
+}
+
+// Guards against a booking without a key that is sent twice.
+BOOST_AUTO_TEST_CASE(booking_without_a_key_is_sent_once)
+{
+    gateway_fixture fixture;
+    fixture.book("a", "");
+    fixture.end(onlyAttempt(fixture), attempt_end::timed_out);
+    BOOST_TEST(fixture.take<start_attempt>().empty());
+    BOOST_TEST((onlyResponse(fixture).outcome == call_outcome::unknown));
+}
+
+// Guards against a refusal that the caller reads as "may have run" although the worker says not.
+BOOST_AUTO_TEST_CASE(refusals_of_all_workers_are_not_run)
+{
+    gateway_fixture fixture;
+    fixture.book("a", fixture.newKey());
+    std::vector<start_attempt> started = fixture.take<start_attempt>();
+    while (!started.empty()) {
+        fixture.answer(started[0], 503, true);
+        started = fixture.take<start_attempt>();
+    }
+    BOOST_TEST((onlyResponse(fixture).outcome == call_outcome::not_run));
+}
+
+// Guards against a repeat that runs while the first run is still going on.
+BOOST_AUTO_TEST_CASE(repeat_during_the_run_gets_the_same_response)
+{
+    gateway_fixture fixture;
+    const std::string key = fixture.newKey();
+    fixture.book("a", key);
+    const start_attempt attempt = onlyAttempt(fixture);
+    fixture.book("a", key);
+    BOOST_TEST(fixture.take<start_attempt>().empty());
+    fixture.answer(attempt);
+    const std::vector<send_response> sent = fixture.take<send_response>();
+    BOOST_REQUIRE(sent.size() == 2U);
+    BOOST_TEST(sent[0].response == sent[1].response);
+}
+
+// Guards against an operation that is lost with its caller's connection.
+BOOST_AUTO_TEST_CASE(claimed_booking_survives_its_caller)
+{
+    gateway_fixture fixture;
+    const std::string key = fixture.newKey();
+    const call_id call = fixture.book("a", key);
+    const start_attempt attempt = onlyAttempt(fixture);
+    fixture.handle(caller_disconnected {call});
+    BOOST_TEST(fixture.take<cancel_attempt>().empty());
+    fixture.answer(attempt);
+    BOOST_TEST(fixture.take<send_response>().empty());
+    fixture.book("a", key);
+    BOOST_TEST((onlyResponse(fixture).outcome == call_outcome::run));
+}
+
+// Guards against work for a caller that is gone.
+BOOST_AUTO_TEST_CASE(lost_caller_cancels_a_read)
+{
+    gateway_fixture fixture;
+    const call_id call = fixture.read("a");
+    const start_attempt attempt = onlyAttempt(fixture);
+    fixture.handle(caller_disconnected {call});
+    BOOST_TEST(fixture.take<cancel_attempt>().size() == 1U);
+    fixture.end(attempt, attempt_end::cancelled);
+    BOOST_TEST(fixture.take<send_response>().empty());
+}
+
+// Guards against a call that is sent after its deadline, also by a process that was paused.
+BOOST_AUTO_TEST_CASE(nothing_is_sent_after_the_deadline)
+{
+    gateway_fixture fixture;
+    fixture.read("late", milliseconds(1));
+    BOOST_TEST(fixture.take<start_attempt>().empty());
+    BOOST_TEST((onlyResponse(fixture).outcome == call_outcome::not_run));
+
+    fixture.read("paused", milliseconds(500));
+    const start_attempt attempt = onlyAttempt(fixture);
+    fixture.skip(seconds(3));
+    fixture.end(attempt, attempt_end::broken);
+    BOOST_TEST(fixture.take<start_attempt>().empty());
+    BOOST_TEST(onlyResponse(fixture).status == 504);
+}
+
+// Guards against a call without a response when a worker never answers.
+BOOST_AUTO_TEST_CASE(deadline_ends_the_call_and_cancels_the_attempt)
+{
+    gateway_fixture fixture;
+    fixture.read("a", milliseconds(200));
+    const start_attempt attempt = onlyAttempt(fixture);
+    fixture.advance(milliseconds(250));
+    const call_response response = onlyResponse(fixture);
+    BOOST_TEST(response.status == 504);
+    BOOST_TEST((response.outcome == call_outcome::unknown));
+    BOOST_TEST(fixture.take<cancel_attempt>().size() == 1U);
+    fixture.end(attempt, attempt_end::cancelled);
+}
+
+// Guards against retries that multiply the load of a service that fails every call: at most the
+// budget of 10% and the three tokens of the start.
+BOOST_AUTO_TEST_CASE(retries_stay_within_their_budget)
+{
+    gateway_fixture fixture;
+    constexpr unsigned calls = 1000;
+    unsigned attempts = 0;
+    for (unsigned i = 0; i < calls; ++i) {
+        fixture.read("r" + std::to_string(i));
+        std::vector<start_attempt> started = fixture.take<start_attempt>();
+        while (!started.empty()) {
+            ++attempts;
+            fixture.answer(started[0], 500);
+            started = fixture.take<start_attempt>();
+        }
+        fixture.advance(milliseconds(5));
+    }
+    BOOST_TEST(fixture.take<send_response>().size() == calls);
+    BOOST_TEST(attempts <= calls * 11 / 10 + 3);
+    BOOST_TEST(attempts > calls);
+}
+
+// Guards against retries at every layer of a chain of calls.
+BOOST_AUTO_TEST_CASE(inner_layers_do_not_retry_calls_that_may_have_run)
+{
+    gateway_fixture fixture;
+    fixture.read("inner", std::nullopt, 3);
+    fixture.end(onlyAttempt(fixture), attempt_end::broken);
+    BOOST_TEST(fixture.take<start_attempt>().empty());
+    BOOST_TEST(fixture.take<send_response>().size() == 1U);
+}
+
+// Guards against a request that goes on crashing workers, and against innocent ones in quarantine.
+BOOST_AUTO_TEST_CASE(request_that_crashed_two_workers_is_quarantined)
+{
+    gateway_fixture fixture(6);
+    std::set<std::string> crashed;
+    for (int round = 0; round < 10; ++round) {
+        fixture.read("poison");
+        std::vector<start_attempt> started = fixture.take<start_attempt>();
+        while (!started.empty()) {
+            const bool down = crashed.contains(started[0].workerName);
+            crashed.insert(started[0].workerName);
+            fixture.end(started[0], down ? attempt_end::not_sent : attempt_end::broken);
+            started = fixture.take<start_attempt>();
+        }
+        // Other callers find the crashed workers, as they would at once in a busy system.
+        for (int probe = 0; probe < 12; ++probe) {
+            fixture.read("innocent" + std::to_string(probe));
+            for (started = fixture.take<start_attempt>(); !started.empty();
+                 started = fixture.take<start_attempt>()) {
+                if (crashed.contains(started[0].workerName))
+                    fixture.end(started[0], attempt_end::not_sent);
+                else
+                    fixture.answer(started[0]);
+            }
+        }
+        fixture.advance(milliseconds(100));
+    }
+    // Two make the quarantine; one call may hold two attempts before the second crash is known.
+    BOOST_TEST(crashed.size() <= 3U);
+    fixture.take<send_response>();
+    fixture.read("poison");
+    BOOST_TEST(onlyResponse(fixture).status == 422);
+    fixture.read("innocent");
+    BOOST_TEST(fixture.take<start_attempt>().size() == 1U);
+}
+
+// Guards against a hedge that is not cancelled, or whose late response reaches the caller as well.
+BOOST_AUTO_TEST_CASE(hedge_wins_and_the_first_attempt_is_cancelled)
+{
+    gateway_fixture fixture;
+    for (int i = 0; i < 100; ++i) {
+        fixture.read("warm" + std::to_string(i));
+        const start_attempt attempt = onlyAttempt(fixture);
+        fixture.advance(milliseconds(5));
+        fixture.answer(attempt);
+    }
+    fixture.take<send_response>();
+    fixture.read("slow");
+    const start_attempt first = onlyAttempt(fixture);
+    fixture.advance(milliseconds(20));
+    const start_attempt second = onlyAttempt(fixture);
+    BOOST_TEST(second.workerName != first.workerName);
+    fixture.answer(second);
+    const std::vector<cancel_attempt> cancelled = fixture.take<cancel_attempt>();
+    BOOST_REQUIRE(cancelled.size() == 1U);
+    BOOST_TEST((cancelled[0].attempt == first.attempt));
+    fixture.answer(first);
+    BOOST_TEST(fixture.take<send_response>().size() == 1U);
+}
+
+// Guards against a leaving gateway that names itself, drops calls or exits too early.
+BOOST_AUTO_TEST_CASE(drain_serves_until_entry_responses_have_expired)
+{
+    gateway_fixture fixture;
+    fixture.handle(entry_query {static_cast<query_id>(5), "shop"});
+    BOOST_TEST(!fixture.take<send_entry_response>().at(0).addresses.empty());
+    fixture.handle(drain_requested {});
+    fixture.handle(entry_query {static_cast<query_id>(6), "shop"});
+    BOOST_TEST(fixture.take<send_entry_response>().at(0).addresses.empty());
+
+    fixture.advance(seconds(1));
+    fixture.read("during");
+    const start_attempt attempt = onlyAttempt(fixture);
+    fixture.advance(milliseconds(100));
+    fixture.answer(attempt);
+    const std::vector<send_response> sent = fixture.take<send_response>();
+    BOOST_REQUIRE(sent.size() == 1U);
+    BOOST_TEST(sent[0].closeConnection);
+    BOOST_TEST(fixture.take<exit_process>().empty());
+    fixture.advance(seconds(3));
+    BOOST_TEST(fixture.take<exit_process>().size() == 1U);
+}
+
+// Guards against a drain that drops a call at the deadline instead of reporting it.
+BOOST_AUTO_TEST_CASE(calls_left_at_the_deadline_of_a_drain_are_reported)
+{
+    gateway_fixture fixture;
+    fixture.book("slow", fixture.newKey());
+    fixture.take<start_attempt>();
+    fixture.handle(drain_requested {fixture.now + seconds(4)});
+    fixture.advance(seconds(4));
+    BOOST_TEST((onlyResponse(fixture).outcome == call_outcome::unknown));
+    BOOST_TEST(fixture.take<exit_process>().size() == 1U);
+}
+
+// Guards against new work for workers on a VM that leaves.
+BOOST_AUTO_TEST_CASE(workers_on_leaving_vms_get_no_new_calls)
+{
+    gateway_fixture fixture;
+    fixture.platform.vmList
+        = R"({"version":2,"vms":[{"name":"h-1","state":"leaving","leave_at_unix_ms":0}]})";
+    fixture.platform.vmListVersion = 2;
+    fixture.advance(seconds(30));
+    for (int i = 0; i < 60; ++i) {
+        fixture.read("r" + std::to_string(i));
+        const start_attempt attempt = onlyAttempt(fixture);
+        BOOST_TEST(attempt.workerName != "w-1");
+        fixture.answer(attempt);
+    }
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/tests/decision/gateway/gateway_fixture.cpp
@@ -0,0 +1,179 @@
+#include "tests/decision/gateway/gateway_fixture.h"
+
+#include <stdexcept>
+
+#include "config/parser.h"
+#include "core/digest.h"
+
+namespace almondnotch {
+
+std::string shopConfig(unsigned workers, unsigned gateways, unsigned maxGateways)
+{
+    std::string text
+        = "[limits]\nmax_gateways = " + std::to_string(maxGateways) + "\nentry_keep_ms = 2000\n";
+    for (const char *domain : {"a", "b", "c"})
+        text += "[[failure_domain]]\nname = \"" + std::string(domain)
+                + "\"\nregion = \"r\"\none_way_ms = 1\n";
+    for (unsigned i = 0; i < gateways; ++i) {
+        const std::string number = std::to_string(i);
+        text += "[[entry_vm]]\nname = \"vm-" + number + "\"\nfailure_domain = \"" + "abc"[i % 3]
+                + "\"\nentry_address = \"127.0.0.1:" + std::to_string(1000 + i)
+                + "\"\npeer_address = \"127.0.0.1:" + std::to_string(3000 + i) + "\"\n";
+    }
+    text += "[[budget]]\nname = \"b\"\nprobes_per_second = 10\nbytes_per_second = 20000\n"
+            "[[class]]\nname = \"c\"\nrank = 0\n"
+            "[[group]]\nname = \"g\"\nbudget = \"b\"\nslots = 6\nconnections = 220\n"
+            "[[service]]\nname = \"shop\"\ngroup = \"g\"\nclass = \"c\"\ntimeout_ms = 5000\n"
+            "[[rule]]\nname = \"read\"\npath_prefix = \"/read\"\nservice = \"shop\"\n"
+            "idempotent = true\n"
+            "[[rule]]\nname = \"book\"\npath_prefix = \"/book\"\nservice = \"shop\"\n"
+            "idempotent = false\n";
+    for (unsigned i = 0; i < workers; ++i) {
+        const std::string number = std::to_string(i);
+        text += "[[worker]]\nname = \"w-" + number + "\"\ngroup = \"g\"\nfailure_domain = \""
+                + "abc"[i % 3] + "\"\nvm = \"h-" + number
+                + "\"\naddress = \"127.0.0.1:" + std::to_string(5000 + i) + "\"\n";
+    }
+    return text;
+}
+
+gateway_settings shopSettings(unsigned index, std::uint64_t startNumber, std::uint64_t seed)
+{
+    gateway_settings settings;
+    settings.seed = seed;
+    settings.fleetPart.self = {"vm-" + std::to_string(index), startNumber};
+    settings.fleetPart.failureDomain = std::string(1, "abc"[index % 3]);
+    settings.fleetPart.entryAddress = "127.0.0.1:" + std::to_string(1000 + index);
+    settings.fleetPart.peerAddress = "127.0.0.1:" + std::to_string(3000 + index);
+    settings.balancerPart.failureDomain = settings.fleetPart.failureDomain;
+    settings.balancerPart.gatewaySeed = seed;
+    settings.claims.tokenKeys = {"secret"};
+    return settings;
+}
+
+void platform_values::publish(std::uint64_t newVersion, const std::string &text)
+{
+    const std::string hash = sha256Hex(text);
+    parts[hash] = text;
+    version = newVersion;
+    manifest = formatManifest({newVersion, {{"part", hash, text.size()}}});
+}
+
+result<platform_value> platform_values::read(const read_platform &order) const
+{
+    if (down)
+        return fail(error_code::unavailable, "read", "platform", "down");
+    switch (order.key) {
+    case platform_key::manifest:
+        return platform_value {version, order.afterVersion < version, manifest};
+    case platform_key::vm_list:
+        return platform_value {vmListVersion, order.afterVersion < vmListVersion, vmList};
+    case platform_key::part:
+        break;
+    }
+    const auto found = parts.find(order.partSha256);
+    if (found == parts.end())
+        return platform_value {};
+    return platform_value {1, true, found->second};
+}
+
+gateway_fixture::gateway_fixture(unsigned workers, gateway_settings settings)
+{
+    platform.publish(1, shopConfig(workers, 1));
+    tested = std::move(*gateway::create(std::move(settings)));
+    tested->invariants().setFailureHandler([](std::string_view name, const std::string &detail) {
+        throw std::runtime_error(std::string(name) + ": " + detail);
+    });
+    tested->start(now, actions);
+    serveReads();
+    advance(seconds(1));
+}
+
+void gateway_fixture::handle(const event &input)
+{
+    tested->handle(now, input, actions);
+    serveReads();
+}
+
+void gateway_fixture::serveReads()
+{
+    for (std::vector<read_platform> orders = take<read_platform>(); !orders.empty();
+         orders = take<read_platform>()) {
+        for (const read_platform &order : orders) {
+            result<platform_value> value = platform.read(order);
+            // A watch without news stays open; the fixture ends it only when something changes.
+            if (value && !value->changed && order.wait > duration {0})
+                continue;
+            tested->handle(now, platform_read_finished {order.read, std::move(value)}, actions);
+        }
+    }
+}
+
+void gateway_fixture::advance(duration length)
+{
+    const instant end = now + length;
+    while (tested->nextWake() <= end) {
+        now = std::max(now, tested->nextWake());
+        handle(timer_expired {});
+        for (const start_probe &probe : take<start_probe>())
+            handle(probe_finished {probe.probe, load_report {0, 0, 6, worker_state::ready}, 300});
+    }
+    now = end;
+}
+
+call_id gateway_fixture::read(const std::string &name, std::optional<duration> timeout,
+                              unsigned depth)
+{
+    std::shared_ptr<call_request> request = std::make_shared<call_request>();
+    request->method = "GET";
+    request->target = "/read/" + name;
+    request->timeout = timeout;
+    request->depth = depth;
+    const call_id call = static_cast<call_id>(m_nextCall++);
+    handle(call_received {call, request});
+    return call;
+}
+
+call_id gateway_fixture::book(const std::string &name, const std::string &key)
+{
+    std::shared_ptr<call_request> request = std::make_shared<call_request>();
+    request->method = "POST";
+    request->target = "/book";
+    request->body = name;
+    request->idempotencyKey = key;
+    const call_id call = static_cast<call_id>(m_nextCall++);
+    handle(call_received {call, request});
+    return call;
+}
+
+std::string gateway_fixture::newKey()
+{
+    if (m_keyRange.empty()) {
+        handle(entry_query {static_cast<query_id>(1), "shop"});
+        m_keyRange = take<send_entry_response>().at(0).keyRange;
+    }
+    return m_keyRange + "/" + std::to_string(m_nextKeyNumber++);
+}
+
+void gateway_fixture::answer(const start_attempt &attempt, int status, bool refusedNotRun)
+{
+    std::shared_ptr<call_response> response = std::make_shared<call_response>();
+    response->status = status;
+    response->body = attempt.request->target + attempt.request->body;
+    attempt_finished finished;
+    finished.attempt = attempt.attempt;
+    finished.end = attempt_end::answered;
+    finished.response = response;
+    finished.refusedNotRun = refusedNotRun;
+    handle(finished);
+}
+
+void gateway_fixture::end(const start_attempt &attempt, attempt_end how)
+{
+    attempt_finished finished;
+    finished.attempt = attempt.attempt;
+    finished.end = how;
+    handle(finished);
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/tests/decision/gateway/gateway_fixture.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "decision/gateway.h"
+
+namespace almondnotch {
+
+/// Text of a configuration with `workers` workers w-0, w-1, ... on VMs h-0, h-1, ..., one service
+/// "shop" with reads below /read and bookings below /book, and the entry VMs vm-0, vm-1, ...
+std::string shopConfig(unsigned workers, unsigned gateways, unsigned maxGateways = 16);
+
+/// Settings of gateway number `index` of such a configuration.
+gateway_settings shopSettings(unsigned index, std::uint64_t startNumber, std::uint64_t seed);
+
+/// Values of the platform as the fixture serves them.
+struct platform_values
+{
+    /// Publishes one text as a new version.
+    void publish(std::uint64_t version, const std::string &text);
+
+    result<platform_value> read(const read_platform &order) const;
+
+    std::uint64_t version = 0;
+    std::string manifest;
+    std::map<std::string, std::string> parts;
+    std::string vmList = R"({"version":1,"vms":[]})";
+    std::uint64_t vmListVersion = 1;
+    bool down = false;
+};
+
+/// One gateway with a platform that answers at once; attempts are answered by the test.
+class gateway_fixture
+{
+public:
+    explicit gateway_fixture(unsigned workers = 3,
+                             gateway_settings settings = shopSettings(0, 1, 1));
+
+    /// Hands in an event at the current time.
+    void handle(const event &input);
+    /// Moves the time on, with all timers that fall due.
+    void advance(duration length);
+    /// Moves the time on as if the process had not run.
+    void skip(duration length) { now = now + length; }
+
+    call_id read(const std::string &name, std::optional<duration> timeout = std::nullopt,
+                 unsigned depth = 0);
+    call_id book(const std::string &name, const std::string &key);
+    std::string newKey();
+
+    void answer(const start_attempt &attempt, int status = 200, bool refusedNotRun = false);
+    void end(const start_attempt &attempt, attempt_end how);
+
+    /// Removes and returns all actions of one type that were not taken yet.
+    template <typename Action>
+    std::vector<Action> take()
+    {
+        std::vector<Action> taken;
+        for (const action &entry : actions) {
+            if (std::holds_alternative<Action>(entry))
+                taken.push_back(std::get<Action>(entry));
+        }
+        std::erase_if(actions,
+                      [](const action &entry) { return std::holds_alternative<Action>(entry); });
+        return taken;
+    }
+
+    instant now {seconds(100)};
+    platform_values platform;
+    std::unique_ptr<gateway> tested;
+    action_list actions;
+
+private:
+    void serveReads();
+
+    std::uint64_t m_nextCall = 1;
+    unsigned m_nextKeyNumber = 1;
+    std::string m_keyRange;
+};
+
+} // namespace almondnotch
