--- /dev/null
+++ b/tests/decision/balance/balance_scenario.cpp
@@ -0,0 +1,356 @@
+#include "tests/decision/balance/balance_scenario.h"
+
+#include <algorithm>
+#include <memory>
+
+#include "core/counters.h"
+#include "core/invariants.h"
+#include "core/random_source.h"
+#include "decision/balance/balancer.h"
+#include "tests/decision/driver/event_queue.h"
+#include "tests/decision/driver/fake_link.h"
+
+namespace almondnotch {
+
+namespace {
+
+/// Request and response of the load endpoint with HTTP headers.
+constexpr std::uint32_t probeBytes = 400;
+/// Longer than any estimate, so that only the worker and not the clock ends an attempt.
+constexpr duration callTime = seconds(30);
+/// Attempts of one call: a refused call goes to one other worker.
+constexpr unsigned attemptsMax = 2;
+
+/// Counts probes that a bucket of one token with this rate would not have let through.
+class rate_meter
+{
+public:
+    explicit rate_meter(double rate) : m_intervalS(rate > 0 ? 1 / rate : 1e9) { }
+
+    bool exceeds(instant now)
+    {
+        const double nowS = toSeconds(now.sinceOrigin());
+        // 10 us for the rounding of instants.
+        const bool tooEarly = nowS + 1e-5 < m_nextS;
+        m_nextS = std::max(nowS, m_nextS) + m_intervalS;
+        return tooEarly;
+    }
+
+private:
+    double m_intervalS;
+    double m_nextS = 0;
+};
+
+struct fake_gateway
+{
+    explicit fake_gateway(std::uint64_t seed) : random(seed) { }
+
+    unsigned domain = 0;
+    random_source random;
+    invariant_set invariants;
+    counter_set counters;
+    std::unique_ptr<balancer> decisions;
+    std::vector<rate_meter> meters;
+    instant wakeAt = instant::never();
+};
+
+struct call_state
+{
+    std::size_t gateway = 0;
+    const worker_group *group = nullptr;
+    instant arrivedAt;
+    std::vector<worker_index> tried;
+};
+
+using shared_call = std::shared_ptr<call_state>;
+
+class scenario
+{
+public:
+    explicit scenario(const scenario_settings &settings);
+    scenario_result run();
+
+private:
+    config_objects describe() const;
+    void addGateway(std::size_t number);
+    void scheduleArrival(std::size_t service);
+    void attempt(const shared_call &call);
+    void finish(const shared_call &call, worker_index worker, instant startedAt,
+                const fake_response &response);
+    void runProbes(std::size_t number);
+    void probe(std::size_t number, worker_index worker, std::size_t place);
+    void poll(std::size_t number);
+    duration delay(const fake_gateway &gateway, std::size_t worker) const;
+    bool isMeasured(instant at) const { return at >= instant(m_settings.warmUp); }
+
+    const scenario_settings &m_settings;
+    event_queue m_queue;
+    random_source m_random;
+    shared_config m_config;
+    std::vector<std::unique_ptr<fake_worker>> m_workers;
+    std::vector<unsigned> m_workerDomains;
+    std::vector<std::unique_ptr<fake_gateway>> m_gateways;
+    std::vector<double> m_gapUs;
+    std::vector<std::uint64_t> m_probesByWorker;
+    std::vector<float> m_latencies;
+    std::uint64_t m_calls = 0;
+    std::uint64_t m_refused = 0;
+    std::uint64_t m_useful = 0;
+    std::uint64_t m_probes = 0;
+    std::uint64_t m_bytes = 0;
+    std::uint64_t m_overruns = 0;
+};
+
+scenario::scenario(const scenario_settings &settings)
+    : m_settings(settings), m_random(mixBits(settings.seed))
+{
+    m_config = config_set::create(1, "0", describe());
+    for (const worker_entry &entry : m_config->objects().workers) {
+        m_workers.push_back(
+            std::make_unique<fake_worker>(m_queue, m_random, m_settings.user.worker));
+        m_workerDomains.push_back(static_cast<unsigned>(std::stoul(entry.failureDomain.substr(1))));
+    }
+    m_probesByWorker.resize(m_workers.size());
+    const std::size_t gatewayCount = 13 + settings.seed % 4;
+    for (std::size_t number = 0; number < gatewayCount; ++number)
+        addGateway(number);
+    for (std::size_t service = 0; service < settings.user.services.size(); ++service) {
+        const double perSecond = settings.load * settings.user.services[service]
+                                 * settings.user.worker.slots
+                                 / toSeconds(settings.user.worker.serviceMean);
+        m_gapUs.push_back(1e6 / perSecond);
+        scheduleArrival(service);
+    }
+}
+
+config_objects scenario::describe() const
+{
+    const user_profile &user = m_settings.user;
+    config_objects out;
+    out.limits.selection = m_settings.policy;
+    for (unsigned domain = 0; domain < user.domains; ++domain)
+        out.failureDomains.push_back({"d" + std::to_string(domain), "r", user.oneWay});
+    out.budgets.push_back({"budget", m_settings.probesPerSecond, m_settings.bytesPerSecond});
+    for (std::size_t service = 0; service < user.services.size(); ++service) {
+        const std::string group = "g" + std::to_string(service);
+        out.groups.push_back({group, "budget", user.worker.slots, user.connections, 0.3});
+        for (unsigned i = 0; i < user.services[service]; ++i) {
+            const std::size_t number = out.workers.size();
+            const std::string name = "w" + std::to_string(number);
+            out.workers.push_back({name, group, "d" + std::to_string(number % user.domains),
+                                   "vm" + std::to_string(number),
+                                   "127.0.0.1:" + std::to_string(10000 + number)});
+        }
+    }
+    return out;
+}
+
+void scenario::addGateway(std::size_t number)
+{
+    m_gateways.push_back(std::make_unique<fake_gateway>(mixBits(m_settings.seed * 1000 + number)));
+    fake_gateway &gateway = *m_gateways.back();
+    gateway.domain = static_cast<unsigned>(number % m_settings.user.domains);
+    balancer_settings own;
+    own.failureDomain = "d" + std::to_string(gateway.domain);
+    own.gatewaySeed = number;
+    own.tuning = m_settings.tuning;
+    gateway.decisions = balancer::create(own, gateway.random, gateway.invariants, gateway.counters);
+    gateway.decisions->applyConfig(m_queue.now(), m_config);
+    const double rate = m_settings.probesPerSecond / m_config->objects().limits.maxGateways;
+    gateway.meters.assign(m_workers.size(), rate_meter(rate));
+    runProbes(number);
+    if (m_settings.pollInterval > duration(0)) {
+        const std::uint64_t interval = static_cast<std::uint64_t>(m_settings.pollInterval.count());
+        m_queue.after(duration(static_cast<std::int64_t>(m_random.below(interval))),
+                      [this, number] { poll(number); });
+    }
+}
+
+void scenario::scheduleArrival(std::size_t service)
+{
+    const duration gap(static_cast<std::int64_t>(m_random.exponential(m_gapUs[service])));
+    m_queue.after(gap, [this, service] {
+        scheduleArrival(service);
+        const shared_call call = std::make_shared<call_state>();
+        call->gateway = m_random.below(m_gateways.size());
+        call->group = &m_config->objects().groups[service];
+        call->arrivedAt = m_queue.now();
+        m_calls += isMeasured(m_queue.now()) ? 1 : 0;
+        attempt(call);
+    });
+}
+
+void scenario::attempt(const shared_call &call)
+{
+    fake_gateway &gateway = *m_gateways[call->gateway];
+    const std::optional<selected_worker> chosen
+        = gateway.decisions->select({call->group, call->tried, callTime, m_queue.now()});
+    if (!chosen) {
+        m_refused += isMeasured(call->arrivedAt) ? 1 : 0;
+        return;
+    }
+    const worker_index worker = chosen->worker;
+    const instant startedAt = m_queue.now();
+    gateway.decisions->attemptStarted(startedAt, worker);
+    call->tried.push_back(worker);
+    // The table's indexes are those of the configuration, since it is applied only once.
+    const std::size_t place = static_cast<std::size_t>(worker);
+    m_queue.after(delay(gateway, place), [this, call, worker, startedAt, place] {
+        m_workers[place]->submit(
+            [this, call, worker, startedAt, place](const fake_response &response) {
+                m_queue.after(delay(*m_gateways[call->gateway], place),
+                              [this, call, worker, startedAt, response] {
+                                  finish(call, worker, startedAt, response);
+                              });
+            });
+    });
+}
+
+void scenario::finish(const shared_call &call, worker_index worker, instant startedAt,
+                      const fake_response &response)
+{
+    const instant now = m_queue.now();
+    m_gateways[call->gateway]->decisions->attemptFinished(
+        now, {worker, response.end, now - startedAt, response.status, response.refusedNotRun,
+              response.load});
+    if (response.refusedNotRun && call->tried.size() < attemptsMax) {
+        attempt(call);
+        return;
+    }
+    if (!isMeasured(call->arrivedAt))
+        return;
+    if (response.refusedNotRun) {
+        ++m_refused;
+        return;
+    }
+    const duration elapsed = now - call->arrivedAt;
+    m_latencies.push_back(static_cast<float>(toSeconds(elapsed) * 1000));
+    m_useful += response.status == 200 && elapsed <= m_settings.useful ? 1 : 0;
+}
+
+void scenario::runProbes(std::size_t number)
+{
+    fake_gateway &gateway = *m_gateways[number];
+    for (const probe_order &order : gateway.decisions->dueProbes(m_queue.now())) {
+        const std::size_t place = static_cast<std::size_t>(order.worker);
+        ++m_probesByWorker[place];
+        m_overruns += gateway.meters[place].exceeds(m_queue.now()) ? 1 : 0;
+        probe(number, order.worker, place);
+    }
+    const instant wake = gateway.decisions->nextWake();
+    if (wake != instant::never())
+        m_queue.at(std::max(wake, m_queue.now() + microseconds(1)),
+                   [this, number] { runProbes(number); });
+}
+
+void scenario::probe(std::size_t number, worker_index worker, std::size_t place)
+{
+    const duration oneWay = delay(*m_gateways[number], place);
+    if (isMeasured(m_queue.now())) {
+        ++m_probes;
+        m_bytes += probeBytes;
+    }
+    m_queue.after(oneWay, [this, number, worker, place, oneWay] {
+        const load_report report = m_workers[place]->report();
+        m_queue.after(oneWay, [this, number, worker, report] {
+            m_gateways[number]->decisions->probeFinished(m_queue.now(), worker, report, probeBytes);
+        });
+    });
+}
+
+void scenario::poll(std::size_t number)
+{
+    for (std::size_t place = 0; place < m_workers.size(); ++place)
+        probe(number, worker_index(static_cast<std::uint32_t>(place)), place);
+    m_queue.after(m_settings.pollInterval, [this, number] { poll(number); });
+}
+
+duration scenario::delay(const fake_gateway &gateway, std::size_t worker) const
+{
+    // Within a domain the network is not free either: a tenth of the way between domains.
+    return gateway.domain == m_workerDomains[worker] ? m_settings.user.oneWay / 10
+                                                     : m_settings.user.oneWay;
+}
+
+scenario_result scenario::run()
+{
+    const instant end(m_settings.warmUp + m_settings.measured);
+    m_queue.runUntil(end);
+    scenario_result out;
+    std::sort(m_latencies.begin(), m_latencies.end());
+    const std::size_t count = m_latencies.size();
+    if (count > 0) {
+        out.p50 = m_latencies[count / 2];
+        out.p99 = m_latencies[count * 99 / 100];
+        out.p999 = m_latencies[count * 999 / 1000];
+    }
+    const double measuredS = toSeconds(m_settings.measured);
+    const double workers = static_cast<double>(m_workers.size());
+    const double capacity
+        = workers * m_settings.user.worker.slots / toSeconds(m_settings.user.worker.serviceMean);
+    out.calls = m_calls;
+    out.refused
+        = static_cast<double>(m_refused) / static_cast<double>(std::max<std::uint64_t>(1, m_calls));
+    out.goodput = static_cast<double>(m_useful) / measuredS / capacity;
+    out.probeCalls = static_cast<double>(m_probes) / measuredS / workers;
+    out.probeBytes = static_cast<double>(m_bytes) / measuredS / workers;
+    if (m_settings.probesPerSecond > 0 && m_settings.pollInterval == duration(0))
+        out.budgetShare = out.probeCalls / m_settings.probesPerSecond;
+    // Over all gateways: from the start, the budget and not one probe more.
+    const double allowed = m_settings.probesPerSecond * toSeconds(end.sinceOrigin());
+    for (const std::uint64_t probes : m_probesByWorker) {
+        if (static_cast<double>(probes) > allowed)
+            m_overruns += probes - static_cast<std::uint64_t>(allowed);
+    }
+    out.overruns = m_overruns;
+    for (const std::unique_ptr<fake_gateway> &gateway : m_gateways)
+        out.invariantFailures += gateway->invariants.failures();
+    out.events = m_queue.executed();
+    return out;
+}
+
+} // namespace
+
+user_profile kestrelwood()
+{
+    user_profile out;
+    out.name = "kestrelwood";
+    out.domains = 3;
+    out.oneWay = milliseconds(1);
+    out.services = {13, 7, 6, 6};
+    out.connections = 220;
+    out.worker.slots = 6;
+    out.worker.queueMax = 48;
+    out.worker.serviceMean = milliseconds(8);
+    out.worker.serviceVariation = 0.7;
+    return out;
+}
+
+user_profile obrtHorvatic()
+{
+    user_profile out;
+    out.name = "obrt_horvatic";
+    out.domains = 4;
+    out.oneWay = microseconds(1500);
+    out.services = {17, 9, 8, 8};
+    out.connections = 240;
+    out.worker.slots = 4;
+    out.worker.queueMax = 32;
+    out.worker.serviceMean = milliseconds(5);
+    out.worker.serviceVariation = 0.5;
+    return out;
+}
+
+noise_profile noisyNeighbours()
+{
+    noise_profile out;
+    out.meanGap = seconds(2);
+    return out;
+}
+
+scenario_result runScenario(const scenario_settings &settings)
+{
+    return scenario(settings).run();
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/tests/decision/driver/event_queue.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+#include "core/time.h"
+
+namespace almondnotch {
+
+/// Fake time: runs callbacks in the order of their times, equal times in the order of scheduling.
+class event_queue
+{
+public:
+    using callback = std::function<void()>;
+
+    instant now() const { return m_now; }
+    void at(instant when, callback run);
+    void after(duration delay, callback run) { at(m_now + delay, std::move(run)); }
+
+    /// Runs all callbacks up to and including `end`, and sets the time to `end`.
+    void runUntil(instant end);
+
+    /// Moves the time on without running anything, as a process that does not run sees it.
+    void skip(duration length) { m_now = m_now + length; }
+
+    std::uint64_t executed() const { return m_executed; }
+
+private:
+    struct entry
+    {
+        instant when;
+        std::uint64_t sequence = 0;
+        callback run;
+
+        bool operator<(const entry &other) const
+        {
+            return when != other.when ? when > other.when : sequence > other.sequence;
+        }
+    };
+
+    instant m_now;
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_executed = 0;
+    std::vector<entry> m_heap;
+};
+
+} // namespace almondnotch
--- /dev/null
+++ b/tests/decision/driver/fake_link.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/random_source.h"
+#include "tests/decision/driver/event_queue.h"
+
+namespace almondnotch {
+
+/// One direction of a network path: a fixed delay, an exponential addition, and loss.
+class fake_link
+{
+public:
+    fake_link(event_queue &queue, random_source &random, duration delay)
+        : m_queue(queue), m_random(random), m_delay(delay)
+    { }
+
+    /// Mean of the addition to the delay.
+    void setJitter(duration mean) { m_jitter = mean; }
+    /// Share of messages that are lost, 0 to 1.
+    void setLoss(double share) { m_loss = share; }
+    /// A blocked link loses everything.
+    void setBlocked(bool blocked) { m_blocked = blocked; }
+
+    /// Delivers a message after the delay, or loses it.
+    /// \return false if it is lost.
+    bool send(event_queue::callback deliver);
+
+private:
+    event_queue &m_queue;
+    random_source &m_random;
+    duration m_delay;
+    duration m_jitter {0};
+    double m_loss = 0;
+    bool m_blocked = false;
+};
+
+} // namespace almondnotch
