Rename quoted() so that std::quoted does not shadow it

A call with a std::string finds std::quoted through argument-dependent lookup as soon as <iomanip> is included, even indirectly, and then does not compile or picks the other function.

--- a/config/address.cpp
+++ b/config/address.cpp
@@ -14,7 +14,7 @@
 tl::unexpected<error> refuse(std::string_view text, std::string_view expected)
 {
     return fail(error_code::invalid_argument, "parse address", "",
-                "expected " + std::string(expected) + ", found " + quoted(text));
+                "expected " + std::string(expected) + ", found " + quotedValue(text));
 }
 
 result<std::uint16_t> parsePort(std::string_view text, std::string_view digits)
--- a/config/checker.cpp
+++ b/config/checker.cpp
@@ -36,7 +36,7 @@
             const auto [found, isNew] = m_byName.emplace(each.object.name, &each);
             if (!isNew)
                 faults.add(each.where, "name",
-                           "the name " + quoted(each.object.name) + " is taken by the "
+                           "the name " + quotedValue(each.object.name) + " is taken by the "
                                + std::string(each.where.kind) + " at "
                                + faults.place(found->second->where));
         }
@@ -105,7 +105,8 @@
         }
         m_faults.add(where, key,
                      std::string(key) + ": expected the name of a [[" + std::string(kind)
-                         + "]], found " + quoted(name) + m_faults.suggestion(name, table.names()));
+                         + "]], found " + quotedValue(name)
+                         + m_faults.suggestion(name, table.names()));
     }
 
     /// Reports an address that another object of the map has.
@@ -117,7 +118,7 @@
         const auto [found, isNew] = m_addresses.emplace(address, &where);
         if (!isNew)
             m_faults.add(where, key,
-                         std::string(key) + ": " + quoted(address) + " is taken by the "
+                         std::string(key) + ": " + quotedValue(address) + " is taken by the "
                              + std::string(found->second->kind) + " at "
                              + m_faults.place(*found->second) + "; " + std::string(reason));
     }
@@ -206,7 +207,7 @@
             if (!m_set.incomplete && !each.object.name.empty() && used.count(each.object.name) == 0)
                 m_faults.addAtLine(each.where, each.where.line,
                                    "expected at least one [[worker]] with group = "
-                                       + quoted(each.object.name));
+                                       + quotedValue(each.object.name));
         }
     }
 
@@ -294,7 +295,7 @@
         m_faults.add(late.where, "path_prefix",
                      "can never match all its calls: the rule " + early.object.name + " at "
                          + m_faults.place(early.where) + " takes " + what + " of "
-                         + quoted(late.object.pathPrefix)
+                         + quotedValue(late.object.pathPrefix)
                          + "; expected methods that no other rule of the prefix has");
     }
 
--- a/config/fault_list.cpp
+++ b/config/fault_list.cpp
@@ -9,7 +9,7 @@
 
 namespace almondnotch {
 
-std::string quoted(std::string_view text)
+std::string quotedValue(std::string_view text)
 {
     constexpr std::size_t shownBytes = 80;
     std::size_t length = std::min(text.size(), shownBytes);
@@ -67,7 +67,7 @@
         return {};
     ++m_suggestions;
     const std::string near = closestName(word, candidates);
-    return near.empty() ? std::string() : "; did you mean " + quoted(near) + "?";
+    return near.empty() ? std::string() : "; did you mean " + quotedValue(near) + "?";
 }
 
 std::string fault_list::place(const object_location &where) const
--- a/config/fault_list.h
+++ b/config/fault_list.h
@@ -10,7 +10,7 @@
 
 /// The text in quotation marks, shortened and with control characters escaped, so that a value from
 /// the configuration cannot forge or flood log lines.
-std::string quoted(std::string_view text);
+std::string quotedValue(std::string_view text);
 
 /// Where an object and its keys stand.
 struct object_location
--- a/config/manifest.cpp
+++ b/config/manifest.cpp
@@ -48,8 +48,8 @@
         const std::string near
             = key.str().size() > partNameBytesMax ? std::string() : closestName(key.str(), known);
         return refuse(key.source(),
-                      "unknown key " + quoted(key.str())
-                          + (near.empty() ? "" : "; did you mean " + quoted(near) + "?"));
+                      "unknown key " + quotedValue(key.str())
+                          + (near.empty() ? "" : "; did you mean " + quotedValue(near) + "?"));
     }
     return {};
 }
@@ -65,11 +65,11 @@
         return refuse(table.source(),
                       "name: expected 1 to " + std::to_string(partNameBytesMax)
                           + " ASCII letters, digits, dots, \"_\" and \"-\", no dot first, found "
-                          + quoted(part.name));
+                          + quotedValue(part.name));
     part.sha256 = table["sha256"].value_or<std::string>("");
     if (!isSha256(part.sha256))
         return refuse(table.source(), "sha256: expected 64 lower-case hexadecimal digits, found "
-                                          + quoted(part.sha256));
+                                          + quotedValue(part.sha256));
     const std::int64_t bytes
         = table["bytes"].is_integer() ? table["bytes"].value_or<std::int64_t>(-1) : -1;
     if (bytes < 0 || bytes > static_cast<std::int64_t>(configValueBytesMax))
@@ -105,7 +105,8 @@
         if (!part)
             return tl::unexpected(part.error());
         if (!names.insert(part->name).second)
-            return refuse(element.source(), "the part name " + quoted(part->name) + " is taken");
+            return refuse(element.source(),
+                          "the part name " + quotedValue(part->name) + " is taken");
         manifest.parts.push_back(std::move(*part));
     }
     if (manifest.parts.empty())
--- a/config/object_reader.cpp
+++ b/config/object_reader.cpp
@@ -80,7 +80,7 @@
 std::string describeNode(const toml::node &node)
 {
     if (node.is_string())
-        return "text " + quoted(node.ref<std::string>());
+        return "text " + quotedValue(node.ref<std::string>());
     if (node.is_integer())
         return std::to_string(node.ref<std::int64_t>());
     if (node.is_floating_point())
@@ -151,7 +151,7 @@
                      std::string(key) + ": expected " + std::string(expected) + " (1 to "
                          + std::to_string(nameBytesMax) + " ASCII letters, digits and any of "
                          + std::string(extraLetters) + ", beginning with a letter or digit), found "
-                         + quoted(*value));
+                         + quotedValue(*value));
         return;
     }
     out = *value;
@@ -194,7 +194,8 @@
         return;
     const std::string fault = pathPrefixFault(*value);
     if (!fault.empty()) {
-        m_faults.add(m_where, key, std::string(key) + ": " + fault + ", found " + quoted(*value));
+        m_faults.add(m_where, key,
+                     std::string(key) + ": " + fault + ", found " + quotedValue(*value));
         return;
     }
     out = *value;
@@ -224,10 +225,10 @@
                                                       : letter;
             });
             refuse(element, std::string(key) + ": expected upper-case methods out of "
-                                + join(knownMethods()) + ", found " + quoted(value)
+                                + join(knownMethods()) + ", found " + quotedValue(value)
                                 + m_faults.suggestion(upper, knownMethods()));
         } else if (std::find(out.begin(), out.end(), value) != out.end()) {
-            refuse(element, std::string(key) + ": " + quoted(value) + " is listed twice");
+            refuse(element, std::string(key) + ": " + quotedValue(value) + " is listed twice");
         } else {
             out.push_back(value);
         }
@@ -248,7 +249,7 @@
         return;
     if (std::find(words.begin(), words.end(), *value) == words.end()) {
         m_faults.add(m_where, key,
-                     std::string(key) + ": expected " + expected + ", found " + quoted(*value)
+                     std::string(key) + ": expected " + expected + ", found " + quotedValue(*value)
                          + m_faults.suggestion(*value, words));
         return;
     }
@@ -319,7 +320,7 @@
             continue;
         const std::string near = m_faults.suggestion(key.str(), m_known);
         m_faults.addAtLine(m_where, static_cast<int>(key.source().begin.line),
-                           "unknown key " + quoted(key.str())
+                           "unknown key " + quotedValue(key.str())
                                + (near.empty() ? "; expected keys out of " + join(m_known) : near));
     }
     return m_where;
--- a/config/set_reader.cpp
+++ b/config/set_reader.cpp
@@ -187,7 +187,7 @@
         }
         m_set.incomplete = true;
         refuse(static_cast<int>(key.source().begin.line),
-               "unknown table or key " + quoted(name) + m_faults.suggestion(name, names));
+               "unknown table or key " + quotedValue(name) + m_faults.suggestion(name, names));
     }
 }
 
