Add almondnotchctl, the operators' command line tool

Operators had no way to check, compare and publish a configuration, or to ask a gateway for its state. The tool has the commands check, diff, manifest, dump, explain, entrypoints, workers, drain and version, prints aligned tables or JSON, and documents its exit codes in every help text.

Options are declared with gflags but set one by one, because gflags::ParseCommandLineFlags ends the process with exit code 1 for a mistyped option, and 1 stands for faults found here.

--- /dev/null
+++ b/main/control/json_text.cpp
@@ -0,0 +1,132 @@
+#include "main/control/json_text.h"
+
+#include <algorithm>
+#include <ostream>
+
+#include "main/control/text_table.h"
+
+namespace almondnotch {
+
+namespace {
+
+using json = nlohmann::ordered_json;
+
+constexpr int nestingMax = 32;
+/// Nested values beyond this length would break the alignment of a row.
+constexpr std::size_t cellBytesMax = 60;
+
+std::string cellText(const json &value)
+{
+    if (value.is_string())
+        return value.get<std::string>();
+    if (value.is_null())
+        return "-";
+    std::string text = value.dump(-1, ' ', false, json::error_handler_t::replace);
+    if (text.size() > cellBytesMax && value.is_structured())
+        text = std::to_string(value.size()) + (value.size() == 1 ? " entry" : " entries");
+    return text;
+}
+
+bool isRowList(const json &value)
+{
+    return value.is_array() && !value.empty()
+           && std::all_of(value.begin(), value.end(),
+                          [](const json &each) { return each.is_object(); });
+}
+
+/// An object of objects is a table keyed by name, as in {"worker-1": {...}, "worker-2": {...}}.
+/// Only if the members look alike; otherwise they are sections.
+bool isNamedRows(const json &value)
+{
+    if (!value.is_object() || value.size() < 2)
+        return false;
+    const json &first = *value.begin();
+    return std::all_of(value.begin(), value.end(), [&first](const json &each) {
+        if (!each.is_object() || each.empty() || each.size() != first.size())
+            return false;
+        for (const auto &[key, member] : each.items()) {
+            if (!first.contains(key))
+                return false;
+        }
+        return true;
+    });
+}
+
+void printRows(const json &rows, std::ostream &out, bool terminal)
+{
+    std::vector<std::string> headings;
+    const bool named = rows.is_object();
+    for (const json &row : rows) {
+        for (const auto &[key, member] : row.items()) {
+            if (std::find(headings.begin(), headings.end(), key) == headings.end())
+                headings.push_back(key);
+        }
+    }
+    std::vector<std::string> shown;
+    if (named)
+        shown.emplace_back("name");
+    for (const std::string &heading : headings)
+        shown.push_back(printable(heading));
+    text_table table(shown);
+    for (const auto &[name, row] : rows.items()) {
+        std::vector<std::string> cells;
+        if (named)
+            cells.push_back(name);
+        for (const std::string &heading : headings) {
+            const auto found = row.find(heading);
+            cells.push_back(found == row.end() ? "" : cellText(*found));
+        }
+        table.add(std::move(cells));
+    }
+    table.print(out, terminal);
+}
+
+void printSection(const json &value, const std::string &title, std::ostream &out, bool terminal)
+{
+    if (!title.empty())
+        out << "\n" << coloured(printable(title), text_colour::bold, terminal) << "\n";
+    if (isRowList(value) || isNamedRows(value)) {
+        printRows(value, out, terminal);
+        return;
+    }
+    if (!value.is_object()) {
+        out << printable(cellText(value)) << "\n";
+        return;
+    }
+    text_table plain({});
+    for (const auto &[key, each] : value.items()) {
+        if (each.is_object() ? each.empty() : !isRowList(each))
+            plain.add({key, cellText(each)});
+    }
+    plain.print(out, terminal);
+    const std::string prefix = title.empty() ? "" : title + ".";
+    for (const auto &[key, each] : value.items()) {
+        if (isRowList(each) || (each.is_object() && !each.empty()))
+            printSection(each, prefix + key, out, terminal);
+    }
+}
+
+} // namespace
+
+result<json> parseJson(std::string_view text, std::string_view peer)
+{
+    const json::parser_callback_t limitDepth
+        = [](int depth, json::parse_event_t, json &) { return depth <= nestingMax; };
+    json value = json::parse(text, limitDepth, false);
+    if (value.is_discarded())
+        return fail(error_code::invalid_message, "read response", peer,
+                    "expected JSON, found something else");
+    return value;
+}
+
+void printJsonAsText(const json &value, std::ostream &out, bool terminal)
+{
+    printSection(value, "", out, terminal);
+}
+
+void printJson(const json &value, std::ostream &out, bool compact)
+{
+    out << value.dump(compact ? -1 : 2, ' ', false, json::error_handler_t::replace) << "\n";
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/main/control/local_commands.cpp
@@ -0,0 +1,217 @@
+#include "main/control/local_commands.h"
+
+#include <filesystem>
+#include <optional>
+#include <ostream>
+
+#include "config/parser.h"
+#include "core/digest.h"
+#include "core/version.h"
+#include "main/control/config_directory.h"
+#include "main/control/json_text.h"
+#include "main/control/text_table.h"
+
+namespace almondnotch {
+
+namespace {
+
+using json = nlohmann::ordered_json;
+
+/// A set that was read and checked, or the exit code of what was wrong.
+struct checked_set
+{
+    std::vector<config_text> texts;
+    config_objects objects;
+};
+
+std::string count(std::size_t number, const std::string &singular)
+{
+    return std::to_string(number) + " " + singular + (number == 1 ? "" : "s");
+}
+
+void printFaults(const command_context &context, const std::string &directory,
+                 const std::vector<config_fault> &faults)
+{
+    if (context.wantsJson()) {
+        json list = json::array();
+        for (const config_fault &fault : faults)
+            list.push_back({{"file", fault.file},
+                            {"line", fault.line},
+                            {"object", fault.object},
+                            {"message", fault.message}});
+        printJson({{"ok", false}, {"directory", directory}, {"faults", list}}, context.out, false);
+        return;
+    }
+    for (const config_fault &fault : faults) {
+        const std::string place = fault.file.empty() ? directory + ": "
+                                                     : directory + "/" + fault.file + ":"
+                                                           + std::to_string(fault.line) + ": ";
+        context.out << coloured(printable(place), text_colour::bold, context.terminal)
+                    << printable(fault.object.empty() ? "" : fault.object + ": ")
+                    << printable(fault.message) << "\n";
+    }
+    context.out << coloured(count(faults.size(), "fault"), text_colour::red, context.terminal)
+                << "\n";
+}
+
+/// Reads and checks a set; prints what is wrong with it.
+std::optional<checked_set> loadSet(const command_context &context, const std::string &directory,
+                                   exit_code &failure)
+{
+    result<std::vector<config_text>> texts = readConfigDirectory(directory);
+    if (!texts) {
+        context.err << "almondnotchctl: " << toString(texts.error()) << "\n";
+        failure = exit_code::wrong_usage;
+        return std::nullopt;
+    }
+    tl::expected<config_objects, std::vector<config_fault>> objects = parseConfig(*texts);
+    if (!objects) {
+        printFaults(context, directory, objects.error());
+        failure = exit_code::refused;
+        return std::nullopt;
+    }
+    return checked_set {std::move(*texts), std::move(*objects)};
+}
+
+text_colour colourOf(std::string_view change)
+{
+    if (change.rfind("added", 0) == 0)
+        return text_colour::green;
+    if (change.rfind("removed", 0) == 0)
+        return text_colour::red;
+    if (change.rfind("routing", 0) == 0)
+        return text_colour::cyan;
+    return text_colour::yellow;
+}
+
+result<config_manifest> makeManifest(const std::vector<config_text> &texts, std::uint64_t version)
+{
+    config_manifest manifest;
+    manifest.version = version;
+    for (const config_text &text : texts)
+        manifest.parts.push_back({text.name, sha256Hex(text.text), text.text.size()});
+    // Reading it back applies the checks that gateways apply, as to the names of the files.
+    return parseManifest(formatManifest(manifest));
+}
+
+result<void> writeParts(const std::vector<config_text> &texts, const config_manifest &manifest,
+                        const std::string &directory)
+{
+    std::error_code failure;
+    std::filesystem::create_directories(directory, failure);
+    if (failure)
+        return fail(error_code::unavailable, "create directory", directory, failure.message());
+    for (std::size_t index = 0; index < texts.size(); ++index) {
+        const result<void> written = writeFileAtomically(
+            (std::filesystem::path(directory) / manifest.parts[index].sha256).string(),
+            texts[index].text);
+        if (!written)
+            return written;
+    }
+    return {};
+}
+
+} // namespace
+
+exit_code runCheck(const command_context &context)
+{
+    const std::string &directory = context.options.arguments[0];
+    exit_code failure = exit_code::ok;
+    const std::optional<checked_set> set = loadSet(context, directory, failure);
+    if (!set)
+        return failure;
+    const config_objects &objects = set->objects;
+    if (context.wantsJson()) {
+        printJson({{"ok", true},
+                   {"directory", directory},
+                   {"faults", json::array()},
+                   {"files", set->texts.size()},
+                   {"failure_domains", objects.failureDomains.size()},
+                   {"entry_vms", objects.entryVms.size()},
+                   {"groups", objects.groups.size()},
+                   {"workers", objects.workers.size()},
+                   {"services", objects.services.size()},
+                   {"rules", objects.rules.size()}},
+                  context.out, false);
+        return exit_code::ok;
+    }
+    context.out << coloured("ok", text_colour::green, context.terminal) << ": "
+                << count(set->texts.size(), "file") << ", "
+                << count(objects.failureDomains.size(), "failure domain") << ", "
+                << count(objects.entryVms.size(), "entry VM") << ", "
+                << count(objects.groups.size(), "group") << ", "
+                << count(objects.workers.size(), "worker") << ", "
+                << count(objects.services.size(), "service") << ", "
+                << count(objects.rules.size(), "rule") << "\n";
+    return exit_code::ok;
+}
+
+exit_code runDiff(const command_context &context)
+{
+    exit_code failure = exit_code::ok;
+    const std::optional<checked_set> before
+        = loadSet(context, context.options.arguments[0], failure);
+    if (!before)
+        return failure;
+    const std::optional<checked_set> after
+        = loadSet(context, context.options.arguments[1], failure);
+    if (!after)
+        return failure;
+    const std::vector<std::string> changes = describeChanges(before->objects, after->objects);
+    if (context.wantsJson()) {
+        printJson({{"changes", changes}}, context.out, false);
+        return exit_code::ok;
+    }
+    for (const std::string &change : changes)
+        context.out << coloured(change, colourOf(change), context.terminal) << "\n";
+    context.out << (changes.empty() ? "no difference" : count(changes.size(), "difference"))
+                << "\n";
+    return exit_code::ok;
+}
+
+exit_code runManifest(const command_context &context)
+{
+    if (context.options.configVersion == 0) {
+        context.err << "almondnotchctl: expected --config_version N, greater than the published "
+                       "version\n";
+        return exit_code::wrong_usage;
+    }
+    exit_code failure = exit_code::ok;
+    const std::optional<checked_set> set = loadSet(context, context.options.arguments[0], failure);
+    if (!set)
+        return failure;
+    const result<config_manifest> manifest
+        = makeManifest(set->texts, context.options.configVersion);
+    if (!manifest) {
+        context.err << "almondnotchctl: " << toString(manifest.error()) << "\n";
+        return exit_code::refused;
+    }
+    if (!context.options.outDirectory.empty()) {
+        const result<void> written
+            = writeParts(set->texts, *manifest, context.options.outDirectory);
+        if (!written) {
+            context.err << "almondnotchctl: " << toString(written.error()) << "\n";
+            return exit_code::refused;
+        }
+    }
+    if (!context.wantsJson()) {
+        context.out << formatManifest(*manifest);
+        return exit_code::ok;
+    }
+    json parts = json::array();
+    for (const manifest_part &part : manifest->parts)
+        parts.push_back({{"name", part.name}, {"sha256", part.sha256}, {"bytes", part.bytes}});
+    printJson({{"version", manifest->version}, {"parts", parts}}, context.out, false);
+    return exit_code::ok;
+}
+
+exit_code runVersion(const command_context &context)
+{
+    if (context.wantsJson())
+        printJson({{"version", ALMONDNOTCH_VERSION}}, context.out, false);
+    else
+        context.out << "almondnotchctl " << ALMONDNOTCH_VERSION << "\n";
+    return exit_code::ok;
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/main/control/text_table.cpp
@@ -0,0 +1,104 @@
+#include "main/control/text_table.h"
+
+#include <algorithm>
+#include <ostream>
+
+namespace almondnotch {
+
+namespace {
+
+/// Columns on the terminal, counting UTF-8 sequences once.
+std::size_t widthOf(std::string_view text)
+{
+    return static_cast<std::size_t>(std::count_if(text.begin(), text.end(), [](char letter) {
+        return (static_cast<unsigned char>(letter) & 0xC0U) != 0x80U;
+    }));
+}
+
+bool isNumber(std::string_view text)
+{
+    return !text.empty() && text.find_first_not_of("0123456789.-+e") == std::string_view::npos;
+}
+
+struct column
+{
+    std::size_t width = 0;
+    bool numeric = true;
+};
+
+std::string padded(const std::string &text, const column &place, bool last)
+{
+    const std::string blanks(place.width - widthOf(text), ' ');
+    if (place.numeric)
+        return blanks + text;
+    return last ? text : text + blanks;
+}
+
+} // namespace
+
+std::string coloured(std::string_view text, text_colour colour, bool terminal)
+{
+    static const std::vector<std::string_view> codes {"", "1", "31", "32", "33", "36"};
+    if (!terminal || colour == text_colour::none)
+        return std::string(text);
+    std::string out = "\x1b[";
+    out += codes[static_cast<std::size_t>(colour)];
+    out += "m";
+    out += text;
+    return out + "\x1b[0m";
+}
+
+std::string printable(std::string_view text)
+{
+    std::string out(text);
+    std::replace_if(
+        out.begin(), out.end(),
+        [](char letter) {
+            const unsigned char byte = static_cast<unsigned char>(letter);
+            return byte < 0x20 || byte == 0x7f;
+        },
+        '?');
+    return out;
+}
+
+void text_table::add(std::vector<std::string> cells)
+{
+    for (std::string &cell : cells)
+        cell = printable(cell);
+    m_rows.push_back(std::move(cells));
+}
+
+void text_table::print(std::ostream &out, bool terminal, std::string_view indent) const
+{
+    std::vector<column> columns(m_headings.size());
+    for (const std::vector<std::string> &row : m_rows)
+        columns.resize(std::max(columns.size(), row.size()));
+    for (std::size_t index = 0; index < m_headings.size(); ++index)
+        columns[index].width = widthOf(m_headings[index]);
+    for (const std::vector<std::string> &row : m_rows) {
+        for (std::size_t index = 0; index < row.size(); ++index) {
+            columns[index].width = std::max(columns[index].width, widthOf(row[index]));
+            if (!row[index].empty() && !isNumber(row[index]))
+                columns[index].numeric = false;
+        }
+    }
+    // Without headings the values belong to their names on the left.
+    if (m_headings.empty()) {
+        for (column &each : columns)
+            each.numeric = false;
+    }
+    const auto printRow = [&](const std::vector<std::string> &row, text_colour colour) {
+        std::string line;
+        for (std::size_t index = 0; index < row.size(); ++index)
+            line += (index == 0 ? "" : "  ")
+                    + padded(row[index], columns[index], index + 1 == row.size());
+        line.erase(line.find_last_not_of(' ') + 1);
+        out << indent << coloured(line, colour, terminal) << "\n";
+    };
+    if (!m_headings.empty())
+        printRow(m_headings, text_colour::bold);
+    for (const std::vector<std::string> &row : m_rows)
+        printRow(row, text_colour::none);
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/tests/main/control/control_test.cpp
@@ -0,0 +1,254 @@
+#include <boost/test/unit_test.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include <unistd.h>
+
+#include "config/parser.h"
+#include "core/digest.h"
+#include "main/control/control.h"
+#include "main/control/json_text.h"
+#include "main/control/text_table.h"
+#include "tests/main/control/gateway_standin.h"
+
+namespace almondnotch {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+struct run_outcome
+{
+    int code = 0;
+    std::string out;
+    std::string err;
+};
+
+run_outcome run(const std::vector<std::string> &words, bool terminal = false)
+{
+    std::ostringstream out;
+    std::ostringstream err;
+    const exit_code code = runControl(words, out, err, terminal);
+    return {static_cast<int>(code), out.str(), err.str()};
+}
+
+std::string samples(const std::string &user)
+{
+    return std::string(ALMONDNOTCH_SAMPLES) + "/" + user + "/config";
+}
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+/// A directory that is removed at the end of the test.
+class scratch_directory
+{
+public:
+    scratch_directory()
+    {
+        std::string name = (fs::temp_directory_path() / "almondnotch-control-XXXXXX").string();
+        BOOST_REQUIRE(mkdtemp(name.data()) != nullptr);
+        m_path = name;
+    }
+    scratch_directory(const scratch_directory &) = delete;
+    scratch_directory &operator=(const scratch_directory &) = delete;
+    ~scratch_directory() { fs::remove_all(m_path); }
+
+    const fs::path &path() const { return m_path; }
+
+    void write(const std::string &name, const std::string &text) const
+    {
+        std::ofstream(m_path / name) << text;
+    }
+
+private:
+    fs::path m_path;
+};
+
+} // namespace
+
+// Guards against exit codes on which scripts rely and that change.
+BOOST_AUTO_TEST_CASE(wrong_usage_has_its_own_exit_code)
+{
+    const std::vector<std::vector<std::string>> lines {
+        {},
+        {"chek", "dir"},
+        {"check"},
+        {"check", "a", "b"},
+        {"check", samples("horvatic"), "--watch"},
+        {"check", "/nonexistent"},
+        {"dump", "--operator", "localhost:9901"},
+        {"dump", "--operator"},
+        {"dump", "--interval_ms=abc"},
+        {"dump", "--interval_ms=5"},
+        {"dump", "--output=xml"},
+        {"dump", "--flagfile=x"},
+        {"manifest", samples("horvatic")},
+    };
+    for (const std::vector<std::string> &words : lines) {
+        const run_outcome outcome = run(words);
+        BOOST_TEST_CONTEXT((words.empty() ? "" : words.back()))
+        {
+            BOOST_TEST(outcome.code == 2);
+            BOOST_TEST(!outcome.err.empty());
+            BOOST_TEST(outcome.out.empty());
+        }
+    }
+    BOOST_TEST(contains(run({"chek"}).err, "did you mean check?"));
+    BOOST_TEST(contains(run({"dump", "--operater=x"}).err, "did you mean --operator?"));
+}
+
+// Guards against a command without help, an example or the exit codes.
+BOOST_AUTO_TEST_CASE(every_command_has_help_with_an_example)
+{
+    for (const command &each : commandTable()) {
+        const run_outcome outcome = run({std::string(each.name), "--help"});
+        BOOST_TEST(outcome.code == 0);
+        BOOST_TEST(contains(outcome.out, "Example:\n  almondnotchctl " + std::string(each.name)));
+        BOOST_TEST(contains(outcome.out, "3  gateway not reachable"));
+    }
+    BOOST_TEST(run({"--help"}).code == 0);
+}
+
+// Guards against faults that are hidden, or that scripts cannot read.
+BOOST_AUTO_TEST_CASE(check_prints_faults_as_text_and_json)
+{
+    BOOST_TEST(run({"check", samples("kestrelwood")}).code == 0);
+    const scratch_directory directory;
+    directory.write("a.toml", "[limits]\nmax_gateway = 3\n");
+    directory.write("ignored.txt", "not TOML");
+    const std::string path = directory.path().string();
+    const run_outcome text = run({"check", path});
+    BOOST_TEST(text.code == 1);
+    BOOST_TEST(text.out
+               == path
+                      + "/a.toml:2: limits: unknown key \"max_gateway\"; did you mean "
+                        "\"max_gateways\"?\n1 fault\n");
+    const run_outcome json = run({"check", path, "--output", "json"});
+    BOOST_TEST(json.code == 1);
+    const nlohmann::json parsed = nlohmann::json::parse(json.out);
+    BOOST_TEST(parsed["faults"].size() == 1U);
+    BOOST_TEST(parsed["faults"][0]["line"] == 2);
+}
+
+// Guards against colour codes in files and pipes.
+BOOST_AUTO_TEST_CASE(colours_only_on_a_terminal)
+{
+    BOOST_TEST(!contains(run({"check", samples("horvatic")}).out, "\x1b"));
+    BOOST_TEST(contains(run({"check", samples("horvatic")}, true).out, "\x1b[32mok"));
+}
+
+// Guards against a published set whose parts do not match its manifest.
+BOOST_AUTO_TEST_CASE(manifest_names_the_parts_that_it_writes)
+{
+    const scratch_directory directory;
+    const run_outcome outcome = run({"manifest", samples("kestrelwood"), "--config_version", "7",
+                                     "--out", (directory.path() / "new").string()});
+    BOOST_TEST(outcome.code == 0);
+    const result<config_manifest> manifest = parseManifest(outcome.out);
+    BOOST_REQUIRE(manifest.has_value());
+    BOOST_TEST(manifest->version == 7U);
+    BOOST_REQUIRE_EQUAL(manifest->parts.size(), 4U);
+    for (const manifest_part &part : manifest->parts) {
+        std::ifstream in(directory.path() / "new" / part.sha256);
+        std::ostringstream content;
+        content << in.rdbuf();
+        BOOST_TEST(content.str().size() == part.bytes);
+        BOOST_TEST(sha256Hex(content.str()) == part.sha256);
+    }
+}
+
+// Guards against the publication of a faulty set.
+BOOST_AUTO_TEST_CASE(manifest_refuses_a_faulty_set)
+{
+    const scratch_directory directory;
+    directory.write("a.toml", "[limits]\nmax_gateways = 0\n");
+    const run_outcome outcome
+        = run({"manifest", directory.path().string(), "--config_version", "7"});
+    BOOST_TEST(outcome.code == 1);
+    BOOST_TEST(!contains(outcome.out, "[[part]]"));
+}
+
+// Guards against differences that are shown for equal sets, or not shown for others.
+BOOST_AUTO_TEST_CASE(diff_shows_changes)
+{
+    BOOST_TEST(run({"diff", samples("horvatic"), samples("horvatic")}).out == "no difference\n");
+    const run_outcome outcome = run({"diff", samples("horvatic"), samples("kestrelwood")});
+    BOOST_TEST(outcome.code == 0);
+    BOOST_TEST(contains(outcome.out, "\nadded worker payments-01: "));
+    BOOST_TEST(contains(outcome.out, "\nremoved service feast-day-booking: "));
+}
+
+// Guards against requests to other targets than those of the design page, and values that are not
+// encoded.
+BOOST_AUTO_TEST_CASE(online_commands_ask_the_documented_targets)
+{
+    const gateway_standin gateway(
+        {{"GET /dump",
+          {200, R"({"version":3,"balancer":{"workers":[{"name":"w-1","load":2},)"
+                R"({"name":"w-2","load":11}]}})"}},
+         {"GET /explain?path=/a b&c&method=POST", {200, R"({"service":"sales"})"}},
+         {"GET /.well-known/almondnotch/entry?service=sales",
+          {200, R"({"service":"sales","addresses":["192.0.2.1:80"],"keep_ms":10000})"}},
+         {"POST /drain", {202, ""}}});
+    const std::string address = "--operator=" + gateway.address();
+    BOOST_TEST(run({"workers", address}).out == "name  load\nw-1      2\nw-2     11\n");
+    BOOST_TEST(contains(run({"dump", address}).out, "version  3\n"));
+    BOOST_TEST(run({"dump", "balancer", address, "--output=json"}).code == 0);
+    BOOST_TEST(run({"explain", "/a b&c", "--method=POST", address}).out == "service  sales\n");
+    BOOST_TEST(contains(run({"entrypoints", "sales", "--entry", gateway.address()}).out,
+                        "addresses  [\"192.0.2.1:80\"]\n"));
+    BOOST_TEST(run({"drain", address}).code == 0);
+    const run_outcome watched = run(
+        {"workers", address, "--watch", "--watch_count=2", "--interval_ms=100", "--output=json"});
+    BOOST_TEST(watched.out
+               == "[{\"name\":\"w-1\",\"load\":2},{\"name\":\"w-2\",\"load\":11}]\n"
+                  "[{\"name\":\"w-1\",\"load\":2},{\"name\":\"w-2\",\"load\":11}]\n");
+}
+
+// Guards against a refusal or an unreachable gateway that scripts take for success.
+BOOST_AUTO_TEST_CASE(refused_and_unreachable_have_their_exit_codes)
+{
+    std::string gone;
+    {
+        const gateway_standin gateway({{"POST /drain", {409, R"({"detail":"already\u001b[2J"})"}},
+                                       {"GET /dump", {200, "not JSON"}}});
+        gone = gateway.address();
+        const run_outcome refused = run({"drain", "--operator", gone});
+        BOOST_TEST(refused.code == 1);
+        BOOST_TEST(contains(refused.err, "409: already?[2J"));
+        BOOST_TEST(run({"dump", "--operator", gone}).code == 1);
+        BOOST_TEST(run({"explain", "/x", "--operator", gone}).code == 1);
+    }
+    BOOST_TEST(run({"drain", "--operator", gone}).code == 3);
+    BOOST_TEST(run({"entrypoints", "sales", "--entry", gone}).code == 3);
+}
+
+// Guards against misaligned columns, and against a dump that steers the operator's terminal.
+BOOST_AUTO_TEST_CASE(prints_aligned_tables_without_control_characters)
+{
+    std::ostringstream out;
+    text_table table({"name", "load"});
+    table.add({"Horvatić", "5"});
+    table.add({"a\x1b[31m", "1000"});
+    table.print(out, false);
+    BOOST_TEST(out.str() == "name      load\nHorvatić     5\na?[31m    1000\n");
+}
+
+// Guards against nested values that exhaust the stack.
+BOOST_AUTO_TEST_CASE(bounds_the_depth_of_a_response)
+{
+    const std::string text = std::string(100000, '[') + std::string(100000, ']');
+    const result<nlohmann::ordered_json> parsed = parseJson(text, "peer");
+    BOOST_REQUIRE(parsed.has_value());
+    std::ostringstream out;
+    printJsonAsText(*parsed, out, false);
+    printJson(*parsed, out, true);
+    BOOST_TEST(out.str().size() < 200U);
+}
+
+} // namespace almondnotch
