Test calls through the whole gateway and confirm crashes by probes within the budget

Cause: a request that crashes workers took all six, since nobody confirmed the crashes: the balancer avoids a broken worker, so no call found it refusing connections.

--- a/decision/calls/call_runner.cpp
+++ b/decision/calls/call_runner.cpp
@@ -284,14 +284,13 @@
     switch (input.end) {
     case attempt_end::answered:
         m_parts.quarantine.workerAnswered(attempt.workerName);
+        m_uncheckedWorkers.erase(attempt.worker);
         if (!attempt.refusedNotRun)
             stateOf(record).latency.add(seen.elapsed);
         break;
     case attempt_end::broken:
         m_parts.quarantine.connectionBroke(now, digestOf(*record.request), attempt.workerName);
-        if (const std::optional<probe_order> check
-            = m_parts.workers.checkWorker(now, attempt.worker))
-            m_checks.push_back(*check);
+        m_uncheckedWorkers[attempt.worker] = now + quarantine_table::confirmWindow;
         break;
     case attempt_end::not_sent:
         m_parts.quarantine.workerUnreachable(now, attempt.workerName);
@@ -543,6 +542,18 @@
     }
 }
 
+std::vector<probe_order> call_runner::takeChecks(instant now)
+{
+    std::vector<probe_order> checks;
+    for (auto it = m_uncheckedWorkers.begin(); it != m_uncheckedWorkers.end();) {
+        const std::optional<probe_order> check = m_parts.workers.checkWorker(now, it->first);
+        if (check)
+            checks.push_back(*check);
+        it = check || now >= it->second ? m_uncheckedWorkers.erase(it) : std::next(it);
+    }
+    return checks;
+}
+
 void call_runner::addTimer(instant at, call_id call)
 {
     m_timers.emplace(at, call);
--- a/decision/calls/call_runner.h
+++ b/decision/calls/call_runner.h
@@ -8,7 +8,6 @@
 #include <set>
 #include <string>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -66,8 +65,9 @@
     void attemptFinished(instant now, const attempt_finished &input, action_list &actions);
     void callerDisconnected(instant now, const caller_disconnected &input, action_list &actions);
 
-    /// Probes that shall find out whether a worker crashed; the caller carries them out.
-    std::vector<probe_order> takeChecks() { return std::exchange(m_checks, {}); }
+    /// Probes that shall find out whether a worker crashed, as far as the measuring budget allows
+    /// them now; the caller carries them out.
+    std::vector<probe_order> takeChecks(instant now);
 
     /// Ends calls whose deadline has passed and starts hedges that are due.
     void timerExpired(instant now, action_list &actions);
@@ -138,7 +138,9 @@
     /// Deadlines and hedges; an entry may be stale and is then skipped.
     std::set<std::pair<instant, call_id>> m_timers;
     std::map<std::string, service_state, std::less<>> m_services;
-    std::vector<probe_order> m_checks;
+    /// Workers whose connection broke during a call, with the time after which it no longer
+    /// matters.
+    std::map<worker_index, instant> m_uncheckedWorkers;
     std::uint64_t m_nextAttempt = 1;
     std::uint64_t m_nextForward = 1;
     /// Identifiers of forwarded calls; the upper bit keeps them apart from the entry port's.
--- a/decision/calls/quarantine_table.cpp
+++ b/decision/calls/quarantine_table.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/// A crashed process stops accepting at once; later refusals have another cause.
-constexpr duration confirmWindow = seconds(2);
 /// Calls in flight at one worker when it crashed, over one gateway.
 constexpr std::size_t suspicionsPerWorkerMax = 256;
 constexpr std::size_t suspectedWorkersMax = 1024;
--- a/decision/calls/quarantine_table.h
+++ b/decision/calls/quarantine_table.h
@@ -23,6 +23,10 @@
 class quarantine_table
 {
 public:
+    /// A crashed process stops accepting at once; later refusals have another cause. Long enough
+    /// for the measuring budget to allow one probe.
+    static constexpr duration confirmWindow = seconds(5);
+
     /// \param counters outlives the table.
     quarantine_table(duration quarantineTime, std::uint32_t recordsMax, counter_set &counters)
         : m_quarantineTime(quarantineTime), m_recordsMax(recordsMax), m_counters(counters)
--- a/decision/gateway.cpp
+++ b/decision/gateway.cpp
@@ -229,7 +229,7 @@
 void gateway::state::on(instant now, const attempt_finished &input, action_list &actions)
 {
     calls.attemptFinished(now, input, actions);
-    startProbes(calls.takeChecks(), actions);
+    startProbes(calls.takeChecks(now), actions);
 }
 
 void gateway::state::on(instant now, const probe_finished &input, action_list &)
@@ -360,6 +360,7 @@
     takeOver(now, members->timerExpired(now, actions), actions);
     if (now >= nextSweep)
         sweep(now);
+    startProbes(calls.takeChecks(now), actions);
     if (handoverOut.isStarted())
         handoverOut.timerExpired(now, successorCandidates(), actions);
     startProbes(workers->dueProbes(now), actions);
--- a/tests/decision/gateway/calls_test.cpp
+++ b/tests/decision/gateway/calls_test.cpp
@@ -214,6 +214,7 @@
 {
     gateway_fixture fixture(6);
     std::set<std::string> crashed;
+    fixture.advance(seconds(5)); // Fills the probe budget.
     for (int round = 0; round < 10; ++round) {
         fixture.read("poison");
         std::vector<start_attempt> started = fixture.take<start_attempt>();
