Make not-run final for a key

Cause: a copy of a booking that was delayed in a paused gateway could run after another copy had been refused as not run, since the refusal freed the key. Change: a refused number stays refused; a full table closes all ranges minted so far, an adopted range answers repeats only, and a refusal by a gateway that does not own the key is unknown. Before: not_run_is_final and refusal_by_a_full_table_is_final fail.

--- a/decision/calls/call_runner.cpp
+++ b/decision/calls/call_runner.cpp
@@ -20,6 +20,14 @@
     return response->status >= 500 && response->status != 501;
 }
 
+/// True for a call with a key whose owner was not asked: another copy of it may be running there.
+bool isDecidedElsewhere(const call_record &record)
+{
+    const bool idempotent = record.target.rule != nullptr && record.target.rule->idempotent;
+    return !record.request->idempotencyKey.empty() && !record.claimed && !idempotent
+           && isMechanismEnabled("owner_decides");
+}
+
 } // namespace
 
 call_runner::call_runner(call_settings settings, call_runner_parts parts)
@@ -126,6 +134,7 @@
 
 bool call_runner::claimKey(instant now, call_record &record, action_list &actions)
 {
+    record.stage = call_stage::running;
     const claim_result verdict
         = m_parts.claims.begin(now, *record.request, digestOf(*record.request), record.call);
     switch (verdict.verdict) {
@@ -449,7 +458,8 @@
     details.status = cause.status;
     details.type = std::string(cause.type);
     details.title = std::string(cause.title);
-    details.outcome = record.mayHaveRun() ? call_outcome::unknown : call_outcome::not_run;
+    details.outcome = record.mayHaveRun() || isDecidedElsewhere(record) ? call_outcome::unknown
+                                                                        : call_outcome::not_run;
     details.step = std::string(cause.step);
     details.peer = cause.peer;
     details.detail = cause.detail;
--- a/decision/claims/claim_table.cpp
+++ b/decision/claims/claim_table.cpp
@@ -125,21 +125,22 @@
                        "claims of this key range are no longer kept; it may have run before",
                        requestId);
     }
-    if (age >= ranges.accept) {
-        m_counters.add("claims_refused_total{reason=\"too_old\"}");
-        return refusal(409, "key-range-too-old", "Key range accepts no new operations",
+    // Refused numbers stay refused: age only grows, the floor only rises, and nobody accepts new
+    // numbers of a range that was sealed or handed over.
+    if (age >= ranges.accept || key.range.minted < m_acceptFrom
+        || (m_sealed && isMechanismEnabled("claim_seal"))) {
+        m_counters.add("claims_refused_total{reason=\"range_closed\"}");
+        return refusal(409, "key-range-closed", "Key range accepts no new operations",
                        call_outcome::not_run, "ask for a new key range", requestId);
     }
-    if (m_sealed && isMechanismEnabled("claim_seal")) {
-        m_counters.add("claims_refused_total{reason=\"sealed\"}");
-        return refusal(503, "gateway-leaving", "Gateway is leaving", call_outcome::not_run,
-                       "the key was never used here; send it again", requestId, seconds(1));
-    }
     if (m_claims.size() >= m_settings.claimsMax) {
+        // There is no room to remember this number, so all present ranges are closed.
+        m_acceptFrom = now.sinceOrigin() + milliseconds(1);
         m_counters.add("claims_refused_total{reason=\"table_full\"}");
         return refusal(503, "claim-table-full", "Too many operations are remembered",
                        call_outcome::not_run,
-                       "at most " + std::to_string(m_settings.claimsMax) + " claims are kept",
+                       "at most " + std::to_string(m_settings.claimsMax)
+                           + " claims are kept; ask for a new key range",
                        requestId, seconds(5));
     }
 
@@ -179,7 +180,7 @@
         return verdict;
     }
     m_counters.add("claims_replayed_total");
-    if (known.outcome == call_outcome::run && known.response) {
+    if (known.outcome != call_outcome::unknown && known.response) {
         claim_result verdict;
         verdict.verdict = claim_verdict::replay;
         verdict.response = known.response;
@@ -188,6 +189,9 @@
     if (known.outcome == call_outcome::run)
         return refusal(409, "response-not-kept", "Operation ran; its response is not kept",
                        call_outcome::run, "the response was larger than the bound", requestId);
+    if (known.outcome == call_outcome::not_run)
+        return refusal(409, "operation-refused-before", "Operation was refused before",
+                       call_outcome::not_run, "use a new number of the key range", requestId);
     return refusal(502, "outcome-unknown", "Outcome of the operation is unknown",
                    call_outcome::unknown, "an earlier attempt may have run; it is not run again",
                    requestId);
@@ -228,13 +232,9 @@
     --m_running;
     std::vector<call_id> waiting = std::move(record.waiting);
     record.waiting.clear();
-    if (outcome == call_outcome::not_run) {
-        // The operation never ran, so that the same key may run later.
-        m_expiry.erase({record.expiry, key});
-        m_claims.erase(found);
-        return waiting;
-    }
-    if (outcome == call_outcome::run)
+    // `not_run` is final: a copy of the call that was delayed on its way here must not run after
+    // its caller was told that it did not. The caller uses a new number to try again.
+    if (outcome != call_outcome::unknown)
         keepResponse(record, response);
     return waiting;
 }
@@ -335,7 +335,10 @@
         return false;
     if (m_owned.contains(commit.from))
         return true;
-    const owned_ranges ranges {commit.clock - now.sinceOrigin(), commit.accept, commit.repeat};
+    // Only repeats are answered: unused numbers of these ranges were refused while the range was
+    // sealed, and what was refused as `not_run` may never run.
+    const owned_ranges ranges {commit.clock - now.sinceOrigin(), duration {0},
+                               commit.accept + commit.repeat};
     for (const claim_record &record : claims) {
         const result<operation_key> key = parseOperationKey(record.key, m_settings.tokenKeys);
         if (!key || key->range.home != commit.from || m_claims.contains(record.key))
@@ -344,7 +347,7 @@
         kept.requestDigest = record.requestDigest;
         kept.outcome = record.outcome;
         kept.owner = commit.from;
-        if (record.outcome == call_outcome::run && record.response)
+        if (record.outcome != call_outcome::unknown && record.response)
             keepResponse(kept, record.response);
         insert(expiryOf(key->range, ranges), record.key, std::move(kept));
     }
--- a/decision/claims/claim_table.h
+++ b/decision/claims/claim_table.h
@@ -43,9 +43,10 @@
 
 /// Operations of the key ranges that this process owns.
 ///
-/// Guarantees: a key is given `run_here` at most once unless that run is reported as `not_run`; a
-/// claim is kept for as long as its absence would be taken as proof that it never ran; after
-/// `seal` no key is given `run_here` again.
+/// Guarantees: a key is given `run_here` at most once in its life, and never after it was refused
+/// as `not_run`, so that both `run` and `not_run` are final even if a copy of the call arrives
+/// late; a claim is kept for as long as its absence would be taken as proof that it never ran;
+/// after `seal`, and for ranges that were taken over, no key is given `run_here`.
 class claim_table
 {
 public:
@@ -149,6 +150,8 @@
     counter_set &m_counters;
     bool m_sealed = false;
     std::size_t m_running = 0;
+    /// Ranges minted before this reading of the clock accept no new numbers.
+    duration m_acceptFrom {0};
     std::uint64_t m_storedBytes = 0;
     std::unordered_map<std::string, claim> m_claims;
     std::set<std::pair<instant, std::string>> m_expiry;
--- a/tests/decision/claims/claim_table_test.cpp
+++ b/tests/decision/claims/claim_table_test.cpp
@@ -32,15 +32,37 @@
     BOOST_TEST((repeat.response->outcome == call_outcome::unknown));
 }
 
-// Guards against an operation that can never run because its first attempt was refused.
-BOOST_AUTO_TEST_CASE(not_run_frees_the_key)
+// Guards against a copy of a call that was delayed on its way and runs after its caller was told
+// that the operation did not run.
+BOOST_AUTO_TEST_CASE(not_run_is_final)
 {
     claim_fixture fixture;
     const std::string key = fixture.key(1);
     fixture.begin(at(1), key);
-    fixture.table.finish(key, call_outcome::not_run, makeResponse(""));
+    std::shared_ptr<call_response> refusal = std::make_shared<call_response>();
+    refusal->outcome = call_outcome::not_run;
+    fixture.table.finish(key, call_outcome::not_run, refusal);
+    const claim_result late = fixture.begin(at(2), key);
+    BOOST_TEST((late.verdict == claim_verdict::replay));
+    BOOST_TEST((late.response->outcome == call_outcome::not_run));
+}
+
+// Guards against a number that was refused by a full table and runs when there is room again.
+BOOST_AUTO_TEST_CASE(refusal_by_a_full_table_is_final)
+{
+    claim_fixture fixture("vm-a", 1);
+    const std::string first = fixture.key(1, seconds(1));
+    fixture.begin(at(2), first);
+    const std::string refused = fixture.key(2, seconds(1));
+    BOOST_TEST((fixture.begin(at(3), refused).response->outcome == call_outcome::not_run));
+    fixture.table.finish(first, call_outcome::run, makeResponse(""));
+    fixture.table.expire(at(1300));
     BOOST_TEST(fixture.table.size() == 0U);
-    BOOST_TEST((fixture.begin(at(2), key).verdict == claim_verdict::run_here));
+    // A claim is only forgotten after its range was closed, so an early range stands for both.
+    const std::string same = fixture.key(2, seconds(1));
+    BOOST_TEST((fixture.begin(at(500), same).verdict == claim_verdict::refuse));
+    const std::string fresh = fixture.key(3, seconds(1250));
+    BOOST_TEST((fixture.begin(at(1300), fresh).verdict == claim_verdict::run_here));
 }
 
 // Guards against another caller's response under a key that is used for two requests.
--- a/tests/decision/claims/handover_test.cpp
+++ b/tests/decision/claims/handover_test.cpp
@@ -63,8 +63,10 @@
     BOOST_TEST(fixture.sender.isFinished());
     BOOST_TEST(
         (fixture.successor.begin(at(12), fixture.leaver.key(3)).verdict == claim_verdict::replay));
-    BOOST_TEST((fixture.successor.begin(at(12), fixture.leaver.key(9)).verdict
-                == claim_verdict::run_here));
+    // Unused numbers were refused as not run while the table was sealed, so they never run.
+    const claim_result unused = fixture.successor.begin(at(12), fixture.leaver.key(9));
+    BOOST_TEST((unused.verdict == claim_verdict::refuse));
+    BOOST_TEST((unused.response->outcome == call_outcome::not_run));
     const claim_result old = fixture.leaver.begin(at(12), fixture.leaver.key(3));
     BOOST_TEST((old.verdict == claim_verdict::forward));
     BOOST_TEST((old.owner == fixture.successor.self));
@@ -129,12 +131,12 @@
             fixture.deliver(message);
         }
     }
-    BOOST_TEST((fixture.successor.begin(at(12), fixture.leaver.key(9)).verdict
-                == claim_verdict::run_here));
+    const std::size_t claims = fixture.successor.table.size();
     for (const peer_message &message : all)
         fixture.deliver(message);
+    BOOST_TEST(fixture.successor.table.size() == claims);
     BOOST_TEST(
-        (fixture.successor.begin(at(13), fixture.leaver.key(9)).verdict == claim_verdict::wait));
+        (fixture.successor.begin(at(13), fixture.leaver.key(3)).verdict == claim_verdict::replay));
 }
 
 // Guards against a successor that forgets adopted claims earlier than their first owner would.
