--- /dev/null
+++ b/tests/decision/gateway/fleet_world.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/random_source.h"
+#include "decision/gateway.h"
+#include "tests/decision/driver/event_queue.h"
+#include "tests/decision/driver/fake_link.h"
+#include "tests/decision/driver/fake_worker.h"
+#include "tests/decision/gateway/gateway_fixture.h"
+
+namespace almondnotch {
+
+struct world_settings
+{
+    unsigned gateways = 5;
+    unsigned workers = 6;
+    std::uint64_t seed = 1;
+    /// Share of messages that are lost between any two processes.
+    double loss = 0.002;
+    /// Share of peer messages that arrive twice.
+    double duplication = 0.02;
+    /// Workers with little capacity, so that many calls are refused.
+    bool tightWorkers = false;
+};
+
+/// Several gateways, workers, callers and a platform under fake time. Counts what the workers
+/// executed and compares it with what the callers were told.
+class fleet_world
+{
+public:
+    explicit fleet_world(world_settings settings);
+    fleet_world(const fleet_world &) = delete;
+    fleet_world &operator=(const fleet_world &) = delete;
+    ~fleet_world();
+
+    void run(duration length) { m_queue.runUntil(m_queue.now() + length); }
+    instant now() const { return m_queue.now(); }
+    random_source &random() { return m_random; }
+
+    /// Faults. A killed gateway is replaced by a new process after `downFor`, a
+    /// drained one after its exit.
+    void pause(unsigned gateway, duration length);
+    void kill(unsigned gateway, duration downFor);
+    void drain(unsigned gateway);
+    void partition(const std::set<unsigned> &side);
+    void heal() { m_cutOff.clear(); }
+    void setPlatformDown(bool down) { m_platform.down = down; }
+    void drainWorker(unsigned worker);
+    void crashWorker(unsigned worker, duration downFor);
+    void publish(std::uint64_t version);
+
+    /// Offers one booking (with a key) or read of a random caller now.
+    void offerBooking();
+    void offerRead();
+
+    /// Totals for the checks.
+    std::uint64_t operations() const { return m_operations.size() + m_reads; }
+    std::uint64_t succeeded() const { return m_succeeded; }
+    std::uint64_t notRun() const { return m_notRun; }
+    std::uint64_t unknown() const { return m_unknown; }
+    /// Bookings executed more than once; reported as run or not run against the truth; responses
+    /// of another call; attempts sent to a worker more than 3 s after its drain began.
+    std::uint64_t doubled() const;
+    std::uint64_t falselyReported() const;
+    std::uint64_t misdelivered() const { return m_misdelivered; }
+    std::uint64_t lateAttempts() const { return m_lateAttempts; }
+    std::uint64_t invariantChecks() const;
+
+    gateway &decisions(unsigned gateway) { return *m_nodes[gateway].decisions; }
+
+private:
+    struct node
+    {
+        std::unique_ptr<gateway> decisions;
+        process_id process;
+        /// Queue time at which the process's clock read zero.
+        instant origin;
+        bool up = false;
+        bool paused = false;
+        std::vector<event> backlog;
+        std::uint64_t generation = 0;
+    };
+    struct worker_node
+    {
+        std::unique_ptr<fake_worker> fake;
+        bool up = true;
+        instant drainedAt = instant::never();
+    };
+    struct operation
+    {
+        unsigned id = 0;
+        std::string key;
+        std::vector<unsigned> targets;
+        unsigned transmissions = 0;
+        bool ended = false;
+        call_outcome outcome = call_outcome::unknown;
+        std::uint32_t executions = 0;
+    };
+    struct running_attempt
+    {
+        unsigned node = 0;
+        std::uint64_t generation = 0;
+        unsigned worker = 0;
+        std::uint64_t job = 0;
+    };
+
+    void startNode(unsigned index);
+    void replace(unsigned index, duration downFor);
+    void deliver(unsigned index, std::uint64_t generation, const event &input);
+    void armTimer(unsigned index);
+    void perform(unsigned index, action_list &actions);
+    void on(unsigned index, const start_attempt &order);
+    void on(unsigned index, const cancel_attempt &order);
+    void on(unsigned index, const send_response &order);
+    void on(unsigned index, const start_probe &order);
+    void on(unsigned index, const send_entry_response &order);
+    void on(unsigned index, const send_peer_message &order);
+    void on(unsigned index, const read_platform &order);
+    void on(unsigned index, const write_log &order);
+    void on(unsigned index, const exit_process &order);
+    void execute(unsigned index, std::uint64_t generation, const start_attempt &order,
+                 unsigned worker);
+    void endAttempt(unsigned index, std::uint64_t generation, const attempt_finished &finished);
+    void watchPlatform(unsigned index, std::uint64_t generation, const read_platform &order,
+                       instant until);
+    void transmit(unsigned operation);
+    void finishOperation(operation &booking, call_outcome outcome);
+    bool isCut(unsigned left, unsigned right) const;
+    /// Runs `arrive` after a random network delay, unless the message is lost.
+    void sendOver(event_queue::callback arrive);
+    unsigned indexOfPeer(const std::string &address) const;
+
+    world_settings m_settings;
+    random_source m_random;
+    event_queue m_queue;
+    fake_link m_network;
+    platform_values m_platform;
+    std::vector<node> m_nodes;
+    std::vector<worker_node> m_workers;
+    std::vector<std::unique_ptr<operation>> m_operations;
+    std::map<std::pair<unsigned, call_id>, unsigned> m_calls;
+    std::map<std::pair<unsigned, call_id>, std::string> m_readCalls;
+    std::map<std::pair<unsigned, attempt_id>, running_attempt> m_attempts;
+    std::map<std::uint64_t, std::function<void(const send_entry_response &)>> m_queries;
+    std::set<unsigned> m_cutOff;
+    std::uint64_t m_nextCall = 1;
+    std::uint64_t m_nextQuery = 1;
+    std::uint64_t m_nextStart = 1;
+    std::uint64_t m_reads = 0;
+    std::uint64_t m_succeeded = 0;
+    std::uint64_t m_notRun = 0;
+    std::uint64_t m_unknown = 0;
+    std::uint64_t m_misdelivered = 0;
+    std::uint64_t m_lateAttempts = 0;
+    std::uint64_t m_pastChecks = 0;
+};
+
+} // namespace almondnotch
--- /dev/null
+++ b/tests/decision/gateway/random_faults_test.cpp
@@ -0,0 +1,115 @@
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+#include "tests/decision/gateway/fleet_world.h"
+
+namespace almondnotch {
+
+namespace {
+
+std::uint64_t fromEnvironment(const char *name, std::uint64_t fallback)
+{
+    const char *text = std::getenv(name);
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+duration randomLength(random_source &random, std::int64_t fromMs, std::int64_t toMs)
+{
+    return milliseconds(
+        fromMs
+        + static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(toMs - fromMs))));
+}
+
+/// One random fault of gateways, network, platform or workers.
+void injectFault(fleet_world &world, unsigned gateways, unsigned workers, std::uint64_t &version)
+{
+    random_source &random = world.random();
+    const unsigned gateway = static_cast<unsigned>(random.below(gateways));
+    switch (random.below(9)) {
+    case 0:
+    case 1:
+        world.pause(gateway, randomLength(random, 100, 5000));
+        break;
+    case 2:
+        world.kill(gateway, randomLength(random, 200, 3000));
+        break;
+    case 3:
+        world.drain(gateway);
+        break;
+    case 4:
+        world.partition({gateway, static_cast<unsigned>(random.below(gateways))});
+        break;
+    case 5:
+        world.heal();
+        break;
+    case 6:
+        world.setPlatformDown(random.uniform() < 0.5);
+        break;
+    case 7:
+        world.crashWorker(static_cast<unsigned>(random.below(workers)),
+                          randomLength(random, 200, 2000));
+        break;
+    default:
+        world.publish(++version);
+        break;
+    }
+}
+
+struct totals
+{
+    std::uint64_t operations = 0;
+    std::uint64_t succeeded = 0;
+    std::uint64_t notRun = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t checks = 0;
+};
+
+void runSeed(std::uint64_t seed, totals &sum)
+{
+    constexpr unsigned gateways = 5;
+    constexpr unsigned workers = 6;
+    fleet_world world({gateways, workers, seed, 0.002, 0.02, seed % 2 == 0});
+    std::uint64_t version = 1;
+    world.run(seconds(3));
+    for (int step = 0; step < 3000; ++step) {
+        world.run(milliseconds(10));
+        world.offerBooking();
+        if (step % 4 == 0)
+            world.offerRead();
+        if (world.random().uniform() < 0.01)
+            injectFault(world, gateways, workers, version);
+    }
+    world.heal();
+    world.run(seconds(40));
+
+    BOOST_TEST(world.doubled() == 0U, "seed " << seed << ": executed more than once");
+    BOOST_TEST(world.falselyReported() == 0U, "seed " << seed << ": reported against the truth");
+    BOOST_TEST(world.misdelivered() == 0U, "seed " << seed << ": response of another call");
+    sum.operations += world.operations();
+    sum.succeeded += world.succeeded();
+    sum.notRun += world.notRun();
+    sum.unknown += world.unknown();
+    sum.checks += world.invariantChecks();
+}
+
+} // namespace
+
+// Guards against double execution, false outcomes and exchanged responses under random loss, delay,
+// duplication, pauses, kills, drains, partitions, platform outages and worker crashes.
+// ALMONDNOTCH_SEEDS and ALMONDNOTCH_SEED repeat one run or make a longer one.
+BOOST_AUTO_TEST_CASE(operations_run_at_most_once_under_random_faults)
+{
+    const std::uint64_t first = fromEnvironment("ALMONDNOTCH_SEED", 1);
+    const std::uint64_t count = fromEnvironment("ALMONDNOTCH_SEEDS", 28);
+    totals sum;
+    for (std::uint64_t seed = first; seed < first + count; ++seed)
+        runSeed(seed, sum);
+    std::cout << "seeds=" << count << " operations=" << sum.operations
+              << " succeeded=" << sum.succeeded << " not_run=" << sum.notRun
+              << " unknown=" << sum.unknown << " invariant_checks=" << sum.checks << std::endl;
+    BOOST_TEST(sum.succeeded > 0U);
+}
+
+} // namespace almondnotch
