--- a/decision/fleet/fleet.cpp
+++ b/decision/fleet/fleet.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "core/digest.h"
+#include "core/mechanisms.h"
 #include "decision/fleet/config_fetch.h"
 #include "decision/fleet/config_store.h"
 #include "decision/fleet/entry_choice.h"
@@ -218,6 +219,7 @@
 {
     fleet_digest digest;
     digest.self = members.self();
+    digest.self.clock = now.sinceOrigin();
     digest.configVersion = store.version();
     digest.manifestSha256 = store.manifestSha256();
     digest.platformReadAge = reader.readAge(now);
@@ -314,7 +316,8 @@
 
     std::vector<std::string> addresses = pickPeers(settings.fanout);
     const bool asking = phase == start_phase::asking;
-    if (asking || addresses.empty() || ++round % healRounds == 0) {
+    if (asking || addresses.empty()
+        || (++round % healRounds == 0 && isMechanismEnabled("partition_heal"))) {
         const std::size_t count = asking              ? askAddresses
                                   : addresses.empty() ? std::max(settings.fanout, 1U)
                                                       : 1;
@@ -440,7 +443,8 @@
 
 bool fleet::state::isNameable(const member_update &update) const
 {
-    return update.state == gateway_state::alive && !isListedLeaving(update.process);
+    return (update.state == gateway_state::alive || !isMechanismEnabled("entry_skips_leaving"))
+           && !isListedLeaving(update.process);
 }
 
 void fleet::state::noteVmList(fleet_changes &changes)
@@ -728,7 +732,7 @@
     state &own = *m_state;
     own.startedAt = now;
     const bool hasSeeds = !own.pickUnknownAddresses(1).empty();
-    if (hasSeeds) {
+    if (hasSeeds && isMechanismEnabled("start_asks_peers")) {
         own.phase = start_phase::asking;
         own.phaseUntil = now + own.settings.askPeers;
         own.store.setFloor(std::numeric_limits<std::uint64_t>::max(), actions);
@@ -787,7 +791,6 @@
 {
     state &own = *m_state;
     own.members.pauseDetected(now);
-    own.counters.add("pauses_total");
     // Asks at once; with fresh contact the process may judge others again.
     own.exchange(now, actions);
     own.finish(now, actions);
@@ -858,7 +861,7 @@
     std::vector<member_update> peers;
     for (const std::pair<const std::string, member_record> &entry : own.members.records())
         if (own.isNameable(entry.second.update))
-            peers.push_back(entry.second.update);
+            peers.push_back(*own.members.tell(own.lastInput, entry.first));
     const std::string &domain = own.settings.failureDomain;
     const shared_config &config = own.store.config();
     const auto distance = [&](const member_update &peer) {
