Add the event loop package and the ports between tasks

The transports and listeners need one loop and a way to reach one another without package dependencies. event_loop wraps libev (epoll backend by name), with a thread-safe post through ev_async, the process's monotonic clock and RAII watchers for descriptors, timers and signals. servers/ports.h declares the interfaces that tasks find in the kernel by name.

Watchers share ownership of the libev loop, so their destruction order relative to the loop service does not matter. timer_watcher updates libev's time before it starts a timer; otherwise a timer set late in a long callback would be early.

event_loop_test (3 cases) passes.

--- /dev/null
+++ b/servers/event_loop/io_watcher.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include <ev.h>
+
+#include "servers/event_loop/event_loop.h"
+
+namespace almondnotch {
+
+/// Calls back when a descriptor is readable or writable. Stops when destroyed; the callback may
+/// stop or destroy its own watcher.
+class io_watcher
+{
+public:
+    /// Receives the ready set of EV_READ and EV_WRITE.
+    using callback = std::function<void(int events)>;
+
+    io_watcher(const event_loop &loop, callback onReady);
+    io_watcher(const io_watcher &) = delete;
+    io_watcher &operator=(const io_watcher &) = delete;
+    ~io_watcher();
+
+    /// Watches a descriptor for EV_READ, EV_WRITE or both, in place of what was watched before.
+    /// The descriptor must stay open until `stop`.
+    void start(int descriptor, int events);
+    void stop();
+    bool isActive() const;
+
+private:
+    static void onReady(struct ev_loop *loop, ev_io *watcher, int events);
+
+    std::shared_ptr<struct ev_loop> m_loop;
+    std::shared_ptr<const callback> m_callback;
+    ev_io m_watcher {};
+};
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/event_loop/timer_watcher.cpp
@@ -0,0 +1,57 @@
+#include "servers/event_loop/timer_watcher.h"
+
+#include <algorithm>
+
+namespace almondnotch {
+
+timer_watcher::timer_watcher(const event_loop &loop, callback onDue)
+    : m_loop(loop.handle()), m_callback(std::make_shared<const callback>(std::move(onDue)))
+{
+    ev_init(&m_watcher, &timer_watcher::onDue);
+    m_watcher.data = this;
+}
+
+timer_watcher::~timer_watcher()
+{
+    stop();
+}
+
+void timer_watcher::start(duration after)
+{
+    startTimer(std::max(toSeconds(after), 0.0), 0.0);
+}
+
+void timer_watcher::startRepeating(duration interval)
+{
+    startTimer(toSeconds(interval), toSeconds(interval));
+}
+
+void timer_watcher::stop()
+{
+    if (isActive() || ev_is_pending(&m_watcher))
+        ev_timer_stop(m_loop.get(), &m_watcher);
+}
+
+bool timer_watcher::isActive() const
+{
+    return ev_is_active(&m_watcher);
+}
+
+void timer_watcher::startTimer(double after, double repeat)
+{
+    stop();
+    // libev counts from the time at which the loop last woke, which may be long ago within a
+    // callback; without the update the timer would be early by that much.
+    ev_now_update(m_loop.get());
+    ev_timer_set(&m_watcher, after, repeat);
+    ev_timer_start(m_loop.get(), &m_watcher);
+}
+
+void timer_watcher::onDue(struct ev_loop * /*loop*/, ev_timer *watcher, int /*events*/)
+{
+    const std::shared_ptr<const callback> held
+        = static_cast<timer_watcher *>(watcher->data)->m_callback;
+    (*held)();
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/tests/servers/event_loop_test.cpp
@@ -0,0 +1,75 @@
+#include <algorithm>
+#include <memory>
+#include <thread>
+
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include "servers/event_loop/event_loop.h"
+#include "servers/event_loop/io_watcher.h"
+#include "servers/event_loop/timer_watcher.h"
+#include "servers/ports.h"
+
+using namespace almondnotch;
+
+BOOST_AUTO_TEST_SUITE(event_loop_suite)
+
+// Guards against lost or reordered tasks when another thread posts while the loop runs.
+BOOST_AUTO_TEST_CASE(postsFromAnotherThreadArriveInOrder)
+{
+    event_loop loop;
+    std::vector<int> seen;
+    std::thread poster([&loop, &seen] {
+        for (int i = 0; i < 1000; ++i)
+            loop.post([&seen, i] { seen.push_back(i); });
+        loop.requestStop();
+    });
+    loop.run();
+    poster.join();
+    BOOST_TEST(seen.size() == 1000U);
+    BOOST_TEST(std::is_sorted(seen.begin(), seen.end()));
+}
+
+// Guards against a timer that is early because the loop's own time lags behind the clock.
+BOOST_AUTO_TEST_CASE(timerSetLateInACallbackIsNotEarly)
+{
+    event_loop loop;
+    instant due;
+    instant fired;
+    timer_watcher second(loop, [&loop, &fired] {
+        fired = loop.now();
+        loop.requestStop();
+    });
+    loop.post([&loop, &due, &second] {
+        std::this_thread::sleep_for(milliseconds(20));
+        due = loop.now() + milliseconds(10);
+        second.start(milliseconds(10));
+    });
+    loop.run();
+    // libev may be early by its clock granularity, below 1 ms.
+    BOOST_TEST((fired - due).count() >= -1000);
+}
+
+// Guards against use of a destroyed function when a callback destroys its own watcher.
+BOOST_AUTO_TEST_CASE(callbackMayDestroyItsWatcher)
+{
+    event_loop loop;
+    int descriptors[2];
+    BOOST_REQUIRE(pipe(descriptors) == 0);
+    std::unique_ptr<io_watcher> watcher;
+    int calls = 0;
+    watcher = std::make_unique<io_watcher>(loop, [&loop, &watcher, &calls](int /*events*/) {
+        watcher.reset();
+        ++calls;
+        loop.requestStop();
+    });
+    watcher->start(descriptors[0], EV_READ);
+    BOOST_TEST(write(descriptors[1], "x", 1) == 1);
+    loop.run();
+    close(descriptors[0]);
+    close(descriptors[1]);
+    BOOST_TEST(calls == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
