Add the worker stand-in

Tests of the gateway need workers that queue, shed, drain, report a lagging or false load, and cut or misframe their responses, and that record how often each operation was started.

One process serves many workers on successive ports. The execution log survives a simulated crash, because it is the test's record of what ran.

--- /dev/null
+++ b/tests/standins/worker_standin/worker_server.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <ev++.h>
+#include <nlohmann/json.hpp>
+
+#include "core/counters.h"
+#include "core/error.h"
+#include "core/random_source.h"
+#include "tests/standins/http_fake/http_fake.h"
+#include "tests/standins/worker_standin/worker_behaviour.h"
+
+namespace almondnotch {
+
+/// One worker of the stand-in: executes calls in slots, queues, sheds, reports its load
+/// (design, section 3.2) and fails as told.
+///
+/// The response echoes the request, so that a caller can check that the response is its own. The
+/// execution log counts how often the call with a given identity was started; the identity is
+/// `Idempotency-Key` or else `X-Call-Id`. The log survives a simulated crash, since it is the
+/// test's record and not the worker's.
+class worker_server
+{
+public:
+    /// Identities that a log holds; later ones are only counted.
+    static constexpr std::size_t logEntriesMax = 1'000'000;
+
+    /// \param siblings all workers of the process, for control calls with `all=1`.
+    static result<std::unique_ptr<worker_server>>
+    create(ev::loop_ref loop, const std::string &address, std::string name,
+           worker_behaviour behaviour, std::uint64_t seed,
+           const std::vector<std::unique_ptr<worker_server>> &siblings);
+    worker_server(const worker_server &) = delete;
+    worker_server &operator=(const worker_server &) = delete;
+
+    const std::string &address() const { return m_address; }
+    result<void> set(const std::map<std::string, std::string, std::less<>> &parameters);
+    nlohmann::json stats() const;
+    const std::unordered_map<std::string, std::uint32_t> &executions() const
+    {
+        return m_executions;
+    }
+
+private:
+    using connection_id = http_fake::connection_id;
+
+    struct call
+    {
+        connection_id connection = 0;
+        fake_request request;
+        worker_fault fault = worker_fault::none;
+        /// Loop time after which the call is not started; 0 for none.
+        double deadline = 0;
+        ev::timer finished;
+    };
+    struct load_sample
+    {
+        double time = 0;
+        std::int64_t running = 0;
+        std::int64_t queued = 0;
+        std::string state;
+    };
+
+    worker_server(ev::loop_ref loop, std::string name, worker_behaviour behaviour,
+                  std::uint64_t seed, const std::vector<std::unique_ptr<worker_server>> &siblings);
+
+    result<void> listen(const std::string &address);
+    void handle(connection_id connection, const fake_request &request);
+    void handleLoad(connection_id connection);
+    void handleControl(connection_id connection, const fake_request &request);
+    void handleCall(connection_id connection, const fake_request &request);
+    void startQueued();
+    void startCall(std::unique_ptr<call> started);
+    void callFinished(ev::timer &timer, int events);
+    void sendResult(const call &ended);
+    void refuse(connection_id connection, const char *reason);
+    void connectionClosed(connection_id connection);
+    void crash();
+    void restart(ev::timer &timer, int events);
+    void recordLoad();
+    load_sample reportedLoad() const;
+    std::vector<header_field> loadHeaders() const;
+    nlohmann::json log(const fake_request &request) const;
+    worker_fault faultOf(const fake_request &request);
+
+    ev::loop_ref m_loop;
+    std::string m_name;
+    std::string m_address;
+    worker_behaviour m_behaviour;
+    random_source m_random;
+    const std::vector<std::unique_ptr<worker_server>> &m_siblings;
+    std::unique_ptr<http_fake> m_http;
+    std::map<connection_id, std::unique_ptr<call>> m_running;
+    std::deque<std::unique_ptr<call>> m_queue;
+    std::deque<load_sample> m_samples;
+    std::unordered_map<std::string, std::uint32_t> m_executions;
+    counter_set m_counters;
+    std::size_t m_connectionsMax = 0;
+    ev::timer m_restart;
+};
+
+} // namespace almondnotch
