Add the decision task, which drives the gateway on the loop

The gateway is a state machine without I/O and needs a driver. decision_task hands it events and the time, carries out its actions in order on the ports, and keeps one timer at nextWake(). Events that a port delivers while an action is carried out are queued. exit_process lets the entry port flush its responses for at most 5 s before the loop stops.

--- /dev/null
+++ b/servers/decision_task/decision_task.cpp
@@ -0,0 +1,198 @@
+#include "servers/decision_task/decision_task.h"
+
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "core/log_line.h"
+
+namespace almondnotch {
+
+namespace {
+
+const char *const logPrefix = "decision";
+
+/// Time for the last responses to leave before the process ends. A caller that reads more slowly
+/// than this would hold up the shutdown.
+constexpr duration flushTimeLimit = seconds(5);
+
+/// Looks a service up and stores it; does nothing after an earlier failure.
+template <typename T>
+void findService(const kernel &owner, std::string_view name, T *&target, result<void> &outcome)
+{
+    if (!outcome)
+        return;
+    const result<T *> found = owner.find<T>(name);
+    if (found)
+        target = *found;
+    else
+        outcome = tl::unexpected(found.error());
+}
+
+} // namespace
+
+decision_task::decision_task(gateway_settings settings) : m_settings(std::move(settings)) { }
+
+result<void> decision_task::start(kernel &owner)
+{
+    result<void> found;
+    findService(owner, "loop", m_loop, found);
+    findService(owner, "worker_transport", m_workers, found);
+    findService(owner, "platform_client", m_platform, found);
+    findService(owner, "peer_link", m_peers, found);
+    findService(owner, "http_entry", m_entry, found);
+    if (!found)
+        return found;
+
+    m_settings.unixMsAtOrigin = m_loop->unixMsAtOrigin();
+    result<std::unique_ptr<gateway>> created = gateway::create(m_settings);
+    if (!created)
+        return tl::unexpected(created.error());
+    m_gateway = std::move(*created);
+    m_gateway->invariants().setFailureHandler([](std::string_view name, const std::string &detail) {
+        log_line(log_level::error, logPrefix, "invariant failed")
+            .field("name", name)
+            .field("detail", detail);
+    });
+    m_timer = std::make_unique<timer_watcher>(*m_loop, [this] { timerDue(); });
+
+    action_list actions;
+    m_handling = true;
+    m_gateway->start(m_loop->now(), actions);
+    carryOut(actions);
+    m_handling = false;
+    handleQueued();
+    return {};
+}
+
+void decision_task::stop()
+{
+    m_timer.reset();
+    m_queue.clear();
+    m_gateway.reset();
+}
+
+void decision_task::deliver(event input)
+{
+    if (m_gateway == nullptr)
+        return;
+    m_queue.push_back(std::move(input));
+    if (!m_handling)
+        handleQueued();
+}
+
+void decision_task::handleQueued()
+{
+    m_handling = true;
+    action_list actions;
+    while (!m_queue.empty()) {
+        const event input = std::move(m_queue.front());
+        m_queue.pop_front();
+        actions.clear();
+        m_gateway->handle(m_loop->now(), input, actions);
+        carryOut(actions);
+    }
+    m_handling = false;
+    setTimer();
+}
+
+void decision_task::carryOut(const action_list &actions)
+{
+    for (const action &order : actions)
+        std::visit([this](const auto &typed) { perform(typed); }, order);
+}
+
+void decision_task::timerDue()
+{
+    m_timerDue = instant::never();
+    // libev's timers may be early by the granularity of its clock.
+    const duration left = m_gateway->nextWake() - m_loop->now();
+    if (left.count() > 0)
+        setTimer();
+    else
+        deliver(timer_expired {});
+}
+
+void decision_task::setTimer()
+{
+    const instant due = m_gateway->nextWake();
+    // Most events leave the next timer as it is; libev need not move it then.
+    if (due == m_timerDue)
+        return;
+    m_timerDue = due;
+    if (due == instant::never())
+        m_timer->stop();
+    else
+        m_timer->start(due - m_loop->now());
+}
+
+nlohmann::json decision_task::dump() const
+{
+    return m_gateway == nullptr ? nlohmann::json::object() : m_gateway->dump(m_loop->now());
+}
+
+nlohmann::json decision_task::explain(std::string_view method, std::string_view target) const
+{
+    return m_gateway == nullptr ? nlohmann::json::object()
+                                : m_gateway->explain(m_loop->now(), method, target);
+}
+
+const counter_set &decision_task::counters() const
+{
+    return m_gateway == nullptr ? m_emptyCounters : m_gateway->counters();
+}
+
+void decision_task::perform(const start_attempt &order)
+{
+    m_workers->startAttempt(order);
+}
+
+void decision_task::perform(const cancel_attempt &order)
+{
+    m_workers->cancelAttempt(order);
+}
+
+void decision_task::perform(const send_response &order)
+{
+    m_entry->sendResponse(order);
+}
+
+void decision_task::perform(const start_probe &order)
+{
+    m_workers->startProbe(order);
+}
+
+void decision_task::perform(const send_entry_response &order)
+{
+    m_entry->sendEntryResponse(order);
+}
+
+void decision_task::perform(const send_peer_message &order)
+{
+    m_peers->sendPeerMessage(order);
+}
+
+void decision_task::perform(const read_platform &order)
+{
+    m_platform->readPlatform(order);
+}
+
+void decision_task::perform(const write_log &order)
+{
+    if (!isLogged(order.level))
+        return;
+    log_line record(order.level, order.prefix, order.sentence);
+    for (const header_field &field : order.fields)
+        record.field(field.name, field.value);
+}
+
+void decision_task::perform(const exit_process &order)
+{
+    if (m_exiting)
+        return;
+    m_exiting = true;
+    log_line(log_level::info, logPrefix, "exiting").field("reason", order.reason);
+    m_entry->flush(flushTimeLimit, [this] { m_loop->requestStop(); });
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/decision_task/decision_task.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+#include "core/counters.h"
+#include "core/kernel.h"
+#include "core/time.h"
+#include "decision/gateway.h"
+#include "servers/event_loop/event_loop.h"
+#include "servers/event_loop/timer_watcher.h"
+#include "servers/ports.h"
+
+namespace almondnotch {
+
+/// Service "decision": drives the `gateway` with events and time, and carries out its actions in
+/// order on the ports. All functions are called on the loop's thread.
+class decision_task : public event_sink, public decision_inspection
+{
+public:
+    explicit decision_task(gateway_settings settings);
+
+    /// Finds the ports "worker_transport", "platform_client", "peer_link" and "http_entry", creates
+    /// the gateway and lets it take its first actions.
+    result<void> start(kernel &owner) override;
+    void stop() override;
+
+    /// Events that arrive after `stop` are dropped.
+    void deliver(event input) override;
+
+    nlohmann::json dump() const override;
+    nlohmann::json explain(std::string_view method, std::string_view target) const override;
+    const counter_set &counters() const override;
+
+private:
+    void handleQueued();
+    void carryOut(const action_list &actions);
+    void timerDue();
+    void setTimer();
+
+    void perform(const start_attempt &order);
+    void perform(const cancel_attempt &order);
+    void perform(const send_response &order);
+    void perform(const start_probe &order);
+    void perform(const send_entry_response &order);
+    void perform(const send_peer_message &order);
+    void perform(const read_platform &order);
+    void perform(const write_log &order);
+    void perform(const exit_process &order);
+
+    gateway_settings m_settings;
+    counter_set m_emptyCounters;
+    event_loop *m_loop = nullptr;
+    worker_port *m_workers = nullptr;
+    platform_port *m_platform = nullptr;
+    peer_port *m_peers = nullptr;
+    entry_port *m_entry = nullptr;
+    std::unique_ptr<gateway> m_gateway;
+    std::unique_ptr<timer_watcher> m_timer;
+    instant m_timerDue = instant::never();
+    /// Holds only what ports deliver from within a call that carries out an action, since events
+    /// are otherwise handled at once; so it needs no bound of its own.
+    std::deque<event> m_queue;
+    bool m_handling = false;
+    bool m_exiting = false;
+};
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/decision_task/register_services.cpp
@@ -0,0 +1,16 @@
+#include "servers/decision_task/register_services.h"
+
+#include <memory>
+#include <utility>
+
+#include "servers/decision_task/decision_task.h"
+
+namespace almondnotch {
+
+result<void> registerDecisionTask(kernel &owner, gateway_settings settings)
+{
+    return owner.add("decision", start_level::decisions,
+                     std::make_unique<decision_task>(std::move(settings)));
+}
+
+} // namespace almondnotch
