Add the transport to workers on libcurl

The gateway needs calls and probes to workers whose ends tell exactly what is known: answered only for a whole framed response, not_sent only if no byte was sent, broken otherwise (design, section 3.2).

servers/curl_loop drives a libcurl multi handle from the event loop. worker_transport limits connections per worker with a bounded queue, refuses libcurl's silent second transmission of a non-idempotent request, and closes connections of cancelled attempts. Before a request is sent on a reused connection, its socket must have nothing to read: libcurl 7.88 reuses a connection on which unexpected bytes wait and reads them as the response to the next request. Such an attempt is moved to a new connection, which also spares most calls that meet a connection just closed by the worker.

--- /dev/null
+++ b/servers/curl_loop/connection_table.cpp
@@ -0,0 +1,64 @@
+#include "servers/curl_loop/connection_table.h"
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace almondnotch {
+
+void connection_table::install(CURL *transfer, opened_socket &opened)
+{
+    opened.table = this;
+    opened.descriptor = CURL_SOCKET_BAD;
+    curl_easy_setopt(transfer, CURLOPT_OPENSOCKETFUNCTION, &connection_table::openSocket);
+    curl_easy_setopt(transfer, CURLOPT_OPENSOCKETDATA, &opened);
+    curl_easy_setopt(transfer, CURLOPT_CLOSESOCKETFUNCTION, &connection_table::closeSocket);
+    curl_easy_setopt(transfer, CURLOPT_CLOSESOCKETDATA, this);
+}
+
+bool connection_table::isStale(opened_socket &opened, const char *peerIp, int peerPort,
+                               int localPort)
+{
+    // One local port may serve several peers, so that the name needs both ends.
+    const std::string name
+        = std::string(peerIp) + ":" + std::to_string(peerPort) + "/" + std::to_string(localPort);
+    if (opened.descriptor != CURL_SOCKET_BAD) {
+        m_byName[name] = opened.descriptor;
+        m_names[opened.descriptor] = name;
+        opened.descriptor = CURL_SOCKET_BAD;
+        return false;
+    }
+    const auto found = m_byName.find(name);
+    if (found == m_byName.end())
+        return true;
+    pollfd state = {found->second, POLLIN, 0};
+    return poll(&state, 1, 0) != 0;
+}
+
+curl_socket_t connection_table::openSocket(void *opened, curlsocktype /*purpose*/,
+                                           curl_sockaddr *address)
+{
+    opened_socket *self = static_cast<opened_socket *>(opened);
+    const curl_socket_t descriptor
+        = socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    if (descriptor == CURL_SOCKET_BAD)
+        return CURL_SOCKET_BAD;
+    self->descriptor = descriptor;
+    ++self->table->m_openSockets;
+    ++self->table->m_openedTotal;
+    return descriptor;
+}
+
+int connection_table::closeSocket(void *table, curl_socket_t descriptor)
+{
+    connection_table *self = static_cast<connection_table *>(table);
+    const auto found = self->m_names.find(descriptor);
+    if (found != self->m_names.end()) {
+        self->m_byName.erase(found->second);
+        self->m_names.erase(found);
+    }
+    --self->m_openSockets;
+    return close(descriptor);
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/curl_loop/curl_loop.cpp
@@ -0,0 +1,117 @@
+#include "servers/curl_loop/curl_loop.h"
+
+namespace almondnotch {
+
+namespace {
+
+/// libcurl's global state; it must be set up before any handle and outlive all of them.
+CURLcode startCurl()
+{
+    static const CURLcode started = curl_global_init(CURL_GLOBAL_NOTHING);
+    return started;
+}
+
+} // namespace
+
+result<std::unique_ptr<curl_loop>>
+curl_loop::create(const event_loop &loop, std::size_t idleConnectionsMax, finished_handler finished)
+{
+    if (startCurl() != CURLE_OK)
+        return fail(error_code::internal, "start libcurl", {}, "curl_global_init failed");
+    CURLM *multi = curl_multi_init();
+    if (multi == nullptr)
+        return fail(error_code::internal, "start libcurl", {}, "curl_multi_init failed");
+    std::unique_ptr<curl_loop> made(new curl_loop(loop, multi, std::move(finished)));
+    curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &curl_loop::socketChanged);
+    curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, made.get());
+    curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &curl_loop::timeoutChanged);
+    curl_multi_setopt(multi, CURLMOPT_TIMERDATA, made.get());
+    curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, static_cast<long>(idleConnectionsMax));
+    curl_multi_setopt(multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+    return made;
+}
+
+curl_loop::curl_loop(const event_loop &loop, CURLM *multi, finished_handler finished)
+    : m_loop(loop), m_multi(multi), m_finished(std::move(finished)),
+      m_timer(loop, [this]() { advance(CURL_SOCKET_TIMEOUT, 0); })
+{ }
+
+curl_loop::~curl_loop()
+{
+    curl_multi_cleanup(m_multi);
+}
+
+result<void> curl_loop::add(CURL *transfer)
+{
+    const CURLMcode code = curl_multi_add_handle(m_multi, transfer);
+    if (code != CURLM_OK)
+        return fail(error_code::internal, "start transfer", {}, curl_multi_strerror(code));
+    return {};
+}
+
+void curl_loop::remove(CURL *transfer)
+{
+    // libcurl closes the connection of an unfinished transfer by itself; this also covers one that
+    // finished but was not reported yet.
+    curl_easy_setopt(transfer, CURLOPT_FORBID_REUSE, 1L);
+    curl_multi_remove_handle(m_multi, transfer);
+}
+
+int curl_loop::socketChanged(CURL * /*easy*/, curl_socket_t descriptor, int what, void *owner,
+                             void * /*perSocket*/)
+{
+    curl_loop *self = static_cast<curl_loop *>(owner);
+    if (what == CURL_POLL_REMOVE) {
+        self->m_sockets.erase(descriptor);
+        return 0;
+    }
+    std::unique_ptr<io_watcher> &watcher = self->m_sockets[descriptor];
+    if (!watcher)
+        watcher = std::make_unique<io_watcher>(
+            self->m_loop, [self, descriptor](int events) { self->advance(descriptor, events); });
+    int wanted = 0;
+    if (what == CURL_POLL_IN || what == CURL_POLL_INOUT)
+        wanted |= EV_READ;
+    if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
+        wanted |= EV_WRITE;
+    watcher->start(descriptor, wanted);
+    return 0;
+}
+
+int curl_loop::timeoutChanged(CURLM * /*multi*/, long timeoutMs, void *owner)
+{
+    curl_loop *self = static_cast<curl_loop *>(owner);
+    if (timeoutMs < 0)
+        self->m_timer.stop();
+    else
+        self->m_timer.start(milliseconds(timeoutMs));
+    return 0;
+}
+
+void curl_loop::advance(curl_socket_t descriptor, int events)
+{
+    int action = 0;
+    if ((events & EV_READ) != 0)
+        action |= CURL_CSELECT_IN;
+    if ((events & EV_WRITE) != 0)
+        action |= CURL_CSELECT_OUT;
+    int running = 0;
+    curl_multi_socket_action(m_multi, descriptor, action, &running);
+    reportFinished();
+}
+
+void curl_loop::reportFinished()
+{
+    int left = 0;
+    while (const CURLMsg *message = curl_multi_info_read(m_multi, &left)) {
+        if (message->msg != CURLMSG_DONE)
+            continue;
+        // The message is invalid once the handle is removed.
+        CURL *transfer = message->easy_handle;
+        const CURLcode code = message->data.result;
+        curl_multi_remove_handle(m_multi, transfer);
+        m_finished(transfer, code);
+    }
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/curl_loop/header_list.cpp
@@ -0,0 +1,31 @@
+#include "servers/curl_loop/header_list.h"
+
+#include <string>
+
+namespace almondnotch {
+
+header_list::~header_list()
+{
+    curl_slist_free_all(m_list);
+}
+
+void header_list::add(std::string_view name, std::string_view value)
+{
+    // libcurl takes "Name;" for a header without value; "Name:" would suppress it.
+    append(value.empty() ? (std::string(name) + ";").c_str()
+                         : (std::string(name) + ": " + std::string(value)).c_str());
+}
+
+void header_list::suppress(std::string_view name)
+{
+    append((std::string(name) + ":").c_str());
+}
+
+void header_list::append(const char *line)
+{
+    curl_slist *longer = curl_slist_append(m_list, line);
+    if (longer != nullptr)
+        m_list = longer;
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/worker_transport/register_services.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "core/error.h"
+#include "core/kernel.h"
+#include "servers/worker_transport/worker_transport.h"
+#include "servers/worker_transport/worker_transport_settings.h"
+
+namespace almondnotch {
+
+/// Adds the service "worker_transport".
+result<worker_transport *> registerWorkerTransport(kernel &owner, worker_transport_settings bounds);
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/worker_transport/response_reader.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "decision/types.h"
+
+namespace almondnotch {
+
+/// Header lines and body of one HTTP/1.1 response as libcurl delivers them, with its bounds and the
+/// check that the end of the body can be told from a lost connection.
+class response_reader
+{
+public:
+    /// Header bytes of a response (design, section 6).
+    static constexpr std::size_t headerBytesMax = 16'384;
+
+    response_reader(std::size_t bodyBytesMax, bool headRequest)
+        : m_bodyBytesMax(bodyBytesMax), m_headRequest(headRequest)
+    { }
+
+    /// Takes a status line, header line or the empty line, with its line end.
+    /// \return false if the response must be given up; `failure` then gives the reason.
+    bool addHeaderLine(std::string_view line);
+
+    /// Takes decoded body bytes. \return false as for `addHeaderLine`.
+    bool addBody(std::string_view bytes);
+
+    /// Checks the response after the transfer ended without an error.
+    /// \return false if it is unframed, contradicts itself or is shorter than announced.
+    bool complete();
+
+    const std::string &failure() const { return m_failure; }
+    bool tooLarge() const { return m_tooLarge; }
+    bool badlyFramed() const { return m_badlyFramed; }
+    int status() const { return m_status; }
+
+    /// Load and state headers. A draining state counts also without a load header.
+    std::optional<load_report> load() const;
+    /// A load or state header was there but not in the documented form.
+    bool loadMalformed() const;
+    /// 503 with `Almondnotch-Outcome: not-run`.
+    bool refusedNotRun() const;
+
+    /// The response without hop-by-hop and `Almondnotch-*` headers. `Content-Length` stays only
+    /// where there is no body that it could be computed from.
+    call_response takeResponse();
+
+private:
+    bool giveUp(std::string reason);
+    void noteFraming(const header_field &field);
+
+    std::size_t m_bodyBytesMax;
+    bool m_headRequest;
+    int m_status = 0;
+    bool m_headerEnded = false;
+    std::size_t m_headerBytes = 0;
+    std::vector<header_field> m_headers;
+    std::string m_body;
+    std::optional<std::uint64_t> m_contentLength;
+    bool m_chunked = false;
+    bool m_badlyFramed = false;
+    bool m_tooLarge = false;
+    std::string m_failure;
+};
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/worker_transport/worker_transport.cpp
@@ -0,0 +1,395 @@
+#include "servers/worker_transport/worker_transport.h"
+
+#include <algorithm>
+
+#include "servers/worker_transport/load_parser.h"
+
+namespace almondnotch {
+
+namespace {
+
+/// Less time than this is not worth a request: the deadline is sent in whole milliseconds.
+constexpr duration timeLeftMin = milliseconds(1);
+
+std::string endedCounter(attempt_end end)
+{
+    return "worker_attempts_ended_total{end=\"" + std::string(toString(end)) + "\"}";
+}
+
+} // namespace
+
+worker_transport::worker_transport(worker_transport_settings bounds)
+    : m_bounds(bounds), m_handles(bounds.idleHandlesMax)
+{ }
+
+worker_transport::~worker_transport()
+{
+    stop();
+}
+
+result<void> worker_transport::start(kernel &owner)
+{
+    const result<event_loop *> loop = owner.find<event_loop>("loop");
+    if (!loop)
+        return tl::unexpected(loop.error());
+    const result<event_sink *> decision = owner.find<event_sink>("decision");
+    if (!decision)
+        return tl::unexpected(decision.error());
+    m_loop = *loop;
+    m_decision = *decision;
+    result<std::unique_ptr<curl_loop>> made = curl_loop::create(
+        *m_loop, m_bounds.idleConnectionsMax,
+        [this](CURL *transfer, CURLcode code) { transferEnded(transfer, code); });
+    if (!made)
+        return tl::unexpected(made.error());
+    m_curl = std::move(*made);
+    m_deferredTimer = std::make_unique<timer_watcher>(*m_loop, [this]() { deliverDeferred(); });
+    return {};
+}
+
+void worker_transport::stop()
+{
+    m_deferredTimer.reset();
+    m_deferred.clear();
+    // The multi handle goes first, since handles may not return to the pool while they are in it.
+    m_curl.reset();
+    m_attempts.clear();
+    m_probes.clear();
+    m_attemptOf.clear();
+    m_probeOf.clear();
+    m_workers.clear();
+    m_waiting = 0;
+}
+
+void worker_transport::startAttempt(const start_attempt &order)
+{
+    m_counters.add("worker_attempts_total");
+    if (m_attempts.contains(order.attempt)) {
+        // An answer would be taken for that of the first attempt with this identifier.
+        m_counters.add("worker_attempts_duplicate_total");
+        return;
+    }
+    if (m_attempts.size() + m_probes.size() >= m_bounds.exchangesMax) {
+        m_counters.add("worker_exchanges_rejected_total");
+        finishAttempt({order.attempt, attempt_end::not_sent, nullptr, std::nullopt, false,
+                       "too many exchanges with workers"},
+                      true);
+        return;
+    }
+    std::unique_ptr<attempt> added = std::make_unique<attempt>();
+    added->order = order;
+    added->deadline = m_loop->now() + order.timeLimit;
+    attempt &started = *added;
+    m_attempts.emplace(order.attempt, std::move(added));
+    worker_load &worker = m_workers[order.workerAddress];
+    worker.limit = std::max(order.connectionLimit, 1U);
+    if (worker.active >= worker.limit || !worker.waiting.empty())
+        wait(started, worker);
+    else
+        send(started);
+    dropIfUnused(order.workerAddress);
+    updateGauges();
+}
+
+void worker_transport::wait(attempt &waiting, worker_load &worker)
+{
+    const attempt_id id = waiting.order.attempt;
+    if (worker.waiting.size() >= m_bounds.waitingPerWorkerMax || m_waiting >= m_bounds.waitingMax) {
+        m_counters.add("worker_waiting_rejected_total");
+        m_attempts.erase(id);
+        finishAttempt({id, attempt_end::not_sent, nullptr, std::nullopt, false,
+                       "all connections to the worker are in use and its queue is full"},
+                      true);
+        return;
+    }
+    m_counters.add("worker_attempts_waited_total");
+    waiting.waiting = true;
+    worker.waiting.push_back(id);
+    ++m_waiting;
+    waiting.waitTimer = std::make_unique<timer_watcher>(*m_loop, [this, id]() {
+        const auto found = m_attempts.find(id);
+        if (found == m_attempts.end())
+            return;
+        // Owns the timer whose callback this is.
+        const std::unique_ptr<attempt> ended = std::move(found->second);
+        m_attempts.erase(found);
+        removeWaiting(*ended);
+        updateGauges();
+        finishAttempt({id, attempt_end::not_sent, nullptr, std::nullopt, false,
+                       "the time limit passed while waiting for a connection"},
+                      false);
+    });
+    waiting.waitTimer->start(waiting.deadline - m_loop->now());
+}
+
+void worker_transport::send(attempt &started)
+{
+    const attempt_id id = started.order.attempt;
+    const std::string address = started.order.workerAddress;
+    const duration timeLeft = started.deadline - m_loop->now();
+    started.waiting = false;
+    started.waitTimer.reset();
+    ++m_workers[address].active;
+    std::string refusal;
+    if (timeLeft < timeLeftMin) {
+        refusal = "the time limit passed before the request was sent";
+    } else {
+        started.exchange = std::make_unique<worker_exchange>(
+            address, m_bounds.responseBytesMax, started.order.request->method == "HEAD",
+            started.order.idempotent);
+        result<void> sent = started.exchange->prepareAttempt(m_handles, m_connections, m_bounds,
+                                                             started.order, timeLeft);
+        if (sent)
+            sent = m_curl->add(started.exchange->handle());
+        if (!sent)
+            refusal = toString(sent.error());
+    }
+    if (refusal.empty()) {
+        m_attemptOf[started.exchange.get()] = id;
+        return;
+    }
+    m_attempts.erase(id);
+    --m_workers[address].active;
+    finishAttempt({id, attempt_end::not_sent, nullptr, std::nullopt, false, refusal}, true);
+}
+
+void worker_transport::removeWaiting(const attempt &waiting)
+{
+    const auto found = m_workers.find(waiting.order.workerAddress);
+    if (found == m_workers.end())
+        return;
+    m_waiting -= std::erase(found->second.waiting, waiting.order.attempt);
+    dropIfUnused(waiting.order.workerAddress);
+}
+
+void worker_transport::releaseConnection(const std::string &workerAddress)
+{
+    const auto found = m_workers.find(workerAddress);
+    if (found == m_workers.end())
+        return;
+    --found->second.active;
+    startWaiting(found->second);
+    dropIfUnused(workerAddress);
+}
+
+void worker_transport::dropIfUnused(const std::string &workerAddress)
+{
+    const auto found = m_workers.find(workerAddress);
+    if (found != m_workers.end() && found->second.active == 0 && found->second.waiting.empty())
+        m_workers.erase(found);
+}
+
+void worker_transport::startWaiting(worker_load &worker)
+{
+    while (!worker.waiting.empty() && worker.active < worker.limit) {
+        const attempt_id id = worker.waiting.front();
+        worker.waiting.pop_front();
+        --m_waiting;
+        const auto next = m_attempts.find(id);
+        if (next != m_attempts.end())
+            send(*next->second);
+    }
+}
+
+void worker_transport::cancelAttempt(const cancel_attempt &order)
+{
+    const auto found = m_attempts.find(order.attempt);
+    if (found == m_attempts.end())
+        return;
+    const std::unique_ptr<attempt> cancelled = std::move(found->second);
+    m_attempts.erase(found);
+    m_counters.add("worker_attempts_cancelled_total");
+    attempt_end end = attempt_end::not_sent;
+    if (cancelled->waiting) {
+        removeWaiting(*cancelled);
+    } else {
+        m_curl->remove(cancelled->exchange->handle());
+        m_attemptOf.erase(cancelled->exchange.get());
+        countExchange(*cancelled->exchange);
+        if (cancelled->exchange->transmissions() > 0)
+            end = attempt_end::cancelled;
+        releaseConnection(cancelled->order.workerAddress);
+    }
+    updateGauges();
+    finishAttempt({order.attempt, end, nullptr, std::nullopt, false, "the attempt was cancelled"},
+                  true);
+}
+
+void worker_transport::startProbe(const start_probe &order)
+{
+    m_counters.add("worker_probes_total");
+    std::unique_ptr<probe> started = std::make_unique<probe>();
+    started->id = order.probe;
+    started->deadline = m_loop->now() + order.timeLimit;
+    started->exchange = std::make_unique<worker_exchange>(order.workerAddress,
+                                                          m_bounds.probeBytesMax, false, true);
+    result<void> sent;
+    if (m_attempts.size() + m_probes.size() >= m_bounds.exchangesMax
+        || m_probes.contains(order.probe))
+        sent = fail(error_code::out_of_bounds, "probe", order.workerAddress, "too many exchanges");
+    if (sent)
+        sent = started->exchange->prepareProbe(m_handles, m_connections, m_bounds, order.timeLimit);
+    if (sent) {
+        const auto worker = m_workers.find(order.workerAddress);
+        // All permitted connections are in use, so this one is in excess and is not kept.
+        if (worker != m_workers.end() && worker->second.active >= worker->second.limit)
+            curl_easy_setopt(started->exchange->handle(), CURLOPT_FORBID_REUSE, 1L);
+        sent = m_curl->add(started->exchange->handle());
+    }
+    if (!sent) {
+        m_counters.add("worker_probes_failed_total");
+        defer(probe_finished {order.probe, std::nullopt, 0});
+        return;
+    }
+    m_probeOf[started->exchange.get()] = order.probe;
+    m_probes.emplace(order.probe, std::move(started));
+    updateGauges();
+}
+
+void worker_transport::transferEnded(CURL *transfer, CURLcode code)
+{
+    char *owner = nullptr;
+    curl_easy_getinfo(transfer, CURLINFO_PRIVATE, &owner);
+    const worker_exchange *exchange = reinterpret_cast<const worker_exchange *>(owner);
+    const auto ofAttempt = m_attemptOf.find(exchange);
+    if (ofAttempt != m_attemptOf.end()) {
+        attemptEnded(ofAttempt->second, code);
+        return;
+    }
+    const auto ofProbe = m_probeOf.find(exchange);
+    if (ofProbe != m_probeOf.end())
+        probeEnded(ofProbe->second, code);
+}
+
+bool worker_transport::retryFresh(worker_exchange &exchange, instant deadline, bool &retried)
+{
+    const duration timeLeft = deadline - m_loop->now();
+    if (!exchange.staleConnection() || exchange.transmissions() > 0 || retried
+        || timeLeft < timeLeftMin)
+        return false;
+    m_counters.add("worker_stale_connections_total");
+    retried = true;
+    exchange.prepareFreshConnection(timeLeft);
+    return m_curl->add(exchange.handle()).has_value();
+}
+
+void worker_transport::attemptEnded(attempt_id id, CURLcode code)
+{
+    const auto found = m_attempts.find(id);
+    if (found == m_attempts.end())
+        return;
+    if (retryFresh(*found->second->exchange, found->second->deadline, found->second->retriedFresh))
+        return;
+    const std::unique_ptr<attempt> ended = std::move(found->second);
+    m_attempts.erase(found);
+    worker_exchange &exchange = *ended->exchange;
+    m_attemptOf.erase(&exchange);
+    countExchange(exchange);
+    response_reader &reader = exchange.reader();
+    attempt_finished outcome;
+    outcome.attempt = id;
+    if (code == CURLE_OK && reader.complete()) {
+        outcome.end = attempt_end::answered;
+        outcome.load = reader.load();
+        outcome.refusedNotRun = reader.refusedNotRun();
+        if (reader.loadMalformed())
+            m_counters.add("worker_load_headers_malformed_total");
+        outcome.response = std::make_shared<const call_response>(reader.takeResponse());
+    } else if (exchange.transmissions() == 0) {
+        outcome.end = attempt_end::not_sent;
+    } else if (code == CURLE_OPERATION_TIMEDOUT) {
+        outcome.end = attempt_end::timed_out;
+    } else {
+        outcome.end = attempt_end::broken;
+    }
+    if (outcome.end != attempt_end::answered) {
+        outcome.detail = exchange.repeatRefused() ? "the connection was lost before a response and "
+                                                    "the request must not be sent twice"
+                         : !reader.failure().empty() ? reader.failure()
+                                                     : curl_easy_strerror(code);
+    }
+    if (exchange.repeatRefused())
+        m_counters.add("worker_retransmissions_refused_total");
+    if (reader.badlyFramed())
+        m_counters.add("worker_responses_badly_framed_total");
+    if (reader.tooLarge())
+        m_counters.add("worker_responses_too_large_total");
+    // Attempts that wait come before those that the report may cause.
+    releaseConnection(ended->order.workerAddress);
+    updateGauges();
+    finishAttempt(std::move(outcome), false);
+}
+
+void worker_transport::probeEnded(probe_id id, CURLcode code)
+{
+    const auto found = m_probes.find(id);
+    if (found == m_probes.end())
+        return;
+    if (retryFresh(*found->second->exchange, found->second->deadline, found->second->retriedFresh))
+        return;
+    const std::unique_ptr<probe> ended = std::move(found->second);
+    m_probes.erase(found);
+    worker_exchange &exchange = *ended->exchange;
+    m_probeOf.erase(&exchange);
+    countExchange(exchange);
+    probe_finished outcome;
+    outcome.probe = id;
+    const std::uint64_t bytes = exchange.bytesSent() + exchange.bytesReceived();
+    outcome.bytes = static_cast<std::uint32_t>(bytes);
+    m_counters.add("worker_probe_bytes_total", bytes);
+    if (code == CURLE_OK && exchange.reader().complete() && exchange.reader().status() == 200) {
+        outcome.load = parseLoadDocument(exchange.reader().takeResponse().body);
+        if (!outcome.load)
+            m_counters.add("worker_load_documents_malformed_total");
+    }
+    if (!outcome.load)
+        m_counters.add("worker_probes_failed_total");
+    updateGauges();
+    m_decision->deliver(outcome);
+}
+
+void worker_transport::countExchange(const worker_exchange &exchange)
+{
+    m_counters.add("worker_bytes_sent_total", exchange.bytesSent());
+    m_counters.add("worker_bytes_received_total", exchange.bytesReceived());
+    if (exchange.transmissions() > 1)
+        m_counters.add("worker_retransmissions_total", exchange.transmissions() - 1);
+}
+
+void worker_transport::finishAttempt(attempt_finished outcome, bool deferred)
+{
+    m_counters.add(endedCounter(outcome.end));
+    if (deferred)
+        defer(std::move(outcome));
+    else
+        m_decision->deliver(std::move(outcome));
+}
+
+void worker_transport::defer(event input)
+{
+    m_deferred.push_back(std::move(input));
+    if (!m_deferredTimer->isActive())
+        m_deferredTimer->start(duration(0));
+}
+
+void worker_transport::deliverDeferred()
+{
+    // Orders that the events cause may defer further ones, which then wait for the next round.
+    std::vector<event> due;
+    due.swap(m_deferred);
+    for (event &input : due)
+        m_decision->deliver(std::move(input));
+}
+
+void worker_transport::updateGauges()
+{
+    m_counters.set("worker_attempts_in_progress", static_cast<double>(m_attempts.size()));
+    m_counters.set("worker_attempts_waiting", static_cast<double>(m_waiting));
+    m_counters.set("worker_probes_in_progress", static_cast<double>(m_probes.size()));
+    m_counters.set("worker_connections_open", static_cast<double>(m_connections.openSockets()));
+    m_counters.add("worker_connections_opened_total",
+                   m_connections.openedTotal() - m_openedCounted);
+    m_openedCounted = m_connections.openedTotal();
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/worker_transport/worker_transport.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/counters.h"
+#include "servers/curl_loop/connection_table.h"
+#include "servers/curl_loop/curl_loop.h"
+#include "servers/curl_loop/easy_pool.h"
+#include "servers/event_loop/event_loop.h"
+#include "servers/event_loop/timer_watcher.h"
+#include "servers/ports.h"
+#include "servers/worker_transport/worker_exchange.h"
+#include "servers/worker_transport/worker_transport_settings.h"
+
+namespace almondnotch {
+
+/// Sends calls and probes to workers with libcurl (design, section 3.2).
+///
+/// Guarantees:
+/// - `answered` is reported only for a whole response whose end was told by its framing.
+/// - `not_sent` is reported only if no byte of the request was sent.
+/// - A non-idempotent request is transmitted at most once.
+/// - A connection on which a response may still arrive is closed, never reused.
+///
+/// Attempts at one worker never hold more connections than their `connectionLimit`; further ones
+/// wait in a bounded queue, on their own time. A probe does not wait: it may hold one connection
+/// more, which is then closed after use.
+class worker_transport : public worker_port
+{
+public:
+    explicit worker_transport(worker_transport_settings bounds);
+    ~worker_transport() override;
+
+    result<void> start(kernel &owner) override;
+    /// Ends all exchanges without a report.
+    void stop() override;
+
+    void startAttempt(const start_attempt &order) override;
+    void cancelAttempt(const cancel_attempt &order) override;
+    void startProbe(const start_probe &order) override;
+    const counter_set &counters() const override { return m_counters; }
+
+private:
+    struct attempt
+    {
+        start_attempt order;
+        instant deadline;
+        bool waiting = false;
+        bool retriedFresh = false;
+        std::unique_ptr<worker_exchange> exchange;
+        std::unique_ptr<timer_watcher> waitTimer;
+    };
+    struct probe
+    {
+        probe_id id {};
+        instant deadline;
+        bool retriedFresh = false;
+        std::unique_ptr<worker_exchange> exchange;
+    };
+    /// Attempts at one worker.
+    struct worker_load
+    {
+        unsigned active = 0;
+        unsigned limit = 1;
+        std::deque<attempt_id> waiting;
+    };
+
+    void wait(attempt &waiting, worker_load &worker);
+    void send(attempt &started);
+    void removeWaiting(const attempt &waiting);
+    void releaseConnection(const std::string &workerAddress);
+    void startWaiting(worker_load &worker);
+    void dropIfUnused(const std::string &workerAddress);
+    void transferEnded(CURL *transfer, CURLcode code);
+    void attemptEnded(attempt_id id, CURLcode code);
+    void probeEnded(probe_id id, CURLcode code);
+    bool retryFresh(worker_exchange &exchange, instant deadline, bool &retried);
+    void countExchange(const worker_exchange &exchange);
+    void finishAttempt(attempt_finished outcome, bool deferred);
+    void defer(event input);
+    void deliverDeferred();
+    void updateGauges();
+
+    worker_transport_settings m_bounds;
+    event_loop *m_loop = nullptr;
+    event_sink *m_decision = nullptr;
+    counter_set m_counters;
+    connection_table m_connections;
+    easy_pool m_handles;
+    std::unique_ptr<curl_loop> m_curl;
+    std::unordered_map<attempt_id, std::unique_ptr<attempt>> m_attempts;
+    std::unordered_map<probe_id, std::unique_ptr<probe>> m_probes;
+    /// What an exchange in the multi handle belongs to.
+    std::unordered_map<const worker_exchange *, attempt_id> m_attemptOf;
+    std::unordered_map<const worker_exchange *, probe_id> m_probeOf;
+    std::unordered_map<std::string, worker_load> m_workers;
+    std::size_t m_waiting = 0;
+    std::uint64_t m_openedCounted = 0;
+    std::vector<event> m_deferred;
+    std::unique_ptr<timer_watcher> m_deferredTimer;
+};
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/worker_transport/worker_transport_settings.cpp
@@ -0,0 +1,60 @@
+#include "servers/worker_transport/worker_transport_settings.h"
+
+namespace almondnotch {
+
+namespace {
+
+setting_declaration integer(const char *name, std::size_t value, double minimum, double maximum,
+                            const char *unit, const char *doc)
+{
+    setting_declaration declaration;
+    declaration.name = name;
+    declaration.defaultValue = static_cast<std::int64_t>(value);
+    declaration.minimum = minimum;
+    declaration.maximum = maximum;
+    declaration.unit = unit;
+    declaration.doc = doc;
+    return declaration;
+}
+
+std::size_t count(const settings &values, const char *name)
+{
+    return static_cast<std::size_t>(values.integer(name));
+}
+
+} // namespace
+
+std::vector<setting_declaration> workerTransportDeclarations()
+{
+    const worker_transport_settings defaults;
+    return {
+        integer("calls.response_bytes_max", defaults.responseBytesMax, 1024, 64e6, "bytes",
+                "Longest body of a worker's response. A longer response is discarded and the "
+                "attempt counts as broken."),
+        integer("workers.connect_timeout_ms", 1000, 10, 60000, "ms",
+                "A worker that does not accept a connection in this time counts as unreachable."),
+        integer("workers.idle_connections_max", defaults.idleConnectionsMax, 1, 100000,
+                "connections", "Idle connections kept for reuse, over all workers."),
+        integer("workers.waiting_per_worker_max", defaults.waitingPerWorkerMax, 0, 100000,
+                "attempts",
+                "Attempts that wait for a connection to one worker. Further ones end as not sent."),
+        integer("workers.waiting_max", defaults.waitingMax, 0, 1000000, "attempts",
+                "Attempts that wait for a connection to any worker."),
+        integer("workers.exchanges_max", defaults.exchangesMax, 1, 1000000, "attempts",
+                "Attempts and probes in progress, waiting ones included."),
+    };
+}
+
+worker_transport_settings readWorkerTransportSettings(const settings &values)
+{
+    worker_transport_settings out;
+    out.responseBytesMax = count(values, "calls.response_bytes_max");
+    out.connectTimeout = milliseconds(values.integer("workers.connect_timeout_ms"));
+    out.idleConnectionsMax = count(values, "workers.idle_connections_max");
+    out.waitingPerWorkerMax = count(values, "workers.waiting_per_worker_max");
+    out.waitingMax = count(values, "workers.waiting_max");
+    out.exchangesMax = count(values, "workers.exchanges_max");
+    return out;
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/tests/servers/worker_transport_test.cpp
@@ -0,0 +1,327 @@
+#include <map>
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "servers/worker_transport/load_parser.h"
+#include "servers/worker_transport/register_services.h"
+#include "tests/servers/transport_fixture.h"
+
+namespace almondnotch {
+
+namespace {
+
+struct worker_fixture : transport_fixture
+{
+    explicit worker_fixture(worker_transport_settings bounds = {})
+    {
+        transport = registerWorkerTransport(owner, bounds).value();
+        BOOST_REQUIRE(owner.start());
+    }
+
+    static shared_request request(const std::string &method, const std::string &target,
+                                  const std::string &body = {})
+    {
+        call_request made;
+        made.method = method;
+        made.target = target;
+        made.body = body;
+        made.headers = {{"X-Caller", "c"}, {"Almondnotch-Depth", "9"}};
+        made.idempotencyKey = "k/1";
+        made.depth = 2;
+        made.requestId = "r-1";
+        return std::make_shared<const call_request>(made);
+    }
+
+    start_attempt order(const std::string &address, const std::string &target, bool idempotent)
+    {
+        return {attempt_id(nextId++),
+                request("POST", target, "body of " + target),
+                address,
+                "w",
+                seconds(5),
+                0,
+                idempotent,
+                1};
+    }
+
+    /// Starts one attempt and waits for its end.
+    attempt_finished run(const start_attempt &started)
+    {
+        const std::size_t before = sink->all<attempt_finished>().size();
+        transport->startAttempt(started);
+        BOOST_CHECK_EQUAL(sink->all<attempt_finished>().size(), before);
+        BOOST_REQUIRE(runUntil([&]() { return sink->all<attempt_finished>().size() > before; }));
+        return sink->all<attempt_finished>().back();
+    }
+
+    worker_transport *transport = nullptr;
+    std::uint64_t nextId = 1;
+};
+
+const std::string chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+} // namespace
+
+// Guards against a cut response being passed on as a whole one.
+BOOST_FIXTURE_TEST_CASE(cut_or_badly_framed_responses_are_broken, worker_fixture)
+{
+    const std::vector<std::string> responses {
+        "",
+        "HTTP/1.1 200 OK\r\nContent-Le",
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n",
+        chunkedHead + "5\r\nhello\r\n",
+        chunkedHead + "5\r\nhel",
+        chunkedHead + "5\r\nhello\r\n0\r\n",
+        "HTTP/1.1 200 OK\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 3\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + chunkedHead.substr(17)
+            + "5\r\nhello\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\nhello",
+    };
+    for (const std::string &response : responses) {
+        http_fake *serving = nullptr;
+        const std::unique_ptr<http_fake> worker
+            = listen([&](http_fake::connection_id connection, const fake_request &) {
+                  serving->respond(connection, response, true);
+              });
+        serving = worker.get();
+        for (const bool idempotent : {true, false}) {
+            const attempt_finished ended = run(order(worker->address(), "/x", idempotent));
+            BOOST_CHECK_MESSAGE(ended.end == attempt_end::broken, toString(ended.end)
+                                                                      << " for " << response);
+            BOOST_CHECK(!ended.response);
+            BOOST_CHECK(!ended.detail.empty());
+        }
+    }
+}
+
+// Guards against lost request or response fields and against inner headers reaching the caller.
+BOOST_FIXTURE_TEST_CASE(whole_response_is_answered_with_load, worker_fixture)
+{
+    fake_request seen;
+    http_fake *serving = nullptr;
+    const std::unique_ptr<http_fake> worker
+        = listen([&](http_fake::connection_id connection, const fake_request &request) {
+              seen = request;
+              serving->respond(connection, "HTTP/1.1 100 Continue\r\n\r\n"
+                                           "HTTP/1.1 201 Created\r\nTransfer-Encoding: chunked\r\n"
+                                           "Connection: X-Hop\r\nX-Hop: 1\r\nX-App: a\r\n"
+                                           "Almondnotch-Load: running=1;queued=2;slots=6\r\n"
+                                           "Almondnotch-State: cold\r\n\r\n"
+                                           "5\r\nhello\r\n0\r\nX-App: trailer\r\n\r\n");
+          });
+    serving = worker.get();
+    const attempt_finished ended = run(order(worker->address(), "/a/../b?c=%20", false));
+    BOOST_REQUIRE(ended.end == attempt_end::answered);
+    BOOST_CHECK_EQUAL(ended.response->status, 201);
+    BOOST_CHECK_EQUAL(ended.response->body, "hello");
+    BOOST_CHECK((ended.response->headers == std::vector<header_field> {{"X-App", "a"}}));
+    BOOST_CHECK((ended.load == load_report {1, 2, 6, worker_state::cold}));
+    BOOST_CHECK_EQUAL(seen.method, "POST");
+    BOOST_CHECK_EQUAL(seen.target, "/a/../b?c=%20");
+    BOOST_CHECK_EQUAL(seen.body, "body of /a/../b?c=%20");
+    BOOST_CHECK_EQUAL(seen.header("Almondnotch-Depth"), "3");
+    BOOST_CHECK_EQUAL(seen.header("Almondnotch-Attempt"), "0");
+    BOOST_CHECK_EQUAL(seen.header("Idempotency-Key"), "k/1");
+    BOOST_CHECK_EQUAL(seen.header("X-Caller"), "c");
+    const int deadline = std::stoi(seen.header("Almondnotch-Deadline-Ms"));
+    BOOST_CHECK(deadline > 4000 && deadline <= 5000);
+    for (const char *name : {"Expect", "Accept", "Content-Type"})
+        BOOST_CHECK_EQUAL(seen.header(name), "");
+}
+
+// Guards against a shed call being taken for an executed one, and the reverse.
+BOOST_FIXTURE_TEST_CASE(refusal_needs_503_and_the_outcome_header, worker_fixture)
+{
+    std::string response;
+    http_fake *serving = nullptr;
+    const std::unique_ptr<http_fake> worker
+        = listen([&](http_fake::connection_id connection, const fake_request &) {
+              serving->respond(connection, response);
+          });
+    serving = worker.get();
+    response = framedResponse(503, {{"Almondnotch-Outcome", "not-run"}}, "");
+    const attempt_finished refused = run(order(worker->address(), "/", false));
+    BOOST_CHECK(refused.refusedNotRun && refused.response->outcome == call_outcome::not_run);
+    for (const int status : {200, 500, 503}) {
+        const std::string outcome = status == 503 ? "run" : "not-run";
+        response = framedResponse(status, {{"Almondnotch-Outcome", outcome}}, "");
+        BOOST_CHECK(!run(order(worker->address(), "/", false)).refusedNotRun);
+    }
+}
+
+// Guards against libcurl's silent retry on a reused connection running an operation twice.
+BOOST_FIXTURE_TEST_CASE(non_idempotent_request_is_transmitted_once, worker_fixture)
+{
+    std::map<std::string, int> executions;
+    std::map<std::string, http_fake::connection_id> firstConnection;
+    http_fake *serving = nullptr;
+    const std::unique_ptr<http_fake> worker
+        = listen([&](http_fake::connection_id connection, const fake_request &request) {
+              const int count = ++executions[request.target];
+              firstConnection.emplace(request.target, connection);
+              // The request was read, so that it counts as executed, and the connection is lost.
+              if (request.target != "/first" && count == 1)
+                  serving->close(connection);
+              else
+                  serving->respond(connection, framedResponse(200, {}, request.target));
+          });
+    serving = worker.get();
+    BOOST_REQUIRE(run(order(worker->address(), "/first", true)).end == attempt_end::answered);
+    const attempt_finished unsafe = run(order(worker->address(), "/pay", false));
+    BOOST_CHECK(unsafe.end == attempt_end::broken);
+    BOOST_CHECK_EQUAL(firstConnection["/pay"], firstConnection["/first"]);
+    runFor(milliseconds(50));
+    BOOST_CHECK_EQUAL(executions["/pay"], 1);
+    BOOST_CHECK_EQUAL(transport->counters().value("worker_retransmissions_refused_total"), 1U);
+
+    BOOST_REQUIRE(run(order(worker->address(), "/first", true)).end == attempt_end::answered);
+    const attempt_finished safe = run(order(worker->address(), "/read", true));
+    BOOST_CHECK(safe.end == attempt_end::answered);
+    BOOST_CHECK_EQUAL(executions["/read"], 2);
+}
+
+// Guards against a late response to a cancelled attempt being read as that of the next one.
+BOOST_FIXTURE_TEST_CASE(late_response_never_reaches_the_next_attempt, worker_fixture)
+{
+    std::vector<http_fake::connection_id> held;
+    http_fake *serving = nullptr;
+    const std::unique_ptr<http_fake> worker
+        = listen([&](http_fake::connection_id connection, const fake_request &request) {
+              if (request.target == "/late")
+                  held.push_back(connection);
+              else
+                  serving->respond(connection, framedResponse(200, {}, request.target));
+          });
+    serving = worker.get();
+    BOOST_REQUIRE(run(order(worker->address(), "/first", true)).end == attempt_end::answered);
+    const start_attempt late = order(worker->address(), "/late", false);
+    transport->startAttempt(late);
+    BOOST_REQUIRE(runUntil([&]() { return !held.empty(); }));
+    transport->cancelAttempt({late.attempt});
+    serving->respond(held.front(), framedResponse(200, {}, "/late"));
+    const start_attempt next = order(worker->address(), "/next", false);
+    transport->startAttempt(next);
+    BOOST_REQUIRE(runUntil([&]() { return sink->all<attempt_finished>().size() == 3; }));
+    const std::vector<attempt_finished> ended = sink->all<attempt_finished>();
+    BOOST_CHECK(ended[1].attempt == late.attempt && ended[1].end == attempt_end::cancelled);
+    BOOST_REQUIRE(ended[2].attempt == next.attempt && ended[2].response);
+    BOOST_CHECK_EQUAL(ended[2].response->body, "/next");
+    BOOST_CHECK_EQUAL(worker->acceptedConnections(), 2U);
+}
+
+// Guards against a response that a worker sends twice being read as that of the next attempt.
+BOOST_FIXTURE_TEST_CASE(unexpected_bytes_on_an_idle_connection_are_never_read, worker_fixture)
+{
+    http_fake::connection_id used = 0;
+    http_fake *serving = nullptr;
+    const std::unique_ptr<http_fake> worker
+        = listen([&](http_fake::connection_id connection, const fake_request &request) {
+              used = connection;
+              serving->respond(connection, framedResponse(200, {}, request.target));
+          });
+    serving = worker.get();
+    BOOST_REQUIRE(run(order(worker->address(), "/first", true)).end == attempt_end::answered);
+    serving->write(used, framedResponse(200, {}, "/first"));
+    runFor(milliseconds(20));
+    const attempt_finished next = run(order(worker->address(), "/next", false));
+    BOOST_REQUIRE(next.end == attempt_end::answered);
+    BOOST_CHECK_EQUAL(next.response->body, "/next");
+}
+
+// Guards against a call that never left being reported as possibly executed.
+BOOST_FIXTURE_TEST_CASE(unsent_attempts_are_not_sent, worker_fixture)
+{
+    BOOST_CHECK(run(order(closedAddress(), "/x", false)).end == attempt_end::not_sent);
+    BOOST_CHECK(run(order("worker.example:80", "/x", false)).end == attempt_end::not_sent);
+    start_attempt late = order("127.0.0.1:9", "/x", false);
+    late.timeLimit = duration(0);
+    BOOST_CHECK(run(late).end == attempt_end::not_sent);
+    start_attempt split = order("127.0.0.1:9", "/x y", false);
+    BOOST_CHECK(run(split).end == attempt_end::not_sent);
+}
+
+// Guards against a hanging worker holding an attempt beyond its time limit.
+BOOST_FIXTURE_TEST_CASE(hanging_worker_times_out, worker_fixture)
+{
+    const std::unique_ptr<http_fake> worker
+        = listen([](http_fake::connection_id, const fake_request &) {});
+    start_attempt hanging = order(worker->address(), "/x", true);
+    hanging.timeLimit = milliseconds(100);
+    BOOST_CHECK(run(hanging).end == attempt_end::timed_out);
+}
+
+// Guards against more connections than the worker allows and against an unbounded queue.
+BOOST_AUTO_TEST_CASE(attempts_above_the_connection_limit_wait_in_a_bounded_queue)
+{
+    worker_transport_settings bounds;
+    bounds.waitingPerWorkerMax = 2;
+    worker_fixture fixture(bounds);
+    std::vector<http_fake::connection_id> held;
+    const std::unique_ptr<http_fake> worker
+        = fixture.listen([&](http_fake::connection_id connection, const fake_request &) {
+              held.push_back(connection);
+          });
+    std::vector<start_attempt> orders;
+    for (int count = 0; count < 4; ++count) {
+        orders.push_back(fixture.order(worker->address(), "/x", false));
+        orders.back().timeLimit = count == 1 ? milliseconds(50) : seconds(5);
+        fixture.transport->startAttempt(orders.back());
+    }
+    recording_sink &sink = *fixture.sink;
+    BOOST_REQUIRE(fixture.runUntil([&]() { return sink.all<attempt_finished>().size() == 2; }));
+    // The fourth found the queue full; the second waited longer than its time limit.
+    BOOST_CHECK(sink.all<attempt_finished>()[0].attempt == orders[3].attempt);
+    BOOST_CHECK(sink.all<attempt_finished>()[1].attempt == orders[1].attempt);
+    for (const attempt_finished &ended : sink.all<attempt_finished>())
+        BOOST_CHECK(ended.end == attempt_end::not_sent);
+    BOOST_REQUIRE_EQUAL(held.size(), 1U);
+    worker->respond(held[0], framedResponse(200, {}, ""));
+    BOOST_REQUIRE(fixture.runUntil([&]() { return held.size() == 2; }));
+    worker->respond(held[1], framedResponse(200, {}, ""));
+    BOOST_REQUIRE(fixture.runUntil([&]() { return sink.all<attempt_finished>().size() == 4; }));
+    BOOST_CHECK_EQUAL(worker->acceptedConnections(), 1U);
+}
+
+// Guards against a lying or broken load endpoint being believed, and uncounted probe bytes.
+BOOST_FIXTURE_TEST_CASE(probe_reads_the_load_endpoint, worker_fixture)
+{
+    std::string document = R"({"running":3,"queued":1,"slots":6,"state":"draining"})";
+    std::string target;
+    http_fake *serving = nullptr;
+    const std::unique_ptr<http_fake> worker
+        = listen([&](http_fake::connection_id connection, const fake_request &request) {
+              target = request.target;
+              serving->respond(connection, framedResponse(200, {}, document));
+          });
+    serving = worker.get();
+    transport->startProbe({probe_id(1), worker->address(), seconds(1)});
+    BOOST_REQUIRE(runUntil([&]() { return sink->all<probe_finished>().size() == 1; }));
+    BOOST_CHECK_EQUAL(target, "/almondnotch/load");
+    BOOST_CHECK(
+        (sink->all<probe_finished>()[0].load == load_report {3, 1, 6, worker_state::draining}));
+    BOOST_CHECK_GT(sink->all<probe_finished>()[0].bytes, document.size() + 40);
+    document = R"({"running":-3,"queued":1,"slots":6,"state":"ready"})";
+    transport->startProbe({probe_id(2), worker->address(), seconds(1)});
+    transport->startProbe({probe_id(3), closedAddress(), seconds(1)});
+    BOOST_REQUIRE(runUntil([&]() { return sink->all<probe_finished>().size() == 3; }));
+    BOOST_CHECK(!sink->all<probe_finished>()[1].load && !sink->all<probe_finished>()[2].load);
+}
+
+// Guards against a malformed load header changing what is known of a worker.
+BOOST_AUTO_TEST_CASE(load_header_is_parsed_strictly)
+{
+    BOOST_CHECK((parseLoadHeader("running=1;queued=0;slots=6")
+                 == load_report {1, 0, 6, worker_state::ready}));
+    for (const char *text :
+         {"", "running=1", "running=1;queued=0;slots=", "running=-1;queued=0;slots=6",
+          "running=1;queued=0;slots=6;", "running=1; queued=0; slots=6",
+          "queued=0;running=1;slots=6", "running=1;queued=0;slots=9999999", "running=0x1"})
+        BOOST_CHECK_MESSAGE(!parseLoadHeader(text), text);
+}
+
+} // namespace almondnotch
