Add the platform client

The gateway reads and watches the configuration service through the platform port. A value that was cut, is over 1,000,000 bytes or has no version must be an error, never a value.

The HTTP exchange with its framing check and stale connection check moves from worker_transport to curl_loop, so that both clients share it.

--- /dev/null
+++ b/servers/curl_loop/http_exchange.cpp
@@ -0,0 +1,162 @@
+#include "servers/curl_loop/http_exchange.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <arpa/inet.h>
+
+namespace almondnotch {
+
+namespace {
+
+bool isPrintable(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c != '\x7f'; });
+}
+
+/// An address that libcurl needs no resolver for: names would start resolver threads.
+bool isNumericAddress(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return false;
+    in_addr parsed = {};
+    unsigned port = 0;
+    const char *const end = address.data() + address.size();
+    const std::from_chars_result digits = std::from_chars(address.data() + colon + 1, end, port);
+    return inet_pton(AF_INET, address.substr(0, colon).c_str(), &parsed) == 1
+           && digits.ec == std::errc() && digits.ptr == end && port > 0 && port <= 65535;
+}
+
+long toCurlMilliseconds(duration length)
+{
+    // Rounded up, since 0 would mean no limit.
+    return static_cast<long>((length + milliseconds(1) - microseconds(1)) / milliseconds(1));
+}
+
+} // namespace
+
+http_exchange::http_exchange(std::string address, std::size_t bodyBytesMax, bool headRequest,
+                             bool repeatable)
+    : m_address(std::move(address)), m_repeatable(repeatable), m_reader(bodyBytesMax, headRequest)
+{ }
+
+http_exchange::~http_exchange()
+{
+    if (m_handle != nullptr)
+        m_pool->give(m_handle);
+}
+
+result<void> http_exchange::prepare(easy_pool &pool, connection_table &connections,
+                                    const std::string &target, const exchange_times &times)
+{
+    if (!isNumericAddress(m_address))
+        return fail(error_code::invalid_argument, "connect", m_address, "expected ip:port");
+    if (!target.starts_with('/') || !isPrintable(target))
+        return fail(error_code::invalid_argument, "send request", m_address,
+                    "expected a target that begins with / and has no blanks");
+    m_pool = &pool;
+    m_handle = pool.take();
+    if (m_handle == nullptr)
+        return fail(error_code::unavailable, "connect", m_address,
+                    "libcurl has no memory for a handle");
+    curl_easy_setopt(m_handle, CURLOPT_URL, ("http://" + m_address + "/").c_str());
+    // Sent as it is, whereas a path in the URL would be normalised.
+    curl_easy_setopt(m_handle, CURLOPT_REQUEST_TARGET, target.c_str());
+    curl_easy_setopt(m_handle, CURLOPT_HTTPHEADER, m_headers.get());
+    curl_easy_setopt(m_handle, CURLOPT_CONNECTTIMEOUT_MS, toCurlMilliseconds(times.connectTimeout));
+    curl_easy_setopt(m_handle, CURLOPT_TIMEOUT_MS, toCurlMilliseconds(times.timeLeft));
+    curl_easy_setopt(m_handle, CURLOPT_MAXAGE_CONN,
+                     static_cast<long>(times.reuseAgeMax / seconds(1)));
+    curl_easy_setopt(m_handle, CURLOPT_PREREQFUNCTION, &http_exchange::beforeRequest);
+    curl_easy_setopt(m_handle, CURLOPT_PREREQDATA, this);
+    curl_easy_setopt(m_handle, CURLOPT_HEADERFUNCTION, &http_exchange::headerArrived);
+    curl_easy_setopt(m_handle, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(m_handle, CURLOPT_WRITEFUNCTION, &http_exchange::bodyArrived);
+    curl_easy_setopt(m_handle, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(m_handle, CURLOPT_PRIVATE, this);
+    connections.install(m_handle, m_opened);
+    return {};
+}
+
+result<void> http_exchange::setMethod(const std::string &method, std::string_view body)
+{
+    if (method.empty() || !isPrintable(method))
+        return fail(error_code::invalid_argument, "send request", m_address,
+                    "the method contains a blank or control character");
+    if (method == "HEAD") {
+        curl_easy_setopt(m_handle, CURLOPT_NOBODY, 1L);
+        return {};
+    }
+    // Requests of these methods have a length even without a body.
+    const bool lengthWanted = method == "POST" || method == "PUT" || method == "PATCH";
+    if (lengthWanted || !body.empty()) {
+        curl_easy_setopt(m_handle, CURLOPT_POST, 1L);
+        curl_easy_setopt(m_handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(body.size()));
+        curl_easy_setopt(m_handle, CURLOPT_POSTFIELDS, body.empty() ? "" : body.data());
+    }
+    curl_easy_setopt(m_handle, CURLOPT_CUSTOMREQUEST, method.c_str());
+    return {};
+}
+
+void http_exchange::prepareFreshConnection(duration timeLeft)
+{
+    m_staleConnection = false;
+    curl_easy_setopt(m_handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(m_handle, CURLOPT_TIMEOUT_MS, toCurlMilliseconds(timeLeft));
+}
+
+int http_exchange::beforeRequest(void *self, char *peerIp, char * /*localIp*/, int peerPort,
+                                 int localPort)
+{
+    http_exchange *exchange = static_cast<http_exchange *>(self);
+    if (exchange->m_transmissions > 0 && !exchange->m_repeatable) {
+        exchange->m_repeatRefused = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    if (exchange->m_opened.table->isStale(exchange->m_opened, peerIp, peerPort, localPort)) {
+        exchange->m_staleConnection = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    ++exchange->m_transmissions;
+    return CURL_PREREQFUNC_OK;
+}
+
+std::size_t http_exchange::headerArrived(char *data, std::size_t size, std::size_t count,
+                                         void *self)
+{
+    http_exchange *exchange = static_cast<http_exchange *>(self);
+    return exchange->m_reader.addHeaderLine({data, size * count}) ? size * count : 0;
+}
+
+std::size_t http_exchange::bodyArrived(char *data, std::size_t size, std::size_t count, void *self)
+{
+    http_exchange *exchange = static_cast<http_exchange *>(self);
+    // Any value other than the length of the data makes libcurl give the transfer up.
+    return exchange->m_reader.addBody({data, size * count}) ? size * count : 0;
+}
+
+std::uint64_t http_exchange::bytesSent() const
+{
+    long head = 0;
+    curl_off_t body = 0;
+    if (m_handle != nullptr) {
+        curl_easy_getinfo(m_handle, CURLINFO_REQUEST_SIZE, &head);
+        curl_easy_getinfo(m_handle, CURLINFO_SIZE_UPLOAD_T, &body);
+    }
+    return static_cast<std::uint64_t>(head) + static_cast<std::uint64_t>(body);
+}
+
+std::uint64_t http_exchange::bytesReceived() const
+{
+    long head = 0;
+    curl_off_t body = 0;
+    if (m_handle != nullptr) {
+        curl_easy_getinfo(m_handle, CURLINFO_HEADER_SIZE, &head);
+        curl_easy_getinfo(m_handle, CURLINFO_SIZE_DOWNLOAD_T, &body);
+    }
+    return static_cast<std::uint64_t>(head) + static_cast<std::uint64_t>(body);
+}
+
+} // namespace almondnotch
--- a/servers/worker_transport/worker_exchange.h
+++ b/servers/curl_loop/http_exchange.h
@@ -1,52 +1,62 @@
 #pragma once
 
 #include <cstdint>
-#include <memory>
 #include <string>
+#include <string_view>
 
 #include <curl/curl.h>
 
 #include "core/error.h"
 #include "core/time.h"
-#include "decision/actions.h"
 #include "servers/curl_loop/connection_table.h"
 #include "servers/curl_loop/easy_pool.h"
 #include "servers/curl_loop/header_list.h"
-#include "servers/worker_transport/response_reader.h"
-#include "servers/worker_transport/worker_transport_settings.h"
+#include "servers/curl_loop/response_reader.h"
 
 namespace almondnotch {
 
-/// One request to a worker and its response, in one libcurl handle.
+/// Times that bound an exchange.
+struct exchange_times
+{
+    /// Until the end of the response.
+    duration timeLeft {0};
+    duration connectTimeout {0};
+    /// Longest idle time of a connection that is reused.
+    duration reuseAgeMax {0};
+};
+
+/// One HTTP/1.1 request and its response, in one libcurl handle.
 ///
 /// libcurl sends a request again by itself if a reused connection closed before the first byte of
 /// the response. The exchange counts the transmissions and stops a second one of a request that
 /// must not run twice.
-class worker_exchange
+class http_exchange
 {
 public:
+    /// \param address "ip:port".
     /// \param bodyBytesMax bound of the response body.
     /// \param repeatable a second transmission is allowed.
-    worker_exchange(std::string workerAddress, std::size_t bodyBytesMax, bool headRequest,
-                    bool repeatable);
-    worker_exchange(const worker_exchange &) = delete;
-    worker_exchange &operator=(const worker_exchange &) = delete;
+    http_exchange(std::string address, std::size_t bodyBytesMax, bool headRequest, bool repeatable);
+    http_exchange(const http_exchange &) = delete;
+    http_exchange &operator=(const http_exchange &) = delete;
     /// The handle must have been removed from its multi handle.
-    ~worker_exchange();
+    ~http_exchange();
 
-    /// Sets up the request of an attempt.
-    /// \return an error if the address, method, target or a header cannot be sent as they are.
-    result<void> prepareAttempt(easy_pool &pool, connection_table &connections,
-                                const worker_transport_settings &bounds, const start_attempt &order,
-                                duration timeLeft);
+    /// Request headers, to be filled before `prepare`.
+    header_list &headers() { return m_headers; }
 
-    /// Sets up the request of a probe.
-    result<void> prepareProbe(easy_pool &pool, connection_table &connections,
-                              const worker_transport_settings &bounds, duration timeLeft);
+    /// Sets up a GET request.
+    /// \return an error if the address or target cannot be used as they are.
+    result<void> prepare(easy_pool &pool, connection_table &connections, const std::string &target,
+                         const exchange_times &times);
+
+    /// Changes the prepared request's method and body. The body must outlive the exchange.
+    /// \return an error if the method is not a token.
+    result<void> setMethod(const std::string &method, std::string_view body);
 
     CURL *handle() const { return m_handle; }
     response_reader &reader() { return m_reader; }
-    const std::string &workerAddress() const { return m_workerAddress; }
+    const std::string &address() const { return m_address; }
 
     /// Transmissions that began. 0 proves that no byte of the request was sent.
     unsigned transmissions() const { return m_transmissions; }
@@ -62,22 +72,16 @@
     std::uint64_t bytesReceived() const;
 
 private:
-    result<void> prepare(easy_pool &pool, connection_table &connections,
-                         const worker_transport_settings &bounds, const std::string &target,
-                         duration timeLeft);
-
     static int beforeRequest(void *self, char *peerIp, char *localIp, int peerPort, int localPort);
     static std::size_t headerArrived(char *data, std::size_t size, std::size_t count, void *self);
     static std::size_t bodyArrived(char *data, std::size_t size, std::size_t count, void *self);
 
-    std::string m_workerAddress;
+    std::string m_address;
     bool m_repeatable;
     response_reader m_reader;
     header_list m_headers;
     easy_pool *m_pool = nullptr;
     CURL *m_handle = nullptr;
-    /// Keeps the body that libcurl reads from.
-    shared_request m_request;
     connection_table::opened_socket m_opened;
     unsigned m_transmissions = 0;
     bool m_repeatRefused = false;
--- a/servers/worker_transport/response_reader.cpp
+++ b/servers/curl_loop/response_reader.cpp
@@ -1,43 +1,13 @@
-#include "servers/worker_transport/response_reader.h"
+#include "servers/curl_loop/response_reader.h"
 
-#include <algorithm>
-#include <array>
 #include <charconv>
 
-#include <strings.h>
-
-#include "servers/worker_transport/load_parser.h"
+#include "servers/curl_loop/header_text.h"
 
 namespace almondnotch {
 
 namespace {
 
-/// Headers of one connection (RFC 9110, section 7.6.1), which are not passed on.
-constexpr std::array<std::string_view, 9> hopByHopHeaders {"Connection",
-                                                           "Keep-Alive",
-                                                           "Proxy-Authenticate",
-                                                           "Proxy-Authorization",
-                                                           "Proxy-Connection",
-                                                           "TE",
-                                                           "Trailer",
-                                                           "Transfer-Encoding",
-                                                           "Upgrade"};
-
-constexpr std::string_view ownPrefix = "Almondnotch-";
-
-bool equalIgnoringCase(std::string_view left, std::string_view right)
-{
-    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
-}
-
-std::string_view trimmed(std::string_view text)
-{
-    const std::size_t first = text.find_first_not_of(" \t\r\n");
-    if (first == std::string_view::npos)
-        return {};
-    return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
-}
-
 template <typename Number>
 std::optional<Number> parseDigits(std::string_view text)
 {
@@ -50,30 +20,6 @@
     return value;
 }
 
-/// Values of all headers of that name.
-std::vector<std::string_view> valuesOf(const std::vector<header_field> &headers,
-                                       std::string_view name)
-{
-    std::vector<std::string_view> values;
-    for (const header_field &field : headers) {
-        if (equalIgnoringCase(field.name, name))
-            values.emplace_back(field.value);
-    }
-    return values;
-}
-
-/// True if one of the comma-separated tokens of a `Connection` header is this name.
-bool isNamedIn(std::string_view list, std::string_view name)
-{
-    while (!list.empty()) {
-        const std::size_t end = list.find(',');
-        if (equalIgnoringCase(trimmed(list.substr(0, end)), name))
-            return true;
-        list = end == std::string_view::npos ? std::string_view() : list.substr(end + 1);
-    }
-    return false;
-}
-
 } // namespace
 
 bool response_reader::addHeaderLine(std::string_view line)
@@ -180,58 +126,14 @@
     return false;
 }
 
-std::optional<load_report> response_reader::load() const
+std::vector<std::string_view> response_reader::headerValues(std::string_view name) const
 {
-    const std::vector<std::string_view> loads = valuesOf(m_headers, "Almondnotch-Load");
-    const std::vector<std::string_view> states = valuesOf(m_headers, "Almondnotch-State");
-    std::optional<load_report> report
-        = loads.size() == 1 ? parseLoadHeader(loads.front()) : std::optional<load_report>();
-    const std::optional<worker_state> state
-        = states.size() == 1 ? parseWorkerState(states.front()) : std::optional<worker_state>();
-    if (!report && state == worker_state::draining)
-        report = load_report {};
-    if (report && state)
-        report->state = *state;
-    return report;
-}
-
-bool response_reader::loadMalformed() const
-{
-    const std::vector<std::string_view> loads = valuesOf(m_headers, "Almondnotch-Load");
-    const std::vector<std::string_view> states = valuesOf(m_headers, "Almondnotch-State");
-    return (!loads.empty() && (loads.size() > 1 || !parseLoadHeader(loads.front())))
-           || (!states.empty() && (states.size() > 1 || !parseWorkerState(states.front())));
-}
-
-bool response_reader::refusedNotRun() const
-{
-    const std::vector<std::string_view> outcomes = valuesOf(m_headers, "Almondnotch-Outcome");
-    return m_status == 503 && outcomes.size() == 1 && outcomes.front() == "not-run";
-}
-
-call_response response_reader::takeResponse()
-{
-    call_response response;
-    response.status = m_status;
-    response.outcome = refusedNotRun() ? call_outcome::not_run : call_outcome::run;
-    const std::vector<std::string_view> connection = valuesOf(m_headers, "Connection");
-    const bool lengthKept = m_headRequest || m_status == 304;
+    std::vector<std::string_view> values;
     for (const header_field &field : m_headers) {
-        const bool hopByHop
-            = std::any_of(
-                  hopByHopHeaders.begin(), hopByHopHeaders.end(),
-                  [&field](std::string_view name) { return equalIgnoringCase(field.name, name); })
-              || std::any_of(connection.begin(), connection.end(), [&field](std::string_view list) {
-                     return isNamedIn(list, field.name);
-                 });
-        const bool own = equalIgnoringCase(std::string_view(field.name).substr(0, ownPrefix.size()),
-                                           ownPrefix);
-        const bool length = equalIgnoringCase(field.name, "Content-Length");
-        if (!hopByHop && !own && (!length || lengthKept))
-            response.headers.push_back(field);
+        if (equalIgnoringCase(field.name, name))
+            values.emplace_back(field.value);
     }
-    response.body = std::move(m_body);
-    return response;
+    return values;
 }
 
 } // namespace almondnotch
--- a/servers/worker_transport/response_reader.h
+++ b/servers/curl_loop/response_reader.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "decision/types.h"
@@ -39,16 +40,13 @@
     bool badlyFramed() const { return m_badlyFramed; }
     int status() const { return m_status; }
 
-    /// Load and state headers. A draining state counts also without a load header.
-    std::optional<load_report> load() const;
-    /// A load or state header was there but not in the documented form.
-    bool loadMalformed() const;
-    /// 503 with `Almondnotch-Outcome: not-run`.
-    bool refusedNotRun() const;
+    const std::vector<header_field> &headers() const { return m_headers; }
 
-    /// The response without hop-by-hop and `Almondnotch-*` headers. `Content-Length` stays only
-    /// where there is no body that it could be computed from.
-    call_response takeResponse();
+    /// Values of all headers of that name, compared without case.
+    std::vector<std::string_view> headerValues(std::string_view name) const;
+
+    std::string takeBody() { return std::move(m_body); }
+    bool headRequest() const { return m_headRequest; }
 
 private:
     bool giveUp(std::string reason);
--- /dev/null
+++ b/servers/platform_client/platform_client.cpp
@@ -0,0 +1,248 @@
+#include "servers/platform_client/platform_client.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+namespace almondnotch {
+
+namespace {
+
+/// Idle connections to the one address; reads beyond that open connections of their own.
+constexpr std::size_t idleConnectionsMax = 4;
+constexpr std::size_t idleHandlesMax = 4;
+/// Any idle connection is checked before use, so that its age matters little.
+constexpr duration reuseAgeMax = seconds(60);
+constexpr std::size_t sha256Digits = 64;
+
+const char *const readStep = "read platform";
+
+std::optional<std::uint64_t> parseVersion(std::string_view text)
+{
+    std::uint64_t version = 0;
+    const std::from_chars_result parsed
+        = std::from_chars(text.data(), text.data() + text.size(), version);
+    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() || version == 0)
+        return std::nullopt;
+    return version;
+}
+
+bool isSha256(std::string_view text)
+{
+    return text.size() == sha256Digits && std::all_of(text.begin(), text.end(), [](char c) {
+               return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+           });
+}
+
+std::string targetOf(const read_platform &order)
+{
+    std::string target;
+    switch (order.key) {
+    case platform_key::manifest:
+        target = "/v1/values/manifest";
+        break;
+    case platform_key::part:
+        target = "/v1/values/part/" + order.partSha256;
+        break;
+    case platform_key::vm_list:
+        target = "/v1/vms";
+        break;
+    }
+    if (order.afterVersion > 0)
+        target += "?after=" + std::to_string(order.afterVersion)
+                  + "&wait_ms=" + std::to_string(toMilliseconds(order.wait));
+    return target;
+}
+
+} // namespace
+
+platform_client::platform_client(platform_client_settings bounds)
+    : m_bounds(std::move(bounds)), m_handles(idleHandlesMax)
+{ }
+
+platform_client::~platform_client()
+{
+    stop();
+}
+
+result<void> platform_client::start(kernel &owner)
+{
+    const result<event_loop *> loop = owner.find<event_loop>("loop");
+    if (!loop)
+        return tl::unexpected(loop.error());
+    const result<event_sink *> decision = owner.find<event_sink>("decision");
+    if (!decision)
+        return tl::unexpected(decision.error());
+    m_loop = *loop;
+    m_decision = *decision;
+    result<std::unique_ptr<curl_loop>> made
+        = curl_loop::create(*m_loop, idleConnectionsMax, [this](CURL *transfer, CURLcode code) {
+              transferEnded(transfer, code);
+          });
+    if (!made)
+        return tl::unexpected(made.error());
+    m_curl = std::move(*made);
+    m_deferredTimer = std::make_unique<timer_watcher>(*m_loop, [this]() { deliverDeferred(); });
+    return {};
+}
+
+void platform_client::stop()
+{
+    m_deferredTimer.reset();
+    m_deferred.clear();
+    // The multi handle goes first, since handles may not return to the pool while they are in it.
+    m_curl.reset();
+    m_reads.clear();
+}
+
+void platform_client::readPlatform(const read_platform &order)
+{
+    m_counters.add(order.afterVersion > 0 ? "platform_watches_total" : "platform_reads_total");
+    std::unique_ptr<read> added = std::make_unique<read>();
+    added->order = order;
+    const result<void> sent = send(*added);
+    if (!sent) {
+        m_counters.add("platform_requests_failed_total");
+        m_deferred.push_back({order.read, sent.error()});
+        if (!m_deferredTimer->isActive())
+            m_deferredTimer->start(duration(0));
+        return;
+    }
+    const http_exchange *key = added->exchange.get();
+    m_reads.emplace(key, std::move(added));
+    updateGauges();
+}
+
+result<void> platform_client::send(read &started)
+{
+    const read_platform &order = started.order;
+    if (m_reads.size() >= m_bounds.readsMax) {
+        m_counters.add("platform_reads_rejected_total");
+        return fail(error_code::out_of_bounds, readStep, m_bounds.address,
+                    "expected at most " + std::to_string(m_bounds.readsMax) + " reads in progress");
+    }
+    if (order.key == platform_key::part && !isSha256(order.partSha256))
+        return fail(error_code::invalid_argument, readStep, m_bounds.address,
+                    "expected 64 hexadecimal digits as the name of a part");
+    const duration timeLimit
+        = order.afterVersion > 0 ? order.wait + m_bounds.watchGrace : m_bounds.readTimeLimit;
+    started.deadline = m_loop->now() + timeLimit;
+    started.exchange
+        = std::make_unique<http_exchange>(m_bounds.address, m_bounds.valueBytesMax, false, true);
+    started.exchange->headers().suppress("Accept");
+    const result<void> prepared
+        = started.exchange->prepare(m_handles, m_connections, targetOf(order),
+                                    {timeLimit, m_bounds.connectTimeout, reuseAgeMax});
+    if (!prepared)
+        return prepared;
+    return m_curl->add(started.exchange->handle());
+}
+
+void platform_client::transferEnded(CURL *transfer, CURLcode code)
+{
+    char *owner = nullptr;
+    curl_easy_getinfo(transfer, CURLINFO_PRIVATE, &owner);
+    const auto found = m_reads.find(reinterpret_cast<const http_exchange *>(owner));
+    if (found == m_reads.end())
+        return;
+    read &current = *found->second;
+    const duration timeLeft = current.deadline - m_loop->now();
+    if (current.exchange->staleConnection() && !current.retriedFresh
+        && timeLeft >= milliseconds(1)) {
+        current.retriedFresh = true;
+        current.exchange->prepareFreshConnection(timeLeft);
+        if (m_curl->add(transfer))
+            return;
+    }
+    const std::unique_ptr<read> ended = std::move(found->second);
+    m_reads.erase(found);
+    m_counters.add("platform_bytes_sent_total", ended->exchange->bytesSent());
+    m_counters.add("platform_bytes_received_total", ended->exchange->bytesReceived());
+    result<platform_value> value = interpret(*ended, code);
+    if (!value)
+        m_counters.add("platform_requests_failed_total");
+    updateGauges();
+    report(ended->order.read, std::move(value));
+}
+
+void platform_client::report(read_id id, result<platform_value> value)
+{
+    platform_read_finished outcome {id, std::move(value)};
+    m_decision->deliver(std::move(outcome));
+}
+
+result<platform_value> platform_client::interpret(read &ended, CURLcode code)
+{
+    response_reader &reader = ended.exchange->reader();
+    if (code != CURLE_OK || !reader.complete()) {
+        if (reader.tooLarge()) {
+            m_counters.add("platform_values_too_large_total");
+            return fail(error_code::out_of_bounds, readStep, m_bounds.address, reader.failure());
+        }
+        const std::string cause
+            = reader.failure().empty() ? curl_easy_strerror(code) : reader.failure();
+        return fail(code == CURLE_OPERATION_TIMEDOUT ? error_code::timed_out
+                                                     : error_code::unavailable,
+                    readStep, m_bounds.address, cause);
+    }
+    switch (reader.status()) {
+    case 200:
+        return interpretValue(ended);
+    case 304:
+        if (ended.order.afterVersion == 0)
+            return fail(error_code::invalid_message, readStep, m_bounds.address,
+                        "expected a value, found status 304 although no version was given");
+        return platform_value {ended.order.afterVersion, false, {}};
+    case 404:
+        return platform_value {0, true, {}};
+    default:
+        return fail(error_code::unavailable, readStep, m_bounds.address,
+                    "expected status 200, found " + std::to_string(reader.status()));
+    }
+}
+
+result<platform_value> platform_client::interpretValue(read &ended)
+{
+    response_reader &reader = ended.exchange->reader();
+    platform_value value;
+    value.changed = true;
+    value.text = reader.takeBody();
+    std::optional<std::uint64_t> version;
+    if (ended.order.key == platform_key::vm_list) {
+        // The list carries its version itself; the decision package reads the rest.
+        const nlohmann::json document = nlohmann::json::parse(value.text, nullptr, false);
+        const auto found = document.is_object() ? document.find("version") : document.end();
+        if (found != document.end() && found->is_number_unsigned()
+            && found->get<std::uint64_t>() > 0)
+            version = found->get<std::uint64_t>();
+    } else {
+        const std::vector<std::string_view> versions = reader.headerValues("Platform-Version");
+        if (versions.size() == 1)
+            version = parseVersion(versions.front());
+    }
+    if (!version) {
+        m_counters.add("platform_versions_malformed_total");
+        return fail(error_code::invalid_message, readStep, m_bounds.address,
+                    "expected a version greater than 0, found none");
+    }
+    value.version = *version;
+    return value;
+}
+
+void platform_client::deliverDeferred()
+{
+    std::vector<refused_read> due;
+    due.swap(m_deferred);
+    for (const refused_read &refused : due)
+        report(refused.id, tl::unexpected(refused.cause));
+}
+
+void platform_client::updateGauges()
+{
+    m_counters.set("platform_requests_in_progress", static_cast<double>(m_reads.size()));
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/platform_client/platform_client.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/counters.h"
+#include "servers/curl_loop/connection_table.h"
+#include "servers/curl_loop/curl_loop.h"
+#include "servers/curl_loop/easy_pool.h"
+#include "servers/curl_loop/http_exchange.h"
+#include "servers/event_loop/event_loop.h"
+#include "servers/event_loop/timer_watcher.h"
+#include "servers/platform_client/platform_client_settings.h"
+#include "servers/ports.h"
+
+namespace almondnotch {
+
+/// Reads and watches values of the configuration service (design, section 3.3).
+///
+/// A read with `afterVersion` 0 is plain; any other one is a watch. A missing key is a value of
+/// version 0. A cut, unframed, over-long or unversioned response is an error, never a value.
+class platform_client : public platform_port
+{
+public:
+    explicit platform_client(platform_client_settings bounds);
+    ~platform_client() override;
+
+    result<void> start(kernel &owner) override;
+    /// Ends all reads without a report.
+    void stop() override;
+
+    void readPlatform(const read_platform &order) override;
+    const counter_set &counters() const override { return m_counters; }
+
+private:
+    struct read
+    {
+        read_platform order;
+        instant deadline;
+        bool retriedFresh = false;
+        std::unique_ptr<http_exchange> exchange;
+    };
+
+    /// A read that could not be started; reported in the next round of the loop.
+    struct refused_read
+    {
+        read_id id {};
+        error cause;
+    };
+
+    result<void> send(read &started);
+    void transferEnded(CURL *transfer, CURLcode code);
+    result<platform_value> interpret(read &ended, CURLcode code);
+    result<platform_value> interpretValue(read &ended);
+    void report(read_id id, result<platform_value> value);
+    void deliverDeferred();
+    void updateGauges();
+
+    platform_client_settings m_bounds;
+    event_loop *m_loop = nullptr;
+    event_sink *m_decision = nullptr;
+    counter_set m_counters;
+    connection_table m_connections;
+    easy_pool m_handles;
+    std::unique_ptr<curl_loop> m_curl;
+    std::unordered_map<const http_exchange *, std::unique_ptr<read>> m_reads;
+    std::vector<refused_read> m_deferred;
+    std::unique_ptr<timer_watcher> m_deferredTimer;
+};
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/platform_client/register_services.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "core/error.h"
+#include "core/kernel.h"
+#include "servers/platform_client/platform_client.h"
+#include "servers/platform_client/platform_client_settings.h"
+
+namespace almondnotch {
+
+/// Adds the service "platform_client".
+result<platform_client *> registerPlatformClient(kernel &owner, platform_client_settings bounds);
+
+} // namespace almondnotch
--- a/servers/worker_transport/worker_transport.cpp
+++ b/servers/worker_transport/worker_transport.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include "servers/worker_transport/load_parser.h"
+#include "servers/worker_transport/worker_request.h"
+#include "servers/worker_transport/worker_response.h"
 
 namespace almondnotch {
 
@@ -70,7 +72,7 @@
         return;
     }
     if (m_attempts.size() + m_probes.size() >= m_bounds.exchangesMax) {
-        m_counters.add("worker_exchanges_rejected_total");
+        m_counters.add("http_exchanges_rejected_total");
         finishAttempt({order.attempt, attempt_end::not_sent, nullptr, std::nullopt, false,
                        "too many exchanges with workers"},
                       true);
@@ -134,11 +136,11 @@
     if (timeLeft < timeLeftMin) {
         refusal = "the time limit passed before the request was sent";
     } else {
-        started.exchange = std::make_unique<worker_exchange>(
-            address, m_bounds.responseBytesMax, started.order.request->method == "HEAD",
-            started.order.idempotent);
-        result<void> sent = started.exchange->prepareAttempt(m_handles, m_connections, m_bounds,
-                                                             started.order, timeLeft);
+        started.exchange = std::make_unique<http_exchange>(address, m_bounds.responseBytesMax,
+                                                           started.order.request->method == "HEAD",
+                                                           started.order.idempotent);
+        result<void> sent = prepareAttempt(*started.exchange, m_handles, m_connections, m_bounds,
+                                           started.order, timeLeft);
         if (sent)
             sent = m_curl->add(started.exchange->handle());
         if (!sent)
@@ -221,14 +223,15 @@
     std::unique_ptr<probe> started = std::make_unique<probe>();
     started->id = order.probe;
     started->deadline = m_loop->now() + order.timeLimit;
-    started->exchange = std::make_unique<worker_exchange>(order.workerAddress,
-                                                          m_bounds.probeBytesMax, false, true);
+    started->exchange
+        = std::make_unique<http_exchange>(order.workerAddress, m_bounds.probeBytesMax, false, true);
     result<void> sent;
     if (m_attempts.size() + m_probes.size() >= m_bounds.exchangesMax
         || m_probes.contains(order.probe))
         sent = fail(error_code::out_of_bounds, "probe", order.workerAddress, "too many exchanges");
     if (sent)
-        sent = started->exchange->prepareProbe(m_handles, m_connections, m_bounds, order.timeLimit);
+        sent
+            = prepareProbe(*started->exchange, m_handles, m_connections, m_bounds, order.timeLimit);
     if (sent) {
         const auto worker = m_workers.find(order.workerAddress);
         // All permitted connections are in use, so this one is in excess and is not kept.
@@ -250,7 +253,7 @@
 {
     char *owner = nullptr;
     curl_easy_getinfo(transfer, CURLINFO_PRIVATE, &owner);
-    const worker_exchange *exchange = reinterpret_cast<const worker_exchange *>(owner);
+    const http_exchange *exchange = reinterpret_cast<const http_exchange *>(owner);
     const auto ofAttempt = m_attemptOf.find(exchange);
     if (ofAttempt != m_attemptOf.end()) {
         attemptEnded(ofAttempt->second, code);
@@ -261,7 +264,7 @@
         probeEnded(ofProbe->second, code);
 }
 
-bool worker_transport::retryFresh(worker_exchange &exchange, instant deadline, bool &retried)
+bool worker_transport::retryFresh(http_exchange &exchange, instant deadline, bool &retried)
 {
     const duration timeLeft = deadline - m_loop->now();
     if (!exchange.staleConnection() || exchange.transmissions() > 0 || retried
@@ -282,7 +285,7 @@
         return;
     const std::unique_ptr<attempt> ended = std::move(found->second);
     m_attempts.erase(found);
-    worker_exchange &exchange = *ended->exchange;
+    http_exchange &exchange = *ended->exchange;
     m_attemptOf.erase(&exchange);
     countExchange(exchange);
     response_reader &reader = exchange.reader();
@@ -290,11 +293,11 @@
     outcome.attempt = id;
     if (code == CURLE_OK && reader.complete()) {
         outcome.end = attempt_end::answered;
-        outcome.load = reader.load();
-        outcome.refusedNotRun = reader.refusedNotRun();
-        if (reader.loadMalformed())
+        outcome.load = readLoad(reader);
+        outcome.refusedNotRun = isRefusedNotRun(reader);
+        if (isLoadMalformed(reader))
             m_counters.add("worker_load_headers_malformed_total");
-        outcome.response = std::make_shared<const call_response>(reader.takeResponse());
+        outcome.response = std::make_shared<const call_response>(takeCallResponse(reader));
     } else if (exchange.transmissions() == 0) {
         outcome.end = attempt_end::not_sent;
     } else if (code == CURLE_OPERATION_TIMEDOUT) {
@@ -329,7 +332,7 @@
         return;
     const std::unique_ptr<probe> ended = std::move(found->second);
     m_probes.erase(found);
-    worker_exchange &exchange = *ended->exchange;
+    http_exchange &exchange = *ended->exchange;
     m_probeOf.erase(&exchange);
     countExchange(exchange);
     probe_finished outcome;
@@ -338,7 +341,7 @@
     outcome.bytes = static_cast<std::uint32_t>(bytes);
     m_counters.add("worker_probe_bytes_total", bytes);
     if (code == CURLE_OK && exchange.reader().complete() && exchange.reader().status() == 200) {
-        outcome.load = parseLoadDocument(exchange.reader().takeResponse().body);
+        outcome.load = parseLoadDocument(exchange.reader().takeBody());
         if (!outcome.load)
             m_counters.add("worker_load_documents_malformed_total");
     }
@@ -348,7 +351,7 @@
     m_decision->deliver(outcome);
 }
 
-void worker_transport::countExchange(const worker_exchange &exchange)
+void worker_transport::countExchange(const http_exchange &exchange)
 {
     m_counters.add("worker_bytes_sent_total", exchange.bytesSent());
     m_counters.add("worker_bytes_received_total", exchange.bytesReceived());
--- a/servers/worker_transport/worker_transport.h
+++ b/servers/worker_transport/worker_transport.h
@@ -12,10 +12,10 @@
 #include "servers/curl_loop/connection_table.h"
 #include "servers/curl_loop/curl_loop.h"
 #include "servers/curl_loop/easy_pool.h"
+#include "servers/curl_loop/http_exchange.h"
 #include "servers/event_loop/event_loop.h"
 #include "servers/event_loop/timer_watcher.h"
 #include "servers/ports.h"
-#include "servers/worker_transport/worker_exchange.h"
 #include "servers/worker_transport/worker_transport_settings.h"
 
 namespace almondnotch {
@@ -53,7 +53,7 @@
         instant deadline;
         bool waiting = false;
         bool retriedFresh = false;
-        std::unique_ptr<worker_exchange> exchange;
+        std::unique_ptr<http_exchange> exchange;
         std::unique_ptr<timer_watcher> waitTimer;
     };
     struct probe
@@ -61,7 +61,7 @@
         probe_id id {};
         instant deadline;
         bool retriedFresh = false;
-        std::unique_ptr<worker_exchange> exchange;
+        std::unique_ptr<http_exchange> exchange;
     };
     /// Attempts at one worker.
     struct worker_load
@@ -80,8 +80,8 @@
     void transferEnded(CURL *transfer, CURLcode code);
     void attemptEnded(attempt_id id, CURLcode code);
     void probeEnded(probe_id id, CURLcode code);
-    bool retryFresh(worker_exchange &exchange, instant deadline, bool &retried);
-    void countExchange(const worker_exchange &exchange);
+    bool retryFresh(http_exchange &exchange, instant deadline, bool &retried);
+    void countExchange(const http_exchange &exchange);
     void finishAttempt(attempt_finished outcome, bool deferred);
     void defer(event input);
     void deliverDeferred();
@@ -97,8 +97,8 @@
     std::unordered_map<attempt_id, std::unique_ptr<attempt>> m_attempts;
     std::unordered_map<probe_id, std::unique_ptr<probe>> m_probes;
     /// What an exchange in the multi handle belongs to.
-    std::unordered_map<const worker_exchange *, attempt_id> m_attemptOf;
-    std::unordered_map<const worker_exchange *, probe_id> m_probeOf;
+    std::unordered_map<const http_exchange *, attempt_id> m_attemptOf;
+    std::unordered_map<const http_exchange *, probe_id> m_probeOf;
     std::unordered_map<std::string, worker_load> m_workers;
     std::size_t m_waiting = 0;
     std::uint64_t m_openedCounted = 0;
--- /dev/null
+++ b/tests/servers/platform_client_test.cpp
@@ -0,0 +1,162 @@
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "servers/platform_client/register_services.h"
+#include "tests/servers/transport_fixture.h"
+#include "tests/standins/platform_standin/platform_server.h"
+
+namespace almondnotch {
+
+namespace {
+
+struct platform_fixture : transport_fixture
+{
+    platform_fixture()
+    {
+        server = platform_server::create(ev::loop_ref(loop->handle().get()), "127.0.0.1:0").value();
+        use(server->address());
+    }
+
+    /// Registers the client for one address and starts the kernel.
+    void use(const std::string &address)
+    {
+        platform_client_settings bounds;
+        bounds.address = address;
+        client = registerPlatformClient(owner, bounds).value();
+        BOOST_REQUIRE(owner.start());
+    }
+
+    void issue(const read_platform &order) { client->readPlatform(order); }
+
+    /// Results of all reads issued so far, in the order of their ends.
+    std::vector<platform_read_finished> wait(std::size_t count)
+    {
+        BOOST_REQUIRE(
+            runUntil([&]() { return sink->all<platform_read_finished>().size() == count; }));
+        return sink->all<platform_read_finished>();
+    }
+
+    std::unique_ptr<platform_server> server;
+    platform_client *client = nullptr;
+};
+
+read_platform watch(std::uint64_t id, platform_key key, std::uint64_t after, duration length)
+{
+    return {read_id(id), key, {}, after, length};
+}
+
+} // namespace
+
+// Guards against lost values, versions and absences.
+BOOST_FIXTURE_TEST_CASE(plain_reads_return_text_and_version, platform_fixture)
+{
+    const std::string hash(64, 'a');
+    BOOST_REQUIRE(server->store().publish("manifest", "version = 7", 7));
+    issue({read_id(1), platform_key::manifest, {}, 0, {}});
+    wait(1);
+    issue({read_id(2), platform_key::part, hash, 0, {}});
+    wait(2);
+    issue({read_id(3), platform_key::part, "../manifest", 0, {}});
+    const std::vector<platform_read_finished> ended = wait(3);
+    BOOST_REQUIRE(ended[0].value && ended[1].value);
+    BOOST_CHECK(ended[0].value->changed && ended[0].value->version == 7);
+    BOOST_CHECK_EQUAL(ended[0].value->text, "version = 7");
+    BOOST_CHECK_EQUAL(ended[1].value->version, 0U);
+    BOOST_CHECK(!ended[2].value && ended[2].value.error().code == error_code::invalid_argument);
+}
+
+// Guards against a watch that misses a publication or reports an unchanged value as new.
+BOOST_FIXTURE_TEST_CASE(watch_ends_with_the_change_or_unchanged, platform_fixture)
+{
+    BOOST_REQUIRE(server->store().publish("manifest", "version = 1", 1));
+    issue(watch(1, platform_key::manifest, 1, milliseconds(50)));
+    issue(watch(2, platform_key::manifest, 1, seconds(5)));
+    const std::vector<platform_read_finished> first = wait(1);
+    BOOST_REQUIRE(first[0].read == read_id(1) && first[0].value);
+    BOOST_CHECK(!first[0].value->changed && first[0].value->version == 1);
+    BOOST_REQUIRE(server->store().publish("manifest", "version = 2", 2));
+    server->wakeWatches();
+    const std::vector<platform_read_finished> both = wait(2);
+    BOOST_REQUIRE(both[1].value);
+    BOOST_CHECK(both[1].value->changed && both[1].value->version == 2);
+    BOOST_CHECK_EQUAL(both[1].value->text, "version = 2");
+}
+
+// Guards against a VM list without a usable version.
+BOOST_FIXTURE_TEST_CASE(vm_list_version_is_in_the_document, platform_fixture)
+{
+    BOOST_REQUIRE(server->store().publish("", R"([{"name":"a","state":"live"}])", 4));
+    issue({read_id(1), platform_key::vm_list, {}, 0, {}});
+    const std::vector<platform_read_finished> ended = wait(1);
+    BOOST_REQUIRE(ended[0].value);
+    BOOST_CHECK_EQUAL(ended[0].value->version, 4U);
+    BOOST_CHECK(ended[0].value->text.find(R"("name":"a")") != std::string::npos);
+}
+
+// Guards against a broken, over-long or unversioned response being taken for a value.
+BOOST_AUTO_TEST_CASE(faulty_responses_are_errors)
+{
+    const std::string version = "Platform-Version: 3\r\n";
+    const std::vector<std::pair<std::string, error_code>> responses {
+        {"HTTP/1.1 200 OK\r\n" + version + "Content-Length: 9\r\n\r\nhalf",
+         error_code::unavailable},
+        {"HTTP/1.1 200 OK\r\n" + version + "\r\nunframed", error_code::unavailable},
+        {"HTTP/1.1 200 OK\r\n" + version + "Content-Length: 1000001\r\n\r\n",
+         error_code::out_of_bounds},
+        {"HTTP/1.1 200 OK\r\n" + version + "Transfer-Encoding: chunked\r\n\r\nf4241\r\n"
+             + std::string(1'000'001, 'x') + "\r\n0\r\n\r\n",
+         error_code::out_of_bounds},
+        {framedResponse(200, {}, "x"), error_code::invalid_message},
+        {framedResponse(200, {{"Platform-Version", "-1"}}, "x"), error_code::invalid_message},
+        {framedResponse(304, {}, ""), error_code::invalid_message},
+        {framedResponse(503, {}, ""), error_code::unavailable},
+    };
+    for (const std::pair<std::string, error_code> &response : responses) {
+        transport_fixture fixture;
+        http_fake *serving = nullptr;
+        const std::unique_ptr<http_fake> fake
+            = fixture.listen([&](http_fake::connection_id connection, const fake_request &) {
+                  serving->respond(connection, response.first, true);
+              });
+        serving = fake.get();
+        platform_client_settings bounds;
+        bounds.address = fake->address();
+        platform_client *client = registerPlatformClient(fixture.owner, bounds).value();
+        BOOST_REQUIRE(fixture.owner.start());
+        client->readPlatform({read_id(1), platform_key::manifest, {}, 0, {}});
+        BOOST_REQUIRE(fixture.runUntil(
+            [&]() { return !fixture.sink->all<platform_read_finished>().empty(); }));
+        const platform_read_finished ended = fixture.sink->all<platform_read_finished>().front();
+        BOOST_REQUIRE(!ended.value);
+        BOOST_CHECK_MESSAGE(ended.value.error().code == response.second,
+                            toString(ended.value.error())
+                                << " for " << response.first.substr(0, 99));
+    }
+}
+
+// Guards against a watch on a hanging platform that never ends, and a missing report when it is
+// down.
+BOOST_AUTO_TEST_CASE(hanging_and_absent_platforms_are_errors)
+{
+    for (const bool listening : {true, false}) {
+        transport_fixture fixture;
+        const std::unique_ptr<http_fake> fake
+            = fixture.listen([](http_fake::connection_id, const fake_request &) {});
+        platform_client_settings bounds;
+        bounds.address = listening ? fake->address() : fixture.closedAddress();
+        bounds.watchGrace = milliseconds(50);
+        platform_client *client = registerPlatformClient(fixture.owner, bounds).value();
+        BOOST_REQUIRE(fixture.owner.start());
+        client->readPlatform(watch(1, platform_key::manifest, 1, milliseconds(50)));
+        BOOST_REQUIRE(fixture.runUntil(
+            [&]() { return !fixture.sink->all<platform_read_finished>().empty(); }));
+        const platform_read_finished ended = fixture.sink->all<platform_read_finished>().front();
+        BOOST_REQUIRE(!ended.value);
+        BOOST_CHECK(ended.value.error().code
+                    == (listening ? error_code::timed_out : error_code::unavailable));
+    }
+}
+
+} // namespace almondnotch
