--- a/decision/balance/balancer.h
+++ b/decision/balance/balancer.h
@@ -74,6 +74,7 @@
 struct probe_order
 {
     worker_index worker {};
+    std::string name;
     std::string address;
     duration timeLimit {0};
 };
@@ -115,6 +116,10 @@
 
     /// Probes that are due and within the budget. Each is followed by `probeFinished`.
     std::vector<probe_order> dueProbes(instant now);
+
+    /// A probe of one worker now, to find out whether it crashed. Counts against the same budget.
+    /// \return nothing if the budget is used up or a probe is under way.
+    std::optional<probe_order> checkWorker(instant now, worker_index worker);
     void probeFinished(instant now, worker_index worker, const std::optional<load_report> &load,
                        std::uint32_t bytes);
 
--- a/decision/claims/claim_table.cpp
+++ b/decision/claims/claim_table.cpp
@@ -99,7 +99,7 @@
         const auto successor = m_successors.find(verdict.owner);
         if (successor == m_successors.end())
             break;
-        verdict.owner = successor->second;
+        verdict.owner = successor->second.process;
     }
     return verdict;
 }
@@ -125,21 +125,22 @@
                        "claims of this key range are no longer kept; it may have run before",
                        requestId);
     }
-    if (age >= ranges.accept) {
-        m_counters.add("claims_refused_total{reason=\"too_old\"}");
-        return refusal(409, "key-range-too-old", "Key range accepts no new operations",
+    // Refused numbers stay refused: age only grows, the floor only rises, and nobody accepts new
+    // numbers of a range that was sealed or handed over.
+    if (age >= ranges.accept || key.range.minted < m_acceptFrom
+        || (m_sealed && isMechanismEnabled("claim_seal"))) {
+        m_counters.add("claims_refused_total{reason=\"range_closed\"}");
+        return refusal(409, "key-range-closed", "Key range accepts no new operations",
                        call_outcome::not_run, "ask for a new key range", requestId);
     }
-    if (m_sealed && isMechanismEnabled("claim_seal")) {
-        m_counters.add("claims_refused_total{reason=\"sealed\"}");
-        return refusal(503, "gateway-leaving", "Gateway is leaving", call_outcome::not_run,
-                       "the key was never used here; send it again", requestId, seconds(1));
-    }
     if (m_claims.size() >= m_settings.claimsMax) {
+        // There is no room to remember this number, so all present ranges are closed.
+        m_acceptFrom = now.sinceOrigin() + milliseconds(1);
         m_counters.add("claims_refused_total{reason=\"table_full\"}");
         return refusal(503, "claim-table-full", "Too many operations are remembered",
                        call_outcome::not_run,
-                       "at most " + std::to_string(m_settings.claimsMax) + " claims are kept",
+                       "at most " + std::to_string(m_settings.claimsMax)
+                           + " claims are kept; ask for a new key range",
                        requestId, seconds(5));
     }
 
@@ -179,7 +180,7 @@
         return verdict;
     }
     m_counters.add("claims_replayed_total");
-    if (known.outcome == call_outcome::run && known.response) {
+    if (known.outcome != call_outcome::unknown && known.response) {
         claim_result verdict;
         verdict.verdict = claim_verdict::replay;
         verdict.response = known.response;
@@ -188,6 +189,9 @@
     if (known.outcome == call_outcome::run)
         return refusal(409, "response-not-kept", "Operation ran; its response is not kept",
                        call_outcome::run, "the response was larger than the bound", requestId);
+    if (known.outcome == call_outcome::not_run)
+        return refusal(409, "operation-refused-before", "Operation was refused before",
+                       call_outcome::not_run, "use a new number of the key range", requestId);
     return refusal(502, "outcome-unknown", "Outcome of the operation is unknown",
                    call_outcome::unknown, "an earlier attempt may have run; it is not run again",
                    requestId);
@@ -228,13 +232,9 @@
     --m_running;
     std::vector<call_id> waiting = std::move(record.waiting);
     record.waiting.clear();
-    if (outcome == call_outcome::not_run) {
-        // The operation never ran, so that the same key may run later.
-        m_expiry.erase({record.expiry, key});
-        m_claims.erase(found);
-        return waiting;
-    }
-    if (outcome == call_outcome::run)
+    // `not_run` is final: a copy of the call that was delayed on its way here must not run after
+    // its caller was told that it did not. The caller uses a new number to try again.
+    if (outcome != call_outcome::unknown)
         keepResponse(record, response);
     return waiting;
 }
@@ -248,6 +248,11 @@
 
 void claim_table::expire(instant now)
 {
+    const duration lifetime = m_settings.accept + m_settings.repeat + forgetMargin;
+    std::erase_if(m_successors,
+                  [now, lifetime](const std::pair<const process_id, successor_entry> &entry) {
+                      return now - entry.second.since >= lifetime;
+                  });
     while (!m_expiry.empty() && m_expiry.begin()->first <= now) {
         const auto first = m_expiry.begin();
         const auto found = m_claims.find(first->second);
@@ -313,14 +318,14 @@
     return commit;
 }
 
-void claim_table::handOver(const process_id &owner, const process_id &successor)
+void claim_table::handOver(instant now, const process_id &owner, const process_id &successor)
 {
     m_invariants.check("handover_only_when_sealed", m_sealed, toString(owner));
     m_owned.erase(owner);
     // Ranges that were adopted keep their first record, "owner to this process"; the record of this
     // process leads on from there, so that every process has one successor.
     if (owner == m_self)
-        learnHandover({m_self, successor});
+        learnHandover(now, {m_self, successor, duration {0}});
 }
 
 bool claim_table::adopt(instant now, const process_id &sender, const handover_commit &commit,
@@ -330,7 +335,10 @@
         return false;
     if (m_owned.contains(commit.from))
         return true;
-    const owned_ranges ranges {commit.clock - now.sinceOrigin(), commit.accept, commit.repeat};
+    // Only repeats are answered: unused numbers of these ranges were refused while the range was
+    // sealed, and what was refused as `not_run` may never run.
+    const owned_ranges ranges {commit.clock - now.sinceOrigin(), duration {0},
+                               commit.accept + commit.repeat};
     for (const claim_record &record : claims) {
         const result<operation_key> key = parseOperationKey(record.key, m_settings.tokenKeys);
         if (!key || key->range.home != commit.from || m_claims.contains(record.key))
@@ -339,35 +347,39 @@
         kept.requestDigest = record.requestDigest;
         kept.outcome = record.outcome;
         kept.owner = commit.from;
-        if (record.outcome == call_outcome::run && record.response)
+        if (record.outcome != call_outcome::unknown && record.response)
             keepResponse(kept, record.response);
         insert(expiryOf(key->range, ranges), record.key, std::move(kept));
     }
     m_owned[commit.from] = ranges;
-    learnHandover({commit.from, commit.from == sender ? m_self : sender});
+    learnHandover(now, {commit.from, commit.from == sender ? m_self : sender, duration {0}});
     m_counters.add("claims_adopted_total", claims.size());
     return true;
 }
 
-void claim_table::learnHandover(const handover_record &record)
+void claim_table::learnHandover(instant now, const handover_record &record)
 {
-    if (record.from == record.to || (record.from == m_self && !m_sealed))
+    if (record.from == record.to || (record.from == m_self && !m_sealed)
+        || record.age >= m_settings.accept + m_settings.repeat + forgetMargin)
+        return;
+    const auto found = m_successors.find(record.from);
+    if (found != m_successors.end()) {
+        m_invariants.check("one_successor_per_process", found->second.process == record.to,
+                           toString(record.from));
+        return;
+    }
+    if (m_successors.size() >= successorsMax) {
+        m_counters.add("handovers_refused_total");
         return;
-    if (m_successors.size() >= successorsMax && !m_successors.contains(record.from)) {
-        m_counters.add("handovers_forgotten_total");
-        m_successors.erase(m_successors.begin());
     }
-    const auto inserted = m_successors.emplace(record.from, record.to);
-    m_invariants.check("one_successor_per_process",
-                       inserted.second || inserted.first->second == record.to,
-                       toString(record.from));
+    m_successors.emplace(record.from, successor_entry {record.to, now - record.age});
 }
 
-std::vector<handover_record> claim_table::handovers() const
+std::vector<handover_record> claim_table::handovers(instant now) const
 {
     std::vector<handover_record> records;
-    for (const std::pair<const process_id, process_id> &entry : m_successors)
-        records.push_back({entry.first, entry.second});
+    for (const std::pair<const process_id, successor_entry> &entry : m_successors)
+        records.push_back({entry.first, entry.second.process, now - entry.second.since});
     return records;
 }
 
@@ -377,8 +389,8 @@
     for (const std::pair<const process_id, owned_ranges> &entry : m_owned)
         owned.push_back(toString(entry.first));
     nlohmann::json successors = nlohmann::json::object();
-    for (const std::pair<const process_id, process_id> &entry : m_successors)
-        successors[toString(entry.first)] = toString(entry.second);
+    for (const std::pair<const process_id, successor_entry> &entry : m_successors)
+        successors[toString(entry.first)] = toString(entry.second.process);
     return {{"claims", m_claims.size()},
             {"claims_max", m_settings.claimsMax},
             {"running", m_running},
