Add the entry port for callers on libmicrohttpd

Callers' requests must become events only when they are whole and within the bounds, and a response must reach only the connection of its own request. servers/http_daemon drives a libmicrohttpd daemon without a thread from the libev loop; servers/http_entry collects and checks requests, suspends the connection, and answers on send_response. The only binding of calls to connections is one table of waiting exchanges.

--- /dev/null
+++ b/servers/http_daemon/http_daemon.cpp
@@ -0,0 +1,143 @@
+#include "servers/http_daemon/http_daemon.h"
+
+#include <cstdarg>
+#include <cstdio>
+
+#include <unistd.h>
+
+#include "servers/http_daemon/socket_address.h"
+
+namespace almondnotch {
+
+namespace {
+
+http_request_handler &handlerOf(void *closure)
+{
+    return *static_cast<http_request_handler *>(closure);
+}
+
+void *onRequestLine(void *closure, const char *target, MHD_Connection *connection)
+{
+    return handlerOf(closure).beginRequest(connection, target);
+}
+
+// The parsed URL is not used: the target that onRequestLine got is forwarded as it is.
+MHD_Result onRequest(void *closure, MHD_Connection *connection, const char * /*url*/,
+                     const char *method, const char *version, const char *data, std::size_t *size,
+                     void **request)
+{
+    return handlerOf(closure).handleRequest(connection, *request, method, version, data, size);
+}
+
+void onCompleted(void *closure, MHD_Connection * /*connection*/, void **request,
+                 MHD_RequestTerminationCode /*reason*/)
+{
+    if (*request != nullptr)
+        handlerOf(closure).endRequest(*request);
+    *request = nullptr;
+}
+
+void onConnection(void *closure, MHD_Connection *connection, void **state,
+                  MHD_ConnectionNotificationCode change)
+{
+    if (change == MHD_CONNECTION_NOTIFY_STARTED) {
+        *state = handlerOf(closure).openConnection(connection);
+    } else if (*state != nullptr) {
+        handlerOf(closure).closeConnection(*state);
+        *state = nullptr;
+    }
+}
+
+void onLibraryError(void *closure, const char *format, va_list arguments)
+{
+    char text[512];
+    if (std::vsnprintf(text, sizeof text, format, arguments) < 0)
+        return;
+    std::string_view message = text;
+    while (!message.empty() && message.back() == '\n')
+        message.remove_suffix(1);
+    handlerOf(closure).reportLibraryError(message);
+}
+
+} // namespace
+
+http_daemon::http_daemon(const event_loop &loop)
+    : m_epollWatcher(loop, [this](int /*events*/) { run(); }), m_timeout(loop, [this] { run(); })
+{ }
+
+result<std::unique_ptr<http_daemon>> http_daemon::create(const event_loop &loop,
+                                                         const http_daemon_options &options,
+                                                         http_request_handler &handler)
+{
+    const result<socket_address> address = socket_address::parse(options.address);
+    if (!address)
+        return tl::unexpected(address.error());
+    const result<int> listening = address->listen(options.backlog);
+    if (!listening)
+        return tl::unexpected(listening.error());
+
+    std::unique_ptr<http_daemon> created(new http_daemon(loop));
+    created->m_daemon = MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, 0, nullptr, nullptr,
+        &onRequest, &handler,
+        // The logger must come first, so that errors in later options reach it.
+        MHD_OPTION_EXTERNAL_LOGGER, &onLibraryError, &handler, MHD_OPTION_LISTEN_SOCKET, *listening,
+        MHD_OPTION_CONNECTION_LIMIT, options.connectionsMax, MHD_OPTION_CONNECTION_TIMEOUT,
+        static_cast<unsigned>(options.idleTimeout.count()), MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        options.connectionMemory, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_URI_LOG_CALLBACK,
+        &onRequestLine, &handler, MHD_OPTION_NOTIFY_COMPLETED, &onCompleted, &handler,
+        MHD_OPTION_NOTIFY_CONNECTION, &onConnection, &handler, MHD_OPTION_END);
+    if (created->m_daemon == nullptr) {
+        ::close(*listening);
+        return fail(error_code::unavailable, "start HTTP daemon", options.address,
+                    "libmicrohttpd did not start");
+    }
+    const MHD_DaemonInfo *epoll = MHD_get_daemon_info(created->m_daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    created->m_epollWatcher.start(epoll->epoll_fd, EV_READ);
+    return created;
+}
+
+http_daemon::~http_daemon()
+{
+    m_epollWatcher.stop();
+    m_timeout.stop();
+    if (m_daemon == nullptr)
+        return;
+    // Lets libmicrohttpd take back connections that were resumed since the last run.
+    MHD_run(m_daemon);
+    MHD_stop_daemon(m_daemon);
+}
+
+std::uint16_t http_daemon::port() const
+{
+    return MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+void http_daemon::stopAccepting()
+{
+    const MHD_socket listening = MHD_quiesce_daemon(m_daemon);
+    if (listening != MHD_INVALID_SOCKET)
+        ::close(listening);
+}
+
+void http_daemon::resume(MHD_Connection *connection)
+{
+    MHD_resume_connection(connection);
+    // Without a thread of its own, libmicrohttpd 0.9.75 does not make its epoll descriptor ready
+    // when a connection is resumed.
+    m_timeout.start(duration(0));
+}
+
+void http_daemon::run()
+{
+    MHD_run(m_daemon);
+    // libmicrohttpd does not report all of its pending work through the epoll descriptor; a
+    // timeout of 0 stands for work that is ready now.
+    MHD_UNSIGNED_LONG_LONG wait = 0;
+    if (MHD_get_timeout(m_daemon, &wait) == MHD_YES)
+        m_timeout.start(milliseconds(wait));
+    else
+        m_timeout.stop();
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/http_entry/http_entry.cpp
@@ -0,0 +1,548 @@
+#include "servers/http_entry/http_entry.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <optional>
+#include <system_error>
+#include <utility>
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include "core/log_line.h"
+#include "servers/http_entry/header_filter.h"
+#include "servers/http_entry/response_writer.h"
+
+namespace almondnotch {
+
+namespace {
+
+const char *const logPrefix = "entry";
+const char *const wellKnownPrefix = "/.well-known/almondnotch/";
+constexpr std::size_t serviceNameBytesMax = 256;
+
+/// Bodies up to this multiple of the bound are read and discarded, so that the caller reads the
+/// refusal; closing with unread data would reset the connection before that.
+constexpr std::uint64_t discardFactor = 4;
+
+MHD_Result collectField(void *closure, MHD_ValueKind /*kind*/, const char *name,
+                        std::size_t nameSize, const char *value, std::size_t valueSize)
+{
+    std::vector<header_field> &fields = *static_cast<std::vector<header_field> *>(closure);
+    fields.push_back({std::string(name, nameSize),
+                      value == nullptr ? std::string() : std::string(value, valueSize)});
+    return MHD_YES;
+}
+
+std::optional<std::uint64_t> declaredLength(const std::vector<header_field> &fields)
+{
+    for (const header_field &field : fields) {
+        if (!isSameField(field.name, "Content-Length"))
+            continue;
+        std::uint64_t length = 0;
+        const char *end = field.value.data() + field.value.size();
+        const std::from_chars_result parsed = std::from_chars(field.value.data(), end, length);
+        if (parsed.ec == std::errc() && parsed.ptr == end)
+            return length;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+http_entry::http_entry(entry_settings settings)
+    : m_settings(std::move(settings)), m_random(m_settings.seed)
+{ }
+
+http_entry::~http_entry()
+{
+    stop();
+}
+
+result<void> http_entry::start(kernel &owner)
+{
+    const result<event_loop *> loop = owner.find<event_loop>("loop");
+    if (!loop)
+        return tl::unexpected(loop.error());
+    const result<event_sink *> decision = owner.find<event_sink>("decision");
+    if (!decision)
+        return tl::unexpected(decision.error());
+    m_loop = *loop;
+    m_decision = *decision;
+    m_stopping = false;
+
+    http_daemon_options options;
+    options.address = m_settings.address;
+    options.connectionsMax = m_settings.connectionsMax;
+    options.idleTimeout = m_settings.idleTimeout;
+    // Request and response headers are in this memory at the same time; the rest lets a request
+    // that is over the bound be read far enough to be refused as a problem.
+    options.connectionMemory = 3 * m_settings.headerBytesMax;
+    result<std::unique_ptr<http_daemon>> daemon = http_daemon::create(*m_loop, options, *this);
+    if (!daemon)
+        return tl::unexpected(daemon.error());
+    m_daemon = std::move(*daemon);
+
+    m_flushTimer = std::make_unique<timer_watcher>(*m_loop, [this] {
+        if (m_flushDone)
+            std::exchange(m_flushDone, nullptr)();
+    });
+    m_sweepTimer = std::make_unique<timer_watcher>(*m_loop, [this] { sweep(); });
+    m_sweepTimer->startRepeating(
+        std::clamp<duration>(m_settings.receiveTimeMax / 4, milliseconds(50), seconds(1)));
+    return {};
+}
+
+void http_entry::stop()
+{
+    m_stopping = true;
+    m_sweepTimer.reset();
+    m_flushTimer.reset();
+    m_flushDone = nullptr;
+    while (!m_waiting.empty())
+        abandon(*m_waiting.begin()->second);
+    m_daemon.reset();
+}
+
+void *http_entry::beginRequest(MHD_Connection *connection, const char *target)
+{
+    std::unique_ptr<http_exchange> exchange = std::make_unique<http_exchange>();
+    exchange->connection = connection;
+    exchange->target = target;
+    stateOf(connection).receiveDeadline = m_loop->now() + m_settings.receiveTimeMax;
+    return exchange.release();
+}
+
+MHD_Result http_entry::handleRequest(MHD_Connection *connection, void *request, const char *method,
+                                     const char *version, const char *data, std::size_t *size)
+{
+    // Connections go on during `stop`; a request that arrives then must not become an event.
+    if (m_stopping)
+        return MHD_NO;
+    http_exchange &exchange = *static_cast<http_exchange *>(request);
+    switch (exchange.current) {
+    case phase::head:
+        return receiveHead(exchange, method, version);
+    case phase::body:
+        if (*size == 0)
+            return finishRequest(exchange);
+        receiveBody(exchange, {data, *size});
+        *size = 0;
+        // No response can be sent before the end of the body, and a caller that goes on sending
+        // would not read it.
+        if (exchange.receivedBytes > discardFactor * m_settings.bodyBytesMax)
+            return MHD_NO;
+        return MHD_YES;
+    case phase::answered:
+        return resumeRequest(exchange, connection);
+    case phase::waiting:
+    case phase::sending:
+        return MHD_YES;
+    case phase::abandoned:
+        return MHD_NO;
+    }
+    return MHD_NO;
+}
+
+MHD_Result http_entry::receiveHead(http_exchange &exchange, const char *method, const char *version)
+{
+    exchange.current = phase::body;
+    request_head head;
+    head.method = method;
+    head.version = version;
+    head.target = exchange.target;
+    MHD_get_connection_values_n(exchange.connection, MHD_HEADER_KIND, &collectField, &head.fields);
+    exchange.requestId = chooseRequestId(head.fields, makeRequestId());
+
+    const MHD_ConnectionInfo *headSize
+        = MHD_get_connection_info(exchange.connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+    if (headSize != nullptr && headSize->header_size > m_settings.headerBytesMax) {
+        refuse(exchange, {431, "headers-too-large", "Request header fields too large",
+                          "expected at most " + std::to_string(m_settings.headerBytesMax)
+                              + " bytes, found " + std::to_string(headSize->header_size)});
+    } else {
+        tl::expected<call_request, request_refusal> parsed
+            = parseRequestHead(head, exchange.requestId);
+        if (parsed)
+            exchange.request = std::make_shared<call_request>(std::move(*parsed));
+        else
+            refuse(exchange, parsed.error());
+    }
+
+    const std::uint64_t length = declaredLength(head.fields).value_or(0);
+    if (length > m_settings.bodyBytesMax)
+        refuse(exchange, {413, "body-too-large", "Request body too large",
+                          "expected at most " + std::to_string(m_settings.bodyBytesMax)
+                              + " bytes, found " + std::to_string(length)});
+    if (!exchange.refusal) {
+        reserveBody(exchange, length);
+        if (exchange.request)
+            exchange.request->body.reserve(length);
+        return MHD_YES;
+    }
+    // A response before the end of the request closes the connection. That is needed if the end
+    // cannot be told or is too far away; otherwise the connection stays usable.
+    const bool framingKnown = exchange.refusal->type != "framing-invalid"
+                              && exchange.refusal->type != "version-unsupported";
+    if (framingKnown && length <= discardFactor * m_settings.bodyBytesMax)
+        return MHD_YES;
+    return finishRequest(exchange);
+}
+
+void http_entry::receiveBody(http_exchange &exchange, std::string_view data)
+{
+    exchange.receivedBytes += data.size();
+    if (exchange.receivedBytes > m_settings.bodyBytesMax)
+        refuse(exchange,
+               {413, "body-too-large", "Request body too large",
+                "expected at most " + std::to_string(m_settings.bodyBytesMax) + " bytes"});
+    reserveBody(exchange, exchange.receivedBytes);
+    if (!exchange.refusal)
+        exchange.request->body.append(data);
+}
+
+void http_entry::reserveBody(http_exchange &exchange, std::uint64_t bytes)
+{
+    if (exchange.refusal || bytes <= exchange.heldBytes)
+        return;
+    const std::uint64_t more = bytes - exchange.heldBytes;
+    if (m_heldBytes + more > m_settings.heldBodyBytesMax) {
+        refuse(exchange, {503, "body-memory-full", "Too many request bodies in progress",
+                          "expected at most " + std::to_string(m_settings.heldBodyBytesMax)
+                              + " bytes of bodies"});
+        return;
+    }
+    m_heldBytes += more;
+    exchange.heldBytes = bytes;
+}
+
+void http_entry::refuse(http_exchange &exchange, const request_refusal &reason)
+{
+    if (exchange.refusal)
+        return;
+    exchange.refusal = refusalProblem(exchange, reason);
+    exchange.request.reset();
+    m_heldBytes -= exchange.heldBytes;
+    exchange.heldBytes = 0;
+}
+
+problem http_entry::refusalProblem(const http_exchange &exchange, const request_refusal &reason)
+{
+    m_counters.add("entry_refused_total{reason=\"" + reason.type + "\"}");
+    problem cause;
+    cause.status = reason.status;
+    cause.type = reason.type;
+    cause.title = reason.title;
+    cause.outcome = call_outcome::not_run;
+    cause.step = "receive request";
+    cause.detail = reason.detail;
+    cause.requestId = exchange.requestId;
+    if (reason.status == 503)
+        cause.retryAfter = seconds(1);
+    return cause;
+}
+
+MHD_Result http_entry::finishRequest(http_exchange &exchange)
+{
+    stateOf(exchange.connection).receiveDeadline = instant::never();
+    if (exchange.refusal)
+        return answer(exchange, makeProblemResponse(*exchange.refusal));
+    const std::string_view target = exchange.request->target;
+    const std::string_view path = target.substr(0, target.find('?'));
+    if (path.starts_with(wellKnownPrefix))
+        return answerWellKnown(exchange, path.substr(std::string_view(wellKnownPrefix).size()));
+
+    m_counters.add("entry_calls_total");
+    const MHD_Result suspended = suspend(exchange, false);
+    m_decision->deliver(call_received {call_id {exchange.id}, exchange.request});
+    return suspended;
+}
+
+MHD_Result http_entry::answerWellKnown(http_exchange &exchange, std::string_view path)
+{
+    const std::string &method = exchange.request->method;
+    if (path != "entry" && path != "health") {
+        refuse(exchange,
+               {404, "not-found", "No such resource", "expected \"entry\" or \"health\""});
+        return answer(exchange, makeProblemResponse(*exchange.refusal));
+    }
+    if (method != "GET" && method != "HEAD") {
+        refuse(exchange, {405, "method-not-allowed", "Method not allowed", "expected GET or HEAD"});
+        return answer(exchange, makeProblemResponse(*exchange.refusal));
+    }
+    if (path == "entry")
+        return answerEntryQuery(exchange);
+    std::shared_ptr<call_response> response = std::make_shared<call_response>();
+    response->status = 200;
+    response->headers.push_back({"Content-Type", "text/plain"});
+    response->body = "ok\n";
+    return answer(exchange, std::move(response));
+}
+
+MHD_Result http_entry::answerEntryQuery(http_exchange &exchange)
+{
+    const char *name
+        = MHD_lookup_connection_value(exchange.connection, MHD_GET_ARGUMENT_KIND, "service");
+    std::string wanted = name == nullptr ? "" : name;
+    if (wanted.empty() || wanted.size() > serviceNameBytesMax) {
+        refuse(exchange, {400, "service-invalid", "Invalid service name",
+                          "expected the query parameter service with 1 to "
+                              + std::to_string(serviceNameBytesMax) + " bytes"});
+        return answer(exchange, makeProblemResponse(*exchange.refusal));
+    }
+    m_counters.add("entry_queries_total");
+    exchange.service = std::move(wanted);
+    const MHD_Result suspended = suspend(exchange, true);
+    m_decision->deliver(entry_query {query_id {exchange.id}, exchange.service});
+    return suspended;
+}
+
+/// Suspends before the event is delivered, since the response may come from within the delivery.
+MHD_Result http_entry::suspend(http_exchange &exchange, bool isQuery)
+{
+    exchange.id = ++m_lastId;
+    exchange.isQuery = isQuery;
+    exchange.current = phase::waiting;
+    m_waiting.emplace(exchange.id, &exchange);
+    MHD_suspend_connection(exchange.connection);
+    exchange.disconnectWatcher = std::make_unique<io_watcher>(
+        *m_loop, [this, &exchange](int /*events*/) { callerReadable(exchange); });
+    exchange.disconnectWatcher->start(stateOf(exchange.connection).descriptor, EV_READ);
+    return MHD_YES;
+}
+
+void http_entry::callerReadable(http_exchange &exchange)
+{
+    char byte = 0;
+    const ssize_t received = ::recv(stateOf(exchange.connection).descriptor, &byte, sizeof byte,
+                                    MSG_PEEK | MSG_DONTWAIT);
+    if (received > 0) {
+        // The next request is already there, and its bytes hide the end of the connection;
+        // `sweep` looks for that instead.
+        exchange.isPipelining = true;
+        exchange.disconnectWatcher->stop();
+        return;
+    }
+    if (received < 0 && (errno == EAGAIN || errno == EINTR))
+        return;
+    callerGone(exchange.id);
+}
+
+/// Reports the caller of a waiting exchange as disconnected, once.
+void http_entry::callerGone(std::uint64_t id)
+{
+    const auto found = m_waiting.find(id);
+    if (found == m_waiting.end())
+        return;
+    const bool isQuery = found->second->isQuery;
+    abandon(*found->second);
+    m_counters.add("entry_callers_disconnected_total");
+    if (!isQuery)
+        m_decision->deliver(caller_disconnected {call_id {id}});
+}
+
+/// Ends the wait without a response; libmicrohttpd then closes the connection.
+void http_entry::abandon(http_exchange &exchange)
+{
+    m_waiting.erase(exchange.id);
+    exchange.disconnectWatcher.reset();
+    exchange.current = phase::abandoned;
+    m_daemon->resume(exchange.connection);
+}
+
+void http_entry::sendResponse(const send_response &order)
+{
+    deliverResponse(static_cast<std::uint64_t>(order.call), false, order.response,
+                    order.closeConnection);
+}
+
+void http_entry::sendEntryResponse(const send_entry_response &order)
+{
+    const std::uint64_t id = static_cast<std::uint64_t>(order.query);
+    const auto found = m_waiting.find(id);
+    if (found == m_waiting.end() || !found->second->isQuery) {
+        m_counters.add("entry_responses_dropped_total");
+        return;
+    }
+    http_exchange &exchange = *found->second;
+    if (order.addresses.empty()) {
+        const problem cause = refusalProblem(
+            exchange, {503, "entry-unavailable", "No entry address",
+                       order.refusal.empty() ? "no address is known" : order.refusal});
+        deliverResponse(id, true, makeProblemResponse(cause), false);
+        return;
+    }
+    deliverResponse(id, true, makeEntryResponse(exchange.service, order), false);
+}
+
+void http_entry::deliverResponse(std::uint64_t id, bool isQuery, shared_response response,
+                                 bool close)
+{
+    const auto found = m_waiting.find(id);
+    if (found == m_waiting.end() || found->second->isQuery != isQuery) {
+        m_counters.add("entry_responses_dropped_total");
+        return;
+    }
+    http_exchange &exchange = *found->second;
+    m_waiting.erase(found);
+    exchange.disconnectWatcher.reset();
+    exchange.response = std::move(response);
+    exchange.closeConnection = close;
+    exchange.current = phase::answered;
+    markUnsent(exchange);
+    m_daemon->resume(exchange.connection);
+}
+
+MHD_Result http_entry::resumeRequest(http_exchange &exchange, MHD_Connection *connection)
+{
+    if (exchange.connection == connection)
+        return queueResponse(exchange);
+    // Must not happen: a response would reach another caller.
+    m_counters.add("entry_connection_mismatches_total");
+    log_line(log_level::error, logPrefix, "response is bound to another connection")
+        .field("request_id", exchange.requestId);
+    return MHD_NO;
+}
+
+MHD_Result http_entry::answer(http_exchange &exchange, shared_response response)
+{
+    exchange.response = std::move(response);
+    markUnsent(exchange);
+    return queueResponse(exchange);
+}
+
+MHD_Result http_entry::queueResponse(http_exchange &exchange)
+{
+    exchange.current = phase::sending;
+    const bool isHead = exchange.request && exchange.request->method == "HEAD";
+    const std::optional<std::string> fault
+        = findResponseFault(*exchange.response, m_settings.headerBytesMax);
+    if (fault) {
+        problem cause
+            = refusalProblem(exchange, {502, "response-invalid",
+                                        "The worker's response cannot be forwarded", *fault});
+        cause.step = "send response";
+        cause.outcome = exchange.response->outcome;
+        exchange.response = makeProblemResponse(cause);
+    }
+    m_counters.add("entry_responses_total{class=\""
+                   + std::to_string(exchange.response->status / 100) + "xx\"}");
+    response_options options;
+    options.requestId = exchange.requestId;
+    options.isHead = isHead;
+    options.closeConnection = exchange.closeConnection;
+    MHD_Response *response = makeLibraryResponse(exchange.response, options);
+    if (response == nullptr)
+        return MHD_NO;
+    const MHD_Result queued = MHD_queue_response(
+        exchange.connection, static_cast<unsigned>(exchange.response->status), response);
+    MHD_destroy_response(response);
+    return queued;
+}
+
+void http_entry::markUnsent(http_exchange &exchange)
+{
+    exchange.isUnsent = true;
+    ++m_unsent;
+}
+
+void http_entry::endRequest(void *request)
+{
+    const std::unique_ptr<http_exchange> exchange(static_cast<http_exchange *>(request));
+    m_heldBytes -= exchange->heldBytes;
+    if (exchange->current == phase::waiting) {
+        m_waiting.erase(exchange->id);
+        if (!m_stopping && !exchange->isQuery)
+            m_decision->deliver(caller_disconnected {call_id {exchange->id}});
+    }
+    stateOf(exchange->connection).receiveDeadline
+        = m_loop->now() + m_settings.idleTimeout + m_settings.receiveTimeMax;
+    if (!exchange->isUnsent)
+        return;
+    --m_unsent;
+    if (m_unsent == 0 && m_flushDone)
+        m_flushTimer->start(duration(0));
+}
+
+void http_entry::flush(duration timeLimit, std::function<void()> done)
+{
+    m_flushDone = std::move(done);
+    m_daemon->stopAccepting();
+    m_flushTimer->start(m_unsent == 0 ? duration(0) : timeLimit);
+}
+
+void *http_entry::openConnection(MHD_Connection *connection)
+{
+    std::unique_ptr<connection_state> state = std::make_unique<connection_state>();
+    state->connection = connection;
+    state->descriptor
+        = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+    state->receiveDeadline = m_loop->now() + m_settings.idleTimeout + m_settings.receiveTimeMax;
+    connection_state *borrowed = state.get();
+    m_connections.emplace(connection, std::move(state));
+    m_counters.add("entry_connections_total");
+    m_counters.set("entry_connections", static_cast<double>(m_connections.size()));
+    return borrowed;
+}
+
+void http_entry::closeConnection(void *connectionState)
+{
+    m_connections.erase(static_cast<connection_state *>(connectionState)->connection);
+    m_counters.set("entry_connections", static_cast<double>(m_connections.size()));
+}
+
+void http_entry::reportLibraryError(std::string_view message)
+{
+    m_counters.add("entry_http_errors_total");
+    log_line(log_level::debug, logPrefix, "libmicrohttpd reported an error")
+        .field("message", message);
+}
+
+http_entry::connection_state &http_entry::stateOf(MHD_Connection *connection)
+{
+    return *static_cast<connection_state *>(
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context);
+}
+
+/// Ends connections whose request takes too long to arrive, and finds disconnected callers among
+/// those that sent more data while they wait.
+void http_entry::sweep()
+{
+    const instant now = m_loop->now();
+    for (const auto &[connection, state] : m_connections) {
+        if ((now - state->receiveDeadline).count() < 0)
+            continue;
+        state->receiveDeadline = instant::never();
+        m_counters.add("entry_receive_timeouts_total");
+        // libmicrohttpd closes the connection when it next reads from it.
+        ::shutdown(state->descriptor, SHUT_RDWR);
+    }
+    std::vector<std::uint64_t> disconnected;
+    for (const auto &[id, exchange] : m_waiting) {
+        if (!exchange->isPipelining)
+            continue;
+        pollfd status {stateOf(exchange->connection).descriptor, POLLRDHUP, 0};
+        if (::poll(&status, 1, 0) == 1)
+            disconnected.push_back(id);
+    }
+    // Reporting one may end the wait of others.
+    for (const std::uint64_t id : disconnected)
+        callerGone(id);
+}
+
+std::string http_entry::makeRequestId()
+{
+    static const char *const digits = "0123456789abcdef";
+    std::string text;
+    for (int part = 0; part < 2; ++part) {
+        std::uint64_t bits = m_random.next();
+        for (int digit = 0; digit < 16; ++digit) {
+            text += digits[bits & 15];
+            bits >>= 4;
+        }
+    }
+    return text;
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/http_entry/http_entry.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "core/counters.h"
+#include "core/random_source.h"
+#include "servers/event_loop/event_loop.h"
+#include "servers/event_loop/timer_watcher.h"
+#include "servers/http_daemon/http_daemon.h"
+#include "servers/http_entry/entry_settings.h"
+#include "servers/http_entry/http_exchange.h"
+#include "servers/http_entry/request_head.h"
+#include "servers/ports.h"
+
+namespace almondnotch {
+
+/// Service "http_entry": receives calls and entry queries of callers over HTTP/1.1 and sends their
+/// responses.
+///
+/// A request becomes an event only when it is whole and within the bounds; everything else is
+/// answered here as a problem with the outcome `not-run`. libmicrohttpd answers requests that it
+/// cannot parse itself (400, 413, 414 and 431 with an HTML body); these are only counted.
+class http_entry : public entry_port, private http_request_handler
+{
+public:
+    explicit http_entry(entry_settings settings);
+    ~http_entry() override;
+
+    /// Listens. Finds "loop" and "decision".
+    result<void> start(kernel &owner) override;
+    /// Closes all connections, with responses pending or not.
+    void stop() override;
+
+    void sendResponse(const send_response &order) override;
+    void sendEntryResponse(const send_entry_response &order) override;
+    void flush(duration timeLimit, std::function<void()> done) override;
+    const counter_set &counters() const override { return m_counters; }
+
+    /// Port that callers connect to.
+    std::uint16_t port() const { return m_daemon->port(); }
+
+private:
+    struct connection_state
+    {
+        MHD_Connection *connection = nullptr;
+        int descriptor = -1;
+        /// Time by which the request that is being received must be whole.
+        instant receiveDeadline = instant::never();
+    };
+
+    using phase = http_exchange::phase;
+
+    void *beginRequest(MHD_Connection *connection, const char *target) override;
+    MHD_Result handleRequest(MHD_Connection *connection, void *request, const char *method,
+                             const char *version, const char *data, std::size_t *size) override;
+    void endRequest(void *request) override;
+    void *openConnection(MHD_Connection *connection) override;
+    void closeConnection(void *connectionState) override;
+    void reportLibraryError(std::string_view message) override;
+
+    MHD_Result receiveHead(http_exchange &exchange, const char *method, const char *version);
+    void receiveBody(http_exchange &exchange, std::string_view data);
+    MHD_Result finishRequest(http_exchange &exchange);
+    MHD_Result answerWellKnown(http_exchange &exchange, std::string_view path);
+    MHD_Result answerEntryQuery(http_exchange &exchange);
+    MHD_Result suspend(http_exchange &exchange, bool isQuery);
+    MHD_Result resumeRequest(http_exchange &exchange, MHD_Connection *connection);
+
+    void reserveBody(http_exchange &exchange, std::uint64_t bytes);
+    void refuse(http_exchange &exchange, const request_refusal &reason);
+    problem refusalProblem(const http_exchange &exchange, const request_refusal &reason);
+    MHD_Result answer(http_exchange &exchange, shared_response response);
+    MHD_Result queueResponse(http_exchange &exchange);
+    void deliverResponse(std::uint64_t id, bool isQuery, shared_response response, bool close);
+    void markUnsent(http_exchange &exchange);
+
+    void callerReadable(http_exchange &exchange);
+    void callerGone(std::uint64_t id);
+    void abandon(http_exchange &exchange);
+    void sweep();
+    std::string makeRequestId();
+    static connection_state &stateOf(MHD_Connection *connection);
+
+    entry_settings m_settings;
+    random_source m_random;
+    counter_set m_counters;
+    event_loop *m_loop = nullptr;
+    event_sink *m_decision = nullptr;
+    std::unique_ptr<http_daemon> m_daemon;
+    std::unique_ptr<timer_watcher> m_sweepTimer;
+    std::unique_ptr<timer_watcher> m_flushTimer;
+    std::function<void()> m_flushDone;
+    /// The only binding of calls and queries to connections. An exchange is in it exactly while it
+    /// is `waiting`.
+    std::unordered_map<std::uint64_t, http_exchange *> m_waiting;
+    std::unordered_map<MHD_Connection *, std::unique_ptr<connection_state>> m_connections;
+    std::uint64_t m_lastId = 0;
+    std::uint64_t m_heldBytes = 0;
+    std::size_t m_unsent = 0;
+    bool m_stopping = false;
+};
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/http_entry/register_services.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "core/error.h"
+#include "core/kernel.h"
+#include "servers/http_entry/entry_settings.h"
+#include "servers/http_entry/http_entry.h"
+
+namespace almondnotch {
+
+/// Adds the service "http_entry".
+/// \return the service, which the kernel owns.
+result<http_entry *> registerHttpEntry(kernel &owner, entry_settings settings);
+
+} // namespace almondnotch
--- /dev/null
+++ b/tests/servers/http_entry_test.cpp
@@ -0,0 +1,440 @@
+#include <algorithm>
+#include <memory>
+#include <ostream>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "servers/event_loop/register_services.h"
+#include "servers/http_entry/register_services.h"
+#include "tests/servers/loop_driver.h"
+#include "tests/servers/raw_client.h"
+
+using namespace almondnotch;
+
+namespace {
+
+class recording_sink : public event_sink
+{
+public:
+    result<void> start(kernel & /*owner*/) override { return {}; }
+    void stop() override { }
+    void deliver(event input) override { events.push_back(std::move(input)); }
+
+    std::vector<event> events;
+};
+
+struct entry_fixture
+{
+    entry_fixture()
+    {
+        entry_settings settings;
+        settings.address = "127.0.0.1:0";
+        settings.receiveTimeMax = milliseconds(300);
+        settings.bodyBytesMax = 65536;
+        settings.heldBodyBytesMax = 102400;
+        loop = *registerEventLoop(owner);
+        std::unique_ptr<recording_sink> part = std::make_unique<recording_sink>();
+        sink = part.get();
+        BOOST_REQUIRE(owner.add("decision", start_level::decisions, std::move(part)));
+        entry = *registerHttpEntry(owner, settings);
+        BOOST_REQUIRE(owner.start());
+    }
+    entry_fixture(const entry_fixture &) = delete;
+    entry_fixture &operator=(const entry_fixture &) = delete;
+
+    bool waitForEvents(std::size_t count)
+    {
+        return runUntil(*loop, [this, count] { return sink->events.size() >= count; });
+    }
+
+    bool waitForResponse(raw_client &client, bool isHead = false)
+    {
+        return runUntil(*loop, [&client, isHead] { return client.hasResponse(isHead); });
+    }
+
+    const call_received &call(std::size_t index)
+    {
+        return std::get<call_received>(sink->events.at(index));
+    }
+
+    void respond(std::size_t index, call_response response, bool close = false)
+    {
+        entry->sendResponse(
+            {call(index).call, std::make_shared<const call_response>(std::move(response)), close});
+    }
+
+    /// Sends one request and returns the status of the response, which must not have been a call.
+    int statusOf(const std::string &request)
+    {
+        raw_client client(entry->port());
+        client.send(request);
+        BOOST_TEST(waitForResponse(client));
+        BOOST_TEST(sink->events.empty());
+        lastResponse = client.received();
+        return client.status();
+    }
+
+    std::uint64_t refused(const std::string &reason)
+    {
+        return entry->counters().value("entry_refused_total{reason=\"" + reason + "\"}");
+    }
+
+    kernel owner;
+    event_loop *loop = nullptr;
+    recording_sink *sink = nullptr;
+    http_entry *entry = nullptr;
+    std::string lastResponse;
+};
+
+std::string get(const std::string &path, const std::string &fields = "")
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n";
+}
+
+bool hasField(const call_request &request, const std::string &name)
+{
+    return std::any_of(request.headers.begin(), request.headers.end(),
+                       [&name](const header_field &field) { return field.name == name; });
+}
+
+struct refused_case
+{
+    const char *request;
+    int status;
+    const char *reason;
+};
+
+std::ostream &operator<<(std::ostream &out, const refused_case &input)
+{
+    return out << input.reason << " " << input.request;
+}
+
+const refused_case refusedCases[] = {
+    {"GET /a HTTP/1.1\r\nHost: a\r\nAlmondnotch-Deadline-Ms: 0\r\n\r\n", 400, "deadline-invalid"},
+    {"GET /a HTTP/1.1\r\nHost: a\r\nAlmondnotch-Deadline-Ms: 600001\r\n\r\n", 400,
+     "deadline-invalid"},
+    {"GET /a HTTP/1.1\r\nHost: a\r\nAlmondnotch-Deadline-Ms: 5x\r\n\r\n", 400, "deadline-invalid"},
+    {"GET /a HTTP/1.1\r\nHost: a\r\nAlmondnotch-Deadline-Ms: 5\r\nalmondnotch-deadline-ms: "
+     "5\r\n\r\n",
+     400, "deadline-invalid"},
+    {"GET /a HTTP/1.1\r\nHost: a\r\nAlmondnotch-Depth: 11\r\n\r\n", 400, "depth-invalid"},
+    {"GET /a HTTP/1.1\r\nHost: a\r\nAlmondnotch-Attempt: -1\r\n\r\n", 400, "attempt-invalid"},
+    {"GET /a HTTP/1.1\r\nHost: a\r\nIdempotency-Key: a\tb\r\n\r\n", 400, "idempotency-key-invalid"},
+    {"GET /a HTTP/1.1\r\nHost: a\r\nIdempotency-Key:\r\n\r\n", 400, "idempotency-key-invalid"},
+    {"GET /a HTTP/1.1\r\nHost: a\r\nX: a\x01z\r\n\r\n", 400, "header-invalid"},
+    {"GET /a HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400, "header-invalid"},
+    {"GET a HTTP/1.1\r\nHost: a\r\n\r\n", 400, "target-invalid"},
+    {"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: "
+     "chunked\r\n\r\n0\r\n\r\n",
+     400, "framing-invalid"},
+    {"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400,
+     "framing-invalid"},
+    {"GET /.well-known/almondnotch/entry HTTP/1.1\r\nHost: a\r\n\r\n", 400, "service-invalid"},
+    {"GET /.well-known/almondnotch/dump HTTP/1.1\r\nHost: a\r\n\r\n", 404, "not-found"},
+    {"DELETE /.well-known/almondnotch/health HTTP/1.1\r\nHost: a\r\n\r\n", 405,
+     "method-not-allowed"},
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(http_entry_suite, entry_fixture)
+
+// Guards against malformed requests that reach the gateway, and against refusals that do not tell
+// the outcome or are not counted.
+BOOST_DATA_TEST_CASE(malformedRequestsAreRefused, boost::unit_test::data::make(refusedCases), input)
+{
+    BOOST_TEST(statusOf(input.request) == input.status);
+    BOOST_TEST(refused(input.reason) == 1U);
+    BOOST_TEST(lastResponse.find("application/problem+json") != std::string::npos);
+    BOOST_TEST(lastResponse.find("Almondnotch-Outcome: not-run\r\n") != std::string::npos);
+    BOOST_TEST(lastResponse.find("Almondnotch-Request-Id: ") != std::string::npos);
+}
+
+// Guards against an unbounded body or header, and a refusal that the caller cannot read.
+BOOST_AUTO_TEST_CASE(boundsAreKept)
+{
+    const std::string large(65537, 'x');
+    BOOST_TEST(statusOf("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: "
+                        + std::to_string(large.size()) + "\r\n\r\n" + large)
+               == 413);
+    BOOST_TEST(statusOf("POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n"
+                        + large + "\r\n0\r\n\r\n")
+               == 413);
+    BOOST_TEST(statusOf("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 999999999999\r\n\r\n")
+               == 413);
+    BOOST_TEST(refused("body-too-large") == 3U);
+    BOOST_TEST(statusOf(get("/a", "X: " + std::string(17000, 'x') + "\r\n")) == 431);
+    BOOST_TEST(refused("headers-too-large") == 1U);
+    BOOST_TEST(statusOf(get("/a", "Idempotency-Key: " + std::string(257, 'k') + "\r\n")) == 400);
+}
+
+// Guards against many bodies within their own bound that together exhaust the memory.
+BOOST_AUTO_TEST_CASE(bodiesTogetherAreBounded)
+{
+    const std::string request
+        = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 60000\r\n\r\n" + std::string(60000, 'x');
+    raw_client first(entry->port());
+    first.send(request);
+    BOOST_TEST(waitForEvents(1));
+    raw_client second(entry->port());
+    second.send(request);
+    BOOST_TEST(waitForResponse(second));
+    BOOST_TEST(second.status() == 503);
+    BOOST_TEST(second.contains("Retry-After: 1\r\n"));
+    respond(0, {200, {}, "done", call_outcome::run});
+    BOOST_TEST(waitForResponse(first));
+    raw_client third(entry->port());
+    third.send(request);
+    BOOST_TEST(waitForEvents(2));
+}
+
+// Guards against slow senders that hold connections for ever by sending a byte now and then.
+BOOST_AUTO_TEST_CASE(slowSenderIsDisconnected)
+{
+    raw_client client(entry->port());
+    client.send("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n");
+    bool closed = false;
+    for (int i = 0; i < 20 && !closed; ++i) {
+        client.send("x");
+        runFor(*loop, milliseconds(50));
+        closed = client.isClosed();
+    }
+    BOOST_TEST(closed);
+    BOOST_TEST(entry->counters().value("entry_receive_timeouts_total") == 1U);
+    BOOST_TEST(sink->events.empty());
+}
+
+// Guards against a response that reaches a connection whose caller has gone, and against callers
+// whose disconnection is missed or reported twice.
+BOOST_AUTO_TEST_CASE(disconnectWhileWaitingIsReportedOnce)
+{
+    raw_client client(entry->port());
+    client.send(get("/a"));
+    BOOST_TEST(waitForEvents(1));
+    client.close();
+    BOOST_TEST(waitForEvents(2));
+    BOOST_TEST((std::get<caller_disconnected>(sink->events.at(1)).call == call(0).call));
+
+    // Takes the descriptor number of the connection that was closed.
+    raw_client next(entry->port());
+    next.send(get("/b"));
+    BOOST_TEST(waitForEvents(3));
+    respond(0, {200, {}, "late", call_outcome::run});
+    runFor(*loop, milliseconds(20));
+    BOOST_TEST(next.received().empty());
+    BOOST_TEST(sink->events.size() == 3U);
+    BOOST_TEST(entry->counters().value("entry_responses_dropped_total") == 1U);
+}
+
+// Guards against a disconnection that goes unnoticed because the next request is already there.
+BOOST_AUTO_TEST_CASE(disconnectAfterPipelinedRequestIsReported)
+{
+    raw_client client(entry->port());
+    client.send(get("/a"));
+    BOOST_TEST(waitForEvents(1));
+    client.send(get("/b"));
+    runFor(*loop, milliseconds(20));
+    client.close();
+    BOOST_TEST(waitForEvents(2));
+    BOOST_TEST(std::holds_alternative<caller_disconnected>(sink->events.at(1)));
+}
+
+// Guards against responses that are mixed up when they become ready out of order.
+BOOST_AUTO_TEST_CASE(reversedResponsesReachTheirOwnCallers)
+{
+    raw_client first(entry->port());
+    raw_client second(entry->port());
+    first.send(get("/first"));
+    BOOST_TEST(waitForEvents(1));
+    second.send(get("/second"));
+    BOOST_TEST(waitForEvents(2));
+    respond(1, {200, {}, "for " + call(1).request->target, call_outcome::run});
+    BOOST_TEST(waitForResponse(second));
+    BOOST_TEST(first.received().empty());
+    respond(0, {201, {}, "for " + call(0).request->target, call_outcome::run});
+    BOOST_TEST(waitForResponse(first));
+    BOOST_TEST(first.contains("for /first"));
+    BOOST_TEST(second.contains("for /second"));
+    // The second response to the same call has no receiver.
+    respond(0, {200, {}, "again", call_outcome::run});
+    BOOST_TEST(entry->counters().value("entry_responses_dropped_total") == 1U);
+}
+
+// Guards against pipelined requests whose responses overtake one another or are lost.
+BOOST_AUTO_TEST_CASE(pipelinedRequestsAreAnsweredInOrder)
+{
+    raw_client client(entry->port());
+    client.send(get("/a") + get("/b"));
+    BOOST_TEST(waitForEvents(1));
+    respond(0, {200, {}, "for /a", call_outcome::run});
+    BOOST_TEST(waitForEvents(2));
+    respond(1, {200, {}, "for /b", call_outcome::run});
+    BOOST_TEST(runUntil(*loop, [&client] { return client.contains("for /b"); }));
+    BOOST_TEST(client.received().find("for /a") < client.received().find("for /b"));
+}
+
+// Guards against hop-by-hop and protocol headers that leak to the worker, or values that are lost.
+BOOST_AUTO_TEST_CASE(requestHeadersAreSplit)
+{
+    raw_client client(entry->port());
+    client.send(
+        "POST /p?q=%20 HTTP/1.1\r\nHost: h\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n"
+        "Keep-Alive: 5\r\nTE: trailers\r\nUpgrade: x\r\nTransfer-Encoding: chunked\r\n"
+        "Almondnotch-Deadline-Ms: 250\r\nAlmondnotch-Depth: 10\r\nAlmondnotch-Attempt: 2\r\n"
+        "almondnotch-other: 1\r\nAlmondnotch-Request-Id: abc-1\r\nIdempotency-Key: t/1\r\n"
+        "Accept: b\r\nAccept: c\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    BOOST_TEST(waitForEvents(1));
+    const call_request &request = *call(0).request;
+    BOOST_TEST(request.method == "POST");
+    BOOST_TEST(request.target == "/p?q=%20");
+    BOOST_TEST(request.body == "abcde");
+    BOOST_TEST(request.timeout.value_or(duration(0)).count() == 250000);
+    BOOST_TEST(request.depth == 10U);
+    BOOST_TEST(request.attempt == 2U);
+    BOOST_TEST(request.requestId == "abc-1");
+    BOOST_TEST(request.idempotencyKey == "t/1");
+    BOOST_TEST(hasField(request, "Host"));
+    BOOST_TEST(request.headers.size() == 3U);
+}
+
+// Guards against framing and connection headers of the worker that break the caller's connection,
+// and protocol headers that the worker could forge.
+BOOST_AUTO_TEST_CASE(responseHeadersAreReplaced)
+{
+    raw_client client(entry->port());
+    client.send(get("/a", "Almondnotch-Request-Id: bad id\r\n"));
+    BOOST_TEST(waitForEvents(1));
+    BOOST_TEST(call(0).request->requestId.size() == 32U);
+    respond(0, {200,
+                {{"Content-Length", "999"},
+                 {"Transfer-Encoding", "chunked"},
+                 {"Connection", "close, X-Hop"},
+                 {"X-Hop", "1"},
+                 {"Almondnotch-Outcome", "not-run"},
+                 {"Almondnotch-Load", "running=1"},
+                 {"X-Kept", "a\tb"}},
+                "body",
+                call_outcome::run});
+    BOOST_TEST(waitForResponse(client));
+    BOOST_TEST(client.contains("Content-Length: 4\r\n"));
+    BOOST_TEST(client.contains("X-Kept: a b\r\n"));
+    BOOST_TEST(client.contains("Almondnotch-Outcome: run\r\n"));
+    BOOST_TEST(client.contains("Almondnotch-Request-Id: " + call(0).request->requestId + "\r\n"));
+    for (const char *absent : {"999", "chunked", "X-Hop", "not-run", "Almondnotch-Load", "close"})
+        BOOST_TEST(!client.contains(absent), absent);
+    BOOST_TEST(!client.isClosed());
+}
+
+// Guards against a response that could split the header block or end the connection silently.
+BOOST_AUTO_TEST_CASE(unwritableResponseBecomesAProblem)
+{
+    raw_client client(entry->port());
+    client.send(get("/a"));
+    BOOST_TEST(waitForEvents(1));
+    respond(0, {200, {{"X", "a\r\nSet-Cookie: b"}}, "body", call_outcome::run});
+    BOOST_TEST(waitForResponse(client));
+    BOOST_TEST(client.status() == 502);
+    BOOST_TEST(client.contains("Almondnotch-Outcome: run\r\n"));
+}
+
+// Guards against a HEAD or 304 response with a body, which the caller would read as the next
+// response, or with another length than the worker's.
+BOOST_AUTO_TEST_CASE(responsesWithoutBodyKeepTheirLength)
+{
+    raw_client client(entry->port());
+    client.send("HEAD /.well-known/almondnotch/health HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(waitForResponse(client, true));
+    BOOST_TEST(client.contains("Content-Length: 3\r\n"));
+    client.send("HEAD /a HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(waitForEvents(1));
+    respond(0, {200, {{"Content-Length", "1234"}}, "", call_outcome::run});
+    client.send(get("/b"));
+    BOOST_TEST(waitForEvents(2));
+    respond(1, {304, {{"Content-Length", "77"}}, "", call_outcome::run});
+    BOOST_TEST(runUntil(*loop, [&client] { return client.contains("Content-Length: 77\r\n"); }));
+    BOOST_TEST(client.contains("Content-Length: 1234\r\n"));
+    client.send("HEAD /c HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(waitForEvents(3));
+    respond(2, {200, {}, "", call_outcome::run});
+    BOOST_TEST(runUntil(*loop, [&client] { return client.isClosed(); }));
+    // Four heads, each directly after the end of the one before.
+    std::size_t heads = 0;
+    std::size_t position = 0;
+    while (client.received().compare(position, 9, "HTTP/1.1 ") == 0) {
+        position = client.received().find("\r\n\r\n", position) + 4;
+        ++heads;
+    }
+    BOOST_TEST(heads == 4U);
+    BOOST_TEST(position == client.received().size());
+    BOOST_TEST(!client.contains("Content-Length: 0\r\n"));
+}
+
+// Guards against entry responses that reach a call, calls that are answered as queries, and shared
+// caches that give one key range to two callers.
+BOOST_AUTO_TEST_CASE(entryQueriesAreAnswered)
+{
+    raw_client client(entry->port());
+    client.send(get("/.well-known/almondnotch/entry?service=order%20intake"));
+    BOOST_TEST(waitForEvents(1));
+    const entry_query query = std::get<entry_query>(sink->events.at(0));
+    BOOST_TEST(query.service == "order intake");
+    entry->sendResponse(
+        {call_id {static_cast<std::uint64_t>(query.query)}, makeProblemResponse({}), false});
+    entry->sendEntryResponse({query.query, {"10.0.0.1:80"}, milliseconds(2500), "token", ""});
+    BOOST_TEST(waitForResponse(client));
+    BOOST_TEST(client.contains(R"({"addresses":["10.0.0.1:80"],"keep_ms":2500,)"
+                               R"("key_range":"token","service":"order intake"})"));
+    BOOST_TEST(client.contains("Cache-Control: no-store\r\n"));
+
+    raw_client refusedClient(entry->port());
+    refusedClient.send(get("/.well-known/almondnotch/entry?service=x"));
+    BOOST_TEST(waitForEvents(2));
+    const entry_query second = std::get<entry_query>(sink->events.at(1));
+    entry->sendEntryResponse({second.query, {}, duration(0), "", "unknown service"});
+    BOOST_TEST(waitForResponse(refusedClient));
+    BOOST_TEST(refusedClient.status() == 503);
+    BOOST_TEST(refusedClient.contains("unknown service"));
+}
+
+// Guards against a shutdown that cuts off a response, and a connection that stays open after it.
+BOOST_AUTO_TEST_CASE(flushWaitsForLargeResponses)
+{
+    raw_client client(entry->port());
+    client.send(get("/a"));
+    BOOST_TEST(waitForEvents(1));
+    const std::string body(std::size_t {4} * 1024 * 1024, 'y');
+    respond(0, {200, {}, body, call_outcome::run}, true);
+    bool flushed = false;
+    entry->flush(seconds(5), [&flushed] { flushed = true; });
+    runFor(*loop, milliseconds(20));
+    BOOST_TEST(!flushed);
+    BOOST_TEST(runUntil(*loop, [&] { return client.isClosed() && flushed; }));
+    BOOST_TEST(client.contains("Connection: close\r\n"));
+    BOOST_TEST(client.received().ends_with(body));
+    BOOST_CHECK_THROW(raw_client(entry->port()), std::runtime_error);
+}
+
+// Guards against crashes and reports to a stopped decision task when the process stops with calls
+// in progress.
+BOOST_AUTO_TEST_CASE(stopClosesWaitingConnections)
+{
+    raw_client client(entry->port());
+    client.send(get("/a"));
+    BOOST_TEST(waitForEvents(1));
+    raw_client unread(entry->port());
+    runFor(*loop, milliseconds(20));
+    unread.send(get("/b"));
+    owner.stop();
+    BOOST_TEST(client.isClosed());
+    BOOST_TEST(unread.isClosed());
+    BOOST_TEST(sink->events.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/servers/raw_client.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace almondnotch {
+
+/// A TCP connection to a loopback port that sends any bytes, well-formed or not, and collects what
+/// comes back. Never blocks on reading.
+class raw_client
+{
+public:
+    explicit raw_client(std::uint16_t port);
+    raw_client(const raw_client &) = delete;
+    raw_client &operator=(const raw_client &) = delete;
+    ~raw_client();
+
+    void send(std::string_view bytes);
+    void close();
+
+    /// Everything received so far.
+    const std::string &received();
+    /// The other side closed the connection.
+    bool isClosed();
+    /// A whole response was received: its head, and its body if it declares a length.
+    bool hasResponse(bool isHead = false);
+    /// Status of the first response; 0 if none has arrived.
+    int status();
+    bool contains(std::string_view text) { return received().find(text) != std::string::npos; }
+
+private:
+    int m_descriptor;
+    bool m_closed = false;
+    std::string m_received;
+};
+
+} // namespace almondnotch
