Add the operator endpoint

Operators need the state, the metrics and the drain on an address that callers do not reach. operator_endpoint is a second libmicrohttpd daemon with GET /dump, /metrics, /explain, /version and POST /drain. Off loopback it starts only with a token; a token that is set is required on loopback too and is compared in constant time.

--- /dev/null
+++ b/servers/operator_endpoint/operator_endpoint.cpp
@@ -0,0 +1,272 @@
+#include "servers/operator_endpoint/operator_endpoint.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <strings.h>
+
+#include "core/digest.h"
+#include "core/log_line.h"
+#include "core/version.h"
+#include "servers/http_daemon/socket_address.h"
+#include "servers/operator_endpoint/process_gauges.h"
+
+namespace almondnotch {
+
+namespace {
+
+const char *const logPrefix = "operator";
+/// No operation reads a body; one that is longer than this ends the connection.
+constexpr std::uint64_t bodyBytesMax = 65536;
+constexpr unsigned connectionsMax = 64;
+
+shared_response makeResponse(int status, std::string_view contentType, std::string body)
+{
+    std::shared_ptr<call_response> response = std::make_shared<call_response>();
+    response->status = status;
+    response->headers.push_back({"Content-Type", std::string(contentType)});
+    response->body = std::move(body);
+    return response;
+}
+
+shared_response makeJson(int status, const nlohmann::json &document)
+{
+    // Names in the tables come from callers and workers and may not be UTF-8.
+    return makeResponse(status, "application/json",
+                        document.dump(2, ' ', false, nlohmann::json::error_handler_t::replace)
+                            + "\n");
+}
+
+MHD_Result queue(MHD_Connection *connection, const call_response &source)
+{
+    MHD_Response *response = MHD_create_response_from_buffer(
+        source.body.size(), const_cast<char *>(source.body.data()), MHD_RESPMEM_MUST_COPY);
+    if (response == nullptr)
+        return MHD_NO;
+    for (const header_field &field : source.headers)
+        MHD_add_response_header(response, field.name.c_str(), field.value.c_str());
+    MHD_add_response_header(response, "Cache-Control", "no-store");
+    if (source.status == 401)
+        MHD_add_response_header(response, "WWW-Authenticate", "Bearer");
+    const MHD_Result queued
+        = MHD_queue_response(connection, static_cast<unsigned>(source.status), response);
+    MHD_destroy_response(response);
+    return queued;
+}
+
+/// Adds the counters of a port that is registered under this name.
+template <typename Port>
+result<void> addCounters(const kernel &owner, std::string_view name,
+                         std::vector<const counter_set *> &counters)
+{
+    const result<Port *> port = owner.find<Port>(name);
+    if (!port)
+        return tl::unexpected(port.error());
+    counters.push_back(&(*port)->counters());
+    return {};
+}
+
+} // namespace
+
+result<void> checkOperatorSettings(const operator_settings &settings)
+{
+    const result<socket_address> address = socket_address::parse(settings.address);
+    if (!address)
+        return tl::unexpected(address.error());
+    if (settings.token.empty() && !address->isLoopback())
+        return fail(error_code::invalid_settings, "check operator settings", settings.address,
+                    "expected a token, since the address is not a loopback address");
+    return {};
+}
+
+operator_endpoint::operator_endpoint(operator_settings settings) : m_settings(std::move(settings))
+{ }
+
+operator_endpoint::~operator_endpoint()
+{
+    stop();
+}
+
+result<void> operator_endpoint::start(kernel &owner)
+{
+    const result<void> checked = checkOperatorSettings(m_settings);
+    if (!checked)
+        return checked;
+    const result<event_loop *> loop = owner.find<event_loop>("loop");
+    if (!loop)
+        return tl::unexpected(loop.error());
+    const result<event_sink *> decision = owner.find<event_sink>("decision");
+    if (!decision)
+        return tl::unexpected(decision.error());
+    const result<decision_inspection *> inspection = owner.find<decision_inspection>("decision");
+    if (!inspection)
+        return tl::unexpected(inspection.error());
+    m_loop = *loop;
+    m_decision = *decision;
+    m_inspection = *inspection;
+
+    m_portCounters.clear();
+    const std::array<result<void>, 4> ports {
+        addCounters<worker_port>(owner, "worker_transport", m_portCounters),
+        addCounters<platform_port>(owner, "platform_client", m_portCounters),
+        addCounters<peer_port>(owner, "peer_link", m_portCounters),
+        addCounters<entry_port>(owner, "http_entry", m_portCounters)};
+    for (const result<void> &port : ports) {
+        if (!port)
+            return port;
+    }
+
+    http_daemon_options options;
+    options.address = m_settings.address;
+    options.connectionsMax = connectionsMax;
+    result<std::unique_ptr<http_daemon>> daemon = http_daemon::create(*m_loop, options, *this);
+    if (!daemon)
+        return tl::unexpected(daemon.error());
+    m_daemon = std::move(*daemon);
+    return {};
+}
+
+void operator_endpoint::stop()
+{
+    m_daemon.reset();
+}
+
+void *operator_endpoint::beginRequest(MHD_Connection * /*connection*/, const char *target)
+{
+    std::unique_ptr<request_state> state = std::make_unique<request_state>();
+    state->target = target;
+    return state.release();
+}
+
+MHD_Result operator_endpoint::handleRequest(MHD_Connection *connection, void *request,
+                                            const char *method, const char * /*version*/,
+                                            const char * /*data*/, std::size_t *size)
+{
+    request_state &state = *static_cast<request_state *>(request);
+    if (!state.hasHead) {
+        state.hasHead = true;
+        return MHD_YES;
+    }
+    if (*size != 0) {
+        state.bodyBytes += *size;
+        *size = 0;
+        return state.bodyBytes > bodyBytesMax ? MHD_NO : MHD_YES;
+    }
+    const std::string_view target = state.target;
+    const shared_response response = answer(connection, method, target.substr(0, target.find('?')));
+    return queue(connection, *response);
+}
+
+void operator_endpoint::endRequest(void *request)
+{
+    const std::unique_ptr<request_state> state(static_cast<request_state *>(request));
+}
+
+void *operator_endpoint::openConnection(MHD_Connection * /*connection*/)
+{
+    return nullptr;
+}
+
+void operator_endpoint::closeConnection(void * /*connectionState*/) { }
+
+void operator_endpoint::reportLibraryError(std::string_view message)
+{
+    m_counters.add("operator_http_errors_total");
+    log_line(log_level::debug, logPrefix, "libmicrohttpd reported an error")
+        .field("message", message);
+}
+
+shared_response operator_endpoint::answer(MHD_Connection *connection, std::string_view method,
+                                          std::string_view path)
+{
+    static const std::array<operation, 5> operations {{
+        {"GET", "/dump", &operator_endpoint::dump},
+        {"GET", "/metrics", &operator_endpoint::metrics},
+        {"GET", "/explain", &operator_endpoint::explain},
+        {"GET", "/version", &operator_endpoint::version},
+        {"POST", "/drain", &operator_endpoint::drain},
+    }};
+    m_counters.add("operator_requests_total");
+    if (!isAuthorized(connection))
+        return refuse(401, "unauthorized", "Unauthorized", "expected the operator token");
+    const auto found
+        = std::find_if(operations.begin(), operations.end(),
+                       [path](const operation &candidate) { return candidate.path == path; });
+    if (found == operations.end())
+        return refuse(404, "not-found", "No such resource",
+                      "expected /dump, /metrics, /explain, /version or /drain");
+    if (found->method != (method == "HEAD" ? "GET" : method))
+        return refuse(405, "method-not-allowed", "Method not allowed",
+                      "expected " + std::string(found->method));
+    return (this->*found->run)(connection);
+}
+
+bool operator_endpoint::isAuthorized(MHD_Connection *connection) const
+{
+    if (m_settings.token.empty())
+        return true;
+    const char *field
+        = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_AUTHORIZATION);
+    constexpr std::string_view scheme = "Bearer ";
+    if (field == nullptr || strncasecmp(field, scheme.data(), scheme.size()) != 0)
+        return false;
+    return equalConstantTime(field + scheme.size(), m_settings.token);
+}
+
+shared_response operator_endpoint::refuse(int status, std::string_view type, std::string_view title,
+                                          std::string_view detail)
+{
+    m_counters.add("operator_refused_total{reason=\"" + std::string(type) + "\"}");
+    problem cause;
+    cause.status = status;
+    cause.type = type;
+    cause.title = title;
+    cause.outcome = call_outcome::not_run;
+    cause.step = "operator request";
+    cause.detail = detail;
+    return makeProblemResponse(cause);
+}
+
+shared_response operator_endpoint::dump(MHD_Connection * /*connection*/)
+{
+    return makeJson(200, m_inspection->dump());
+}
+
+shared_response operator_endpoint::metrics(MHD_Connection * /*connection*/)
+{
+    counter_set all;
+    all.merge(m_inspection->counters());
+    for (const counter_set *port : m_portCounters)
+        all.merge(*port);
+    all.merge(m_counters);
+    addProcessGauges(all);
+    all.set("process_start_time_seconds", static_cast<double>(m_loop->unixMsAtOrigin()) / 1000.0);
+    return makeResponse(200, "text/plain; version=0.0.4; charset=utf-8", all.toPrometheus());
+}
+
+shared_response operator_endpoint::explain(MHD_Connection *connection)
+{
+    const char *path = MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, "path");
+    if (path == nullptr || *path != '/')
+        return refuse(400, "path-invalid", "Invalid path",
+                      "expected the query parameter path with a path that begins with \"/\"");
+    const char *method = MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, "method");
+    return makeJson(200, m_inspection->explain(method == nullptr ? "GET" : method, path));
+}
+
+shared_response operator_endpoint::version(MHD_Connection * /*connection*/)
+{
+    return makeJson(
+        200, {{"version", ALMONDNOTCH_VERSION}, {"decision_interface", decisionInterfaceVersion}});
+}
+
+shared_response operator_endpoint::drain(MHD_Connection * /*connection*/)
+{
+    const log_line record(log_level::info, logPrefix, "drain requested");
+    // After this response, which must not wait for the gateway's actions.
+    m_loop->post([decision = m_decision] { decision->deliver(drain_requested {}); });
+    return makeJson(202, {{"draining", true}});
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/operator_endpoint/operator_endpoint.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/counters.h"
+#include "core/kernel.h"
+#include "decision/types.h"
+#include "servers/event_loop/event_loop.h"
+#include "servers/http_daemon/http_daemon.h"
+#include "servers/ports.h"
+
+namespace almondnotch {
+
+struct operator_settings
+{
+    /// "ip:port"; port 0 lets the system choose.
+    std::string address = "127.0.0.1:0";
+    /// Secret that requests must carry. May be empty only on a loopback address.
+    std::string token;
+};
+
+/// An error unless the address is numeric and either on loopback or protected by a token.
+result<void> checkOperatorSettings(const operator_settings &settings);
+
+/// Service "operator_endpoint": GET /dump, /metrics, /explain, /version and POST /drain on an
+/// address of its own, so that no caller of the entry port reaches them. If a token is set, every
+/// request must carry it as `Authorization: Bearer TOKEN`.
+class operator_endpoint : public service, private http_request_handler
+{
+public:
+    explicit operator_endpoint(operator_settings settings);
+    ~operator_endpoint() override;
+
+    /// Finds the loop, the decision task and the other ports, whose counters it shows.
+    result<void> start(kernel &owner) override;
+    void stop() override;
+
+    std::uint16_t port() const { return m_daemon->port(); }
+
+private:
+    struct request_state
+    {
+        std::string target;
+        std::uint64_t bodyBytes = 0;
+        bool hasHead = false;
+    };
+
+    struct operation
+    {
+        std::string_view method;
+        std::string_view path;
+        shared_response (operator_endpoint::*run)(MHD_Connection *connection);
+    };
+
+    void *beginRequest(MHD_Connection *connection, const char *target) override;
+    MHD_Result handleRequest(MHD_Connection *connection, void *request, const char *method,
+                             const char *version, const char *data, std::size_t *size) override;
+    void endRequest(void *request) override;
+    void *openConnection(MHD_Connection *connection) override;
+    void closeConnection(void *connectionState) override;
+    void reportLibraryError(std::string_view message) override;
+
+    shared_response answer(MHD_Connection *connection, std::string_view method,
+                           std::string_view path);
+    shared_response dump(MHD_Connection *connection);
+    shared_response metrics(MHD_Connection *connection);
+    shared_response explain(MHD_Connection *connection);
+    shared_response version(MHD_Connection *connection);
+    shared_response drain(MHD_Connection *connection);
+
+    bool isAuthorized(MHD_Connection *connection) const;
+    shared_response refuse(int status, std::string_view type, std::string_view title,
+                           std::string_view detail);
+
+    operator_settings m_settings;
+    counter_set m_counters;
+    event_loop *m_loop = nullptr;
+    event_sink *m_decision = nullptr;
+    decision_inspection *m_inspection = nullptr;
+    std::vector<const counter_set *> m_portCounters;
+    std::unique_ptr<http_daemon> m_daemon;
+};
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/operator_endpoint/register_services.cpp
@@ -0,0 +1,20 @@
+#include "servers/operator_endpoint/register_services.h"
+
+#include <memory>
+#include <utility>
+
+namespace almondnotch {
+
+result<operator_endpoint *> registerOperatorEndpoint(kernel &owner, operator_settings settings)
+{
+    std::unique_ptr<operator_endpoint> part
+        = std::make_unique<operator_endpoint>(std::move(settings));
+    operator_endpoint *borrowed = part.get();
+    const result<void> added
+        = owner.add("operator_endpoint", start_level::listeners, std::move(part));
+    if (!added)
+        return tl::unexpected(added.error());
+    return borrowed;
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/operator_endpoint/register_services.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "core/error.h"
+#include "core/kernel.h"
+#include "servers/operator_endpoint/operator_endpoint.h"
+
+namespace almondnotch {
+
+/// Adds the service "operator_endpoint".
+/// \return the service, which the kernel owns.
+result<operator_endpoint *> registerOperatorEndpoint(kernel &owner, operator_settings settings);
+
+} // namespace almondnotch
--- /dev/null
+++ b/tests/servers/operator_endpoint_test.cpp
@@ -0,0 +1,171 @@
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "servers/event_loop/register_services.h"
+#include "servers/http_entry/register_services.h"
+#include "servers/operator_endpoint/register_services.h"
+#include "tests/servers/fake_ports.h"
+#include "tests/servers/loop_driver.h"
+#include "tests/servers/raw_client.h"
+
+using namespace almondnotch;
+
+namespace {
+
+class inspected_sink : public event_sink, public decision_inspection
+{
+public:
+    inspected_sink() { m_counters.add("calls_started_total", 3); }
+    result<void> start(kernel & /*owner*/) override { return {}; }
+    void stop() override { }
+    void deliver(event input) override { events.push_back(std::move(input)); }
+    nlohmann::json dump() const override { return {{"name", "not UTF-8: \xff"}}; }
+    nlohmann::json explain(std::string_view method, std::string_view target) const override
+    {
+        return {{"explained", std::string(method) + " " + std::string(target)}};
+    }
+    const counter_set &counters() const override { return m_counters; }
+
+    std::vector<event> events;
+
+private:
+    counter_set m_counters;
+};
+
+struct operator_fixture
+{
+    operator_fixture()
+    {
+        loop = *registerEventLoop(owner);
+        add<fake_workers>("worker_transport");
+        add<fake_platform>("platform_client");
+        add<fake_peers>("peer_link");
+        std::unique_ptr<inspected_sink> part = std::make_unique<inspected_sink>();
+        sink = part.get();
+        BOOST_REQUIRE(owner.add("decision", start_level::decisions, std::move(part)));
+        entry_settings settings;
+        settings.address = "127.0.0.1:0";
+        entry = *registerHttpEntry(owner, settings);
+    }
+    operator_fixture(const operator_fixture &) = delete;
+    operator_fixture &operator=(const operator_fixture &) = delete;
+
+    template <typename T>
+    void add(std::string_view name)
+    {
+        BOOST_REQUIRE(owner.add(name, start_level::transports, std::make_unique<T>(recorder)));
+    }
+
+    void listen(const operator_settings &settings)
+    {
+        endpoint = *registerOperatorEndpoint(owner, settings);
+        BOOST_REQUIRE(owner.start());
+    }
+
+    /// Sends a request and returns the response, head and body.
+    std::string request(const std::string &line, const std::string &fields = "")
+    {
+        raw_client client(endpoint->port());
+        client.send(line + " HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n");
+        BOOST_TEST(runUntil(*loop, [&client] { return client.hasResponse(); }));
+        return client.received();
+    }
+
+    action_recorder recorder;
+    kernel owner;
+    event_loop *loop = nullptr;
+    inspected_sink *sink = nullptr;
+    http_entry *entry = nullptr;
+    operator_endpoint *endpoint = nullptr;
+};
+
+bool hasStatus(const std::string &response, const std::string &status)
+{
+    return response.starts_with("HTTP/1.1 " + status + " ");
+}
+
+bool contains(const std::string &response, const std::string &text)
+{
+    return response.find(text) != std::string::npos;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(operator_endpoint_suite, operator_fixture)
+
+// Guards against operations that fail on odd input, and metrics that leave out a task.
+BOOST_AUTO_TEST_CASE(operationsAnswer)
+{
+    listen({"127.0.0.1:0", ""});
+    BOOST_TEST(contains(request("GET /dump"), "not UTF-8"));
+    BOOST_TEST(contains(request("GET /explain?path=%2Fa%20b&method=POST"), "POST /a b"));
+    BOOST_TEST(hasStatus(request("GET /explain?path=a"), "400"));
+    BOOST_TEST(contains(request("GET /version"), "\"version\""));
+    const std::string metrics = request("GET /metrics");
+    BOOST_TEST(contains(metrics, "almondnotch_calls_started_total 3\n"));
+    BOOST_TEST(contains(metrics, "almondnotch_operator_requests_total 5\n"));
+    BOOST_TEST(contains(metrics, "almondnotch_process_resident_memory_bytes "));
+    BOOST_TEST(contains(metrics, "almondnotch_process_cpu_seconds "));
+    BOOST_TEST(hasStatus(request("GET /other"), "404"));
+}
+
+// Guards against a drain that a link or a crawler starts, or that is lost.
+BOOST_AUTO_TEST_CASE(drainNeedsPost)
+{
+    listen({"127.0.0.1:0", ""});
+    BOOST_TEST(hasStatus(request("GET /drain"), "405"));
+    BOOST_TEST(sink->events.empty());
+    BOOST_TEST(hasStatus(request("POST /drain", "Content-Length: 0\r\n"), "202"));
+    BOOST_TEST(runUntil(*loop, [this] { return sink->events.size() == 1; }));
+}
+
+// Guards against an unprotected endpoint that the network can reach.
+BOOST_AUTO_TEST_CASE(tokenIsNeededOffLoopback)
+{
+    BOOST_TEST(!checkOperatorSettings({"0.0.0.0:0", ""}));
+    BOOST_TEST(!checkOperatorSettings({"[::]:0", ""}));
+    BOOST_TEST(!checkOperatorSettings({"localhost:0", ""}));
+    BOOST_TEST(checkOperatorSettings({"[::1]:0", ""}).has_value());
+    BOOST_TEST(checkOperatorSettings({"0.0.0.0:0", "secret"}).has_value());
+    BOOST_REQUIRE(registerOperatorEndpoint(owner, {"0.0.0.0:0", ""}));
+    BOOST_TEST(!owner.start());
+}
+
+// Guards against a token check that accepts a missing, shorter, longer or misplaced token.
+BOOST_AUTO_TEST_CASE(wrongTokensAreRefused)
+{
+    listen({"127.0.0.1:0", "secret"});
+    for (const char *fields : {"", "Authorization: Bearer\r\n", "Authorization: Bearer secre\r\n",
+                               "Authorization: Bearer secret1\r\n", "Authorization: secret\r\n",
+                               "Authorization: Basic secret\r\n"}) {
+        BOOST_TEST(hasStatus(request("GET /dump", fields), "401"), fields);
+        BOOST_TEST(hasStatus(request("POST /drain", fields), "401"), fields);
+    }
+    BOOST_TEST(sink->events.empty());
+    BOOST_TEST(hasStatus(request("GET /dump", "Authorization: Bearer secret\r\n"), "200"));
+}
+
+// Guards against operator functions that callers reach through the entry port.
+BOOST_AUTO_TEST_CASE(entryPortHasNoOperatorFunctions)
+{
+    listen({"127.0.0.1:0", ""});
+    std::size_t calls = 0;
+    for (const char *line :
+         {"GET /dump", "GET /metrics", "GET /version", "POST /drain", "GET /explain?path=/"}) {
+        raw_client client(entry->port());
+        client.send(std::string(line) + " HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+        ++calls;
+        BOOST_TEST(runUntil(*loop, [this, calls] { return sink->events.size() == calls; }));
+        BOOST_TEST(std::holds_alternative<call_received>(sink->events.back()));
+        BOOST_TEST(client.received().empty());
+        client.close();
+        ++calls;
+        BOOST_TEST(runUntil(*loop, [this, calls] { return sink->events.size() == calls; }));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
