--- a/decision/calls/call_runner.cpp
+++ b/decision/calls/call_runner.cpp
@@ -473,7 +473,9 @@
 void call_runner::finish(instant now, call_record &record, const shared_response &given,
                          action_list &actions)
 {
-    const shared_response response = given; // Outlives the record that it may come from.
+    // The copy outlives the record that `given` may belong to.
+    // NOLINTNEXTLINE(performance-unnecessary-copy-initialization)
+    const shared_response response = given;
     cancelAttempts(record, actions);
     if (record.stage == call_stage::running)
         m_parts.invariants.check("not_run_was_not_sent",
--- a/tests/decision/gateway/gateway_fixture.cpp
+++ b/tests/decision/gateway/gateway_fixture.cpp
@@ -1,5 +1,6 @@
 #include "tests/decision/gateway/gateway_fixture.h"
 
+#include <sstream>
 #include <stdexcept>
 
 #include "config/parser.h"
@@ -9,18 +10,16 @@
 
 std::string shopConfig(unsigned workers, unsigned gateways, unsigned maxGateways)
 {
-    std::string text
-        = "[limits]\nmax_gateways = " + std::to_string(maxGateways) + "\nentry_keep_ms = 2000\n";
+    std::ostringstream text;
+    text << "[limits]\nmax_gateways = " << maxGateways << "\nentry_keep_ms = 2000\n";
     for (const char *domain : {"a", "b", "c"})
-        text += "[[failure_domain]]\nname = \"" + std::string(domain)
-                + "\"\nregion = \"r\"\none_way_ms = 1\n";
+        text << "[[failure_domain]]\nname = \"" << domain << "\"\nregion = \"r\"\none_way_ms = 1\n";
     for (unsigned i = 0; i < gateways; ++i) {
-        const std::string number = std::to_string(i);
-        text += "[[entry_vm]]\nname = \"vm-" + number + "\"\nfailure_domain = \"" + "abc"[i % 3]
-                + "\"\nentry_address = \"127.0.0.1:" + std::to_string(1000 + i)
-                + "\"\npeer_address = \"127.0.0.1:" + std::to_string(3000 + i) + "\"\n";
+        text << "[[entry_vm]]\nname = \"vm-" << i << "\"\nfailure_domain = \""
+             << "abc"[i % 3] << "\"\nentry_address = \"127.0.0.1:" << 1000 + i
+             << "\"\npeer_address = \"127.0.0.1:" << 3000 + i << "\"\n";
     }
-    text += "[[budget]]\nname = \"b\"\nprobes_per_second = 10\nbytes_per_second = 20000\n"
+    text << "[[budget]]\nname = \"b\"\nprobes_per_second = 10\nbytes_per_second = 20000\n"
             "[[class]]\nname = \"c\"\nrank = 0\n"
             "[[group]]\nname = \"g\"\nbudget = \"b\"\nslots = 6\nconnections = 220\n"
             "[[service]]\nname = \"shop\"\ngroup = \"g\"\nclass = \"c\"\ntimeout_ms = 5000\n"
@@ -29,12 +28,11 @@
             "[[rule]]\nname = \"book\"\npath_prefix = \"/book\"\nservice = \"shop\"\n"
             "idempotent = false\n";
     for (unsigned i = 0; i < workers; ++i) {
-        const std::string number = std::to_string(i);
-        text += "[[worker]]\nname = \"w-" + number + "\"\ngroup = \"g\"\nfailure_domain = \""
-                + "abc"[i % 3] + "\"\nvm = \"h-" + number
-                + "\"\naddress = \"127.0.0.1:" + std::to_string(5000 + i) + "\"\n";
+        text << "[[worker]]\nname = \"w-" << i << "\"\ngroup = \"g\"\nfailure_domain = \""
+             << "abc"[i % 3] << "\"\nvm = \"h-" << i << "\"\naddress = \"127.0.0.1:" << 5000 + i
+             << "\"\n";
     }
-    return text;
+    return text.str();
 }
 
 gateway_settings shopSettings(unsigned index, std::uint64_t startNumber, std::uint64_t seed)
