--- a/core/settings.cpp
+++ b/core/settings.cpp
@@ -222,8 +222,8 @@
             = dot == std::string::npos ? std::string() : declaration.name.substr(0, dot);
         if (group != table) {
             table = group;
-            out << "\n## [" << group
-                << "]\n\n| setting | type | default | range | unit | meaning |\n"
+            out << "\n## " << (group.empty() ? std::string("Top level") : "[" + group + "]")
+                << "\n\n| setting | type | default | range | unit | meaning |\n"
                 << "|---|---|---|---|---|---|\n";
         }
         const bool numeric = declaration.defaultValue.index() < 2;
