--- a/tests/decision/claims/handover_test.cpp
+++ b/tests/decision/claims/handover_test.cpp
@@ -119,6 +119,35 @@
         BOOST_TEST(std::get<send_peer_message>(entry).peerAddress == "successor:1");
 }
 
+// Guards against two owners when one of two transfers is committed and the other is refused: the
+// sender then chose another successor and committed the first one there as well.
+BOOST_AUTO_TEST_CASE(refusal_after_a_commit_does_not_change_the_successor)
+{
+    claim_fixture leaver("vm-a");
+    const claim_fixture gone("vm-x");
+    handover_commit adopted;
+    adopted.from = gone.self;
+    adopted.repeat = seconds(1200);
+    BOOST_REQUIRE(leaver.table.adopt(at(1), gone.self, adopted, {}));
+    leaver.table.seal();
+    handover_sender sender(leaver.table, leaver.counters);
+    action_list actions;
+    const process_id first {"vm-b", 2};
+    sender.start(at(10), {{first, "first:1"}}, actions);
+    handover_ack committed;
+    committed.from = leaver.self;
+    committed.committed = true;
+    sender.acknowledged(at(11), first, committed, actions);
+    handover_ack refused;
+    refused.from = gone.self;
+    refused.refused = true;
+    sender.acknowledged(at(11), first, refused, actions);
+    sender.timerExpired(at(12), {{{"vm-c", 3}, "other:1"}}, actions);
+    for (const action &entry : actions)
+        BOOST_TEST(std::get<send_peer_message>(entry).peerAddress == "first:1");
+    BOOST_TEST(sender.isFinished());
+}
+
 // Guards against a repeated commit that resets claims which changed since.
 BOOST_AUTO_TEST_CASE(repeated_commit_changes_nothing)
 {
