--- a/decision/claims/claim_table.cpp
+++ b/decision/claims/claim_table.cpp
@@ -352,7 +352,10 @@
         insert(expiryOf(key->range, ranges), record.key, std::move(kept));
     }
     m_owned[commit.from] = ranges;
-    learnHandover(now, {commit.from, commit.from == sender ? m_self : sender, duration {0}});
+    // Every process has one record, made by its own handover. Ranges that the sender had adopted
+    // are found through the records of their first owner and of the sender.
+    if (commit.from == sender)
+        learnHandover(now, {sender, m_self, duration {0}});
     m_counters.add("claims_adopted_total", claims.size());
     return true;
 }
@@ -365,7 +368,8 @@
     const auto found = m_successors.find(record.from);
     if (found != m_successors.end()) {
         m_invariants.check("one_successor_per_process", found->second.process == record.to,
-                           toString(record.from));
+                           toString(record.from) + " is handed over to "
+                               + toString(found->second.process) + " and " + toString(record.to));
         return;
     }
     if (m_successors.size() >= successorsMax) {
