--- a/core/settings.cpp
+++ b/core/settings.cpp
@@ -43,6 +43,8 @@
 std::string rangeText(const setting_declaration &declaration)
 {
     std::ostringstream out;
+    // Enough digits for bounds in bytes; the default of 6 would round them.
+    out.precision(15);
     out << declaration.minimum << " to " << declaration.maximum;
     return out.str();
 }
--- a/main/daemon/daemon_declarations.cpp
+++ b/main/daemon/daemon_declarations.cpp
@@ -45,7 +45,7 @@
 std::vector<setting_declaration> processDeclarations()
 {
     return {
-        integer("seed", 0, 0, 9e15, "",
+        integer("seed", 0, 0, 4294967295.0, "",
                 "Seed of the random source, for repeatable runs; 0 takes a random one."),
         requiredText("vm.name", "Name of this VM, as on the platform's VM list."),
         requiredText("vm.failure_domain",
--- a/tests/main/daemon/daemon_process_test.py
+++ b/tests/main/daemon/daemon_process_test.py
@@ -63,7 +63,9 @@
         connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
         connection.request("GET", target)
         response = connection.getresponse()
-        return response.status, response.read()
+        answer = response.status, response.read()
+        connection.close()
+        return answer
 
     def start(self):
         self.process = subprocess.Popen([DAEMON, "--settings", self.write()],
@@ -82,9 +84,9 @@
         run = subprocess.run([DAEMON, "--settings", self.write("fanuot = 1\nreaders = 0")],
                              capture_output=True, text=True, timeout=20, check=False)
         self.assertEqual(run.returncode, 2)
-        self.assertIn(":14: fleet.fanuot: ", run.stderr)
+        self.assertIn(":15: fleet.fanuot: ", run.stderr)
         self.assertIn("did you mean fleet.fanout?", run.stderr)
-        self.assertIn(":15: fleet.readers: ", run.stderr)
+        self.assertIn(":16: fleet.readers: ", run.stderr)
 
     def test_check_settings_only_checks(self):
         """Guards against a check that opens sockets, or that accepts a missing file."""
