--- /dev/null
+++ b/scripts/cluster/ports.py
@@ -0,0 +1,30 @@
+"""Port ranges for runs that may go on side by side."""
+
+import os
+import socket
+
+# Below the kernel's ephemeral range (32768 and up), so that outgoing connections take none of them.
+FIRST_PORT = 12000
+LAST_PORT = 31000
+
+
+def free_base(count):
+    """First port of `count` successive ones that can all be bound now."""
+    base = FIRST_PORT + (os.getpid() * 211) % (LAST_PORT - FIRST_PORT - count)
+    for _ in range(200):
+        if all(_is_free(base + offset) for offset in range(count)):
+            return base
+        base += count + 7
+        if base + count > LAST_PORT:
+            base = FIRST_PORT
+    raise RuntimeError(f"no {count} successive free ports")
+
+
+def _is_free(port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
