Rename http_exchange in the entry port to caller_exchange

The transports' curl_loop package has a class of the same name in the same namespace; linking both would violate the one-definition rule.

--- a/servers/http_entry/http_exchange.h
+++ b/servers/http_entry/caller_exchange.h
@@ -15,7 +15,7 @@
 
 /// One request at the entry port and its response. Owned by libmicrohttpd from the request line to
 /// the end of the response.
-struct http_exchange
+struct caller_exchange
 {
     enum class phase {
         /// The request line was read; header fields come next.
--- a/servers/http_entry/http_entry.cpp
+++ b/servers/http_entry/http_entry.cpp
@@ -107,7 +107,7 @@
 
 void *http_entry::beginRequest(MHD_Connection *connection, const char *target)
 {
-    std::unique_ptr<http_exchange> exchange = std::make_unique<http_exchange>();
+    std::unique_ptr<caller_exchange> exchange = std::make_unique<caller_exchange>();
     exchange->connection = connection;
     exchange->target = target;
     stateOf(connection).receiveDeadline = m_loop->now() + m_settings.receiveTimeMax;
@@ -120,7 +120,7 @@
     // Connections go on during `stop`; a request that arrives then must not become an event.
     if (m_stopping)
         return MHD_NO;
-    http_exchange &exchange = *static_cast<http_exchange *>(request);
+    caller_exchange &exchange = *static_cast<caller_exchange *>(request);
     switch (exchange.current) {
     case phase::head:
         return receiveHead(exchange, method, version);
@@ -145,7 +145,8 @@
     return MHD_NO;
 }
 
-MHD_Result http_entry::receiveHead(http_exchange &exchange, const char *method, const char *version)
+MHD_Result http_entry::receiveHead(caller_exchange &exchange, const char *method,
+                                   const char *version)
 {
     exchange.current = phase::body;
     request_head head;
@@ -190,7 +191,7 @@
     return finishRequest(exchange);
 }
 
-void http_entry::receiveBody(http_exchange &exchange, std::string_view data)
+void http_entry::receiveBody(caller_exchange &exchange, std::string_view data)
 {
     exchange.receivedBytes += data.size();
     if (exchange.receivedBytes > m_settings.bodyBytesMax)
@@ -202,7 +203,7 @@
         exchange.request->body.append(data);
 }
 
-void http_entry::reserveBody(http_exchange &exchange, std::uint64_t bytes)
+void http_entry::reserveBody(caller_exchange &exchange, std::uint64_t bytes)
 {
     if (exchange.refusal || bytes <= exchange.heldBytes)
         return;
@@ -217,7 +218,7 @@
     exchange.heldBytes = bytes;
 }
 
-void http_entry::refuse(http_exchange &exchange, const request_refusal &reason)
+void http_entry::refuse(caller_exchange &exchange, const request_refusal &reason)
 {
     if (exchange.refusal)
         return;
@@ -227,7 +228,7 @@
     exchange.heldBytes = 0;
 }
 
-problem http_entry::refusalProblem(const http_exchange &exchange, const request_refusal &reason)
+problem http_entry::refusalProblem(const caller_exchange &exchange, const request_refusal &reason)
 {
     m_counters.add("entry_refused_total{reason=\"" + reason.type + "\"}");
     problem cause;
@@ -243,7 +244,7 @@
     return cause;
 }
 
-MHD_Result http_entry::finishRequest(http_exchange &exchange)
+MHD_Result http_entry::finishRequest(caller_exchange &exchange)
 {
     stateOf(exchange.connection).receiveDeadline = instant::never();
     if (exchange.refusal)
@@ -259,7 +260,7 @@
     return suspended;
 }
 
-MHD_Result http_entry::answerWellKnown(http_exchange &exchange, std::string_view path)
+MHD_Result http_entry::answerWellKnown(caller_exchange &exchange, std::string_view path)
 {
     const std::string &method = exchange.request->method;
     if (path != "entry" && path != "health") {
@@ -280,7 +281,7 @@
     return answer(exchange, std::move(response));
 }
 
-MHD_Result http_entry::answerEntryQuery(http_exchange &exchange)
+MHD_Result http_entry::answerEntryQuery(caller_exchange &exchange)
 {
     const char *name
         = MHD_lookup_connection_value(exchange.connection, MHD_GET_ARGUMENT_KIND, "service");
@@ -299,7 +300,7 @@
 }
 
 /// Suspends before the event is delivered, since the response may come from within the delivery.
-MHD_Result http_entry::suspend(http_exchange &exchange, bool isQuery)
+MHD_Result http_entry::suspend(caller_exchange &exchange, bool isQuery)
 {
     exchange.id = ++m_lastId;
     exchange.isQuery = isQuery;
@@ -312,7 +313,7 @@
     return MHD_YES;
 }
 
-void http_entry::callerReadable(http_exchange &exchange)
+void http_entry::callerReadable(caller_exchange &exchange)
 {
     char byte = 0;
     const ssize_t received = ::recv(stateOf(exchange.connection).descriptor, &byte, sizeof byte,
@@ -343,7 +344,7 @@
 }
 
 /// Ends the wait without a response; libmicrohttpd then closes the connection.
-void http_entry::abandon(http_exchange &exchange)
+void http_entry::abandon(caller_exchange &exchange)
 {
     m_waiting.erase(exchange.id);
     exchange.disconnectWatcher.reset();
@@ -365,7 +366,7 @@
         m_counters.add("entry_responses_dropped_total");
         return;
     }
-    http_exchange &exchange = *found->second;
+    caller_exchange &exchange = *found->second;
     if (order.addresses.empty()) {
         const problem cause = refusalProblem(
             exchange, {503, "entry-unavailable", "No entry address",
@@ -384,7 +385,7 @@
         m_counters.add("entry_responses_dropped_total");
         return;
     }
-    http_exchange &exchange = *found->second;
+    caller_exchange &exchange = *found->second;
     m_waiting.erase(found);
     exchange.disconnectWatcher.reset();
     exchange.response = std::move(response);
@@ -394,7 +395,7 @@
     m_daemon->resume(exchange.connection);
 }
 
-MHD_Result http_entry::resumeRequest(http_exchange &exchange, MHD_Connection *connection)
+MHD_Result http_entry::resumeRequest(caller_exchange &exchange, MHD_Connection *connection)
 {
     if (exchange.connection == connection)
         return queueResponse(exchange);
@@ -405,14 +406,14 @@
     return MHD_NO;
 }
 
-MHD_Result http_entry::answer(http_exchange &exchange, shared_response response)
+MHD_Result http_entry::answer(caller_exchange &exchange, shared_response response)
 {
     exchange.response = std::move(response);
     markUnsent(exchange);
     return queueResponse(exchange);
 }
 
-MHD_Result http_entry::queueResponse(http_exchange &exchange)
+MHD_Result http_entry::queueResponse(caller_exchange &exchange)
 {
     exchange.current = phase::sending;
     const bool isHead = exchange.request && exchange.request->method == "HEAD";
@@ -441,7 +442,7 @@
     return queued;
 }
 
-void http_entry::markUnsent(http_exchange &exchange)
+void http_entry::markUnsent(caller_exchange &exchange)
 {
     exchange.isUnsent = true;
     ++m_unsent;
@@ -449,7 +450,7 @@
 
 void http_entry::endRequest(void *request)
 {
-    const std::unique_ptr<http_exchange> exchange(static_cast<http_exchange *>(request));
+    const std::unique_ptr<caller_exchange> exchange(static_cast<caller_exchange *>(request));
     m_heldBytes -= exchange->heldBytes;
     if (exchange->current == phase::waiting) {
         m_waiting.erase(exchange->id);
--- a/servers/http_entry/http_entry.h
+++ b/servers/http_entry/http_entry.h
@@ -15,8 +15,8 @@
 #include "servers/event_loop/event_loop.h"
 #include "servers/event_loop/timer_watcher.h"
 #include "servers/http_daemon/http_daemon.h"
+#include "servers/http_entry/caller_exchange.h"
 #include "servers/http_entry/entry_settings.h"
-#include "servers/http_entry/http_exchange.h"
 #include "servers/http_entry/request_head.h"
 #include "servers/ports.h"
 
@@ -56,7 +56,7 @@
         instant receiveDeadline = instant::never();
     };
 
-    using phase = http_exchange::phase;
+    using phase = caller_exchange::phase;
 
     void *beginRequest(MHD_Connection *connection, const char *target) override;
     MHD_Result handleRequest(MHD_Connection *connection, void *request, const char *method,
@@ -66,25 +66,25 @@
     void closeConnection(void *connectionState) override;
     void reportLibraryError(std::string_view message) override;
 
-    MHD_Result receiveHead(http_exchange &exchange, const char *method, const char *version);
-    void receiveBody(http_exchange &exchange, std::string_view data);
-    MHD_Result finishRequest(http_exchange &exchange);
-    MHD_Result answerWellKnown(http_exchange &exchange, std::string_view path);
-    MHD_Result answerEntryQuery(http_exchange &exchange);
-    MHD_Result suspend(http_exchange &exchange, bool isQuery);
-    MHD_Result resumeRequest(http_exchange &exchange, MHD_Connection *connection);
+    MHD_Result receiveHead(caller_exchange &exchange, const char *method, const char *version);
+    void receiveBody(caller_exchange &exchange, std::string_view data);
+    MHD_Result finishRequest(caller_exchange &exchange);
+    MHD_Result answerWellKnown(caller_exchange &exchange, std::string_view path);
+    MHD_Result answerEntryQuery(caller_exchange &exchange);
+    MHD_Result suspend(caller_exchange &exchange, bool isQuery);
+    MHD_Result resumeRequest(caller_exchange &exchange, MHD_Connection *connection);
 
-    void reserveBody(http_exchange &exchange, std::uint64_t bytes);
-    void refuse(http_exchange &exchange, const request_refusal &reason);
-    problem refusalProblem(const http_exchange &exchange, const request_refusal &reason);
-    MHD_Result answer(http_exchange &exchange, shared_response response);
-    MHD_Result queueResponse(http_exchange &exchange);
+    void reserveBody(caller_exchange &exchange, std::uint64_t bytes);
+    void refuse(caller_exchange &exchange, const request_refusal &reason);
+    problem refusalProblem(const caller_exchange &exchange, const request_refusal &reason);
+    MHD_Result answer(caller_exchange &exchange, shared_response response);
+    MHD_Result queueResponse(caller_exchange &exchange);
     void deliverResponse(std::uint64_t id, bool isQuery, shared_response response, bool close);
-    void markUnsent(http_exchange &exchange);
+    void markUnsent(caller_exchange &exchange);
 
-    void callerReadable(http_exchange &exchange);
+    void callerReadable(caller_exchange &exchange);
     void callerGone(std::uint64_t id);
-    void abandon(http_exchange &exchange);
+    void abandon(caller_exchange &exchange);
     void sweep();
     std::string makeRequestId();
     static connection_state &stateOf(MHD_Connection *connection);
@@ -100,7 +100,7 @@
     std::function<void()> m_flushDone;
     /// The only binding of calls and queries to connections. An exchange is in it exactly while it
     /// is `waiting`.
-    std::unordered_map<std::uint64_t, http_exchange *> m_waiting;
+    std::unordered_map<std::uint64_t, caller_exchange *> m_waiting;
     std::unordered_map<MHD_Connection *, std::unique_ptr<connection_state>> m_connections;
     std::uint64_t m_lastId = 0;
     std::uint64_t m_heldBytes = 0;
