Add the almondnotchd daemon with its settings and their reference

main/daemon declares every setting that no transport declares itself, reads a settings file, and registers and runs all services. Faults of type, range, name and meaning (addresses, keys, operator token, log level) are all reported with their lines and exit code 2 before anything starts. SIGTERM drains; a second SIGTERM, or SIGINT, exits at once. Keys for key range tokens are derived from peer.keys, so that one secret is not used for two MACs.

--- a/core/settings.cpp
+++ b/core/settings.cpp
@@ -43,6 +43,8 @@
 std::string rangeText(const setting_declaration &declaration)
 {
     std::ostringstream out;
+    // Enough digits for bounds in bytes; the default of 6 would round them.
+    out.precision(15);
     out << declaration.minimum << " to " << declaration.maximum;
     return out.str();
 }
@@ -222,8 +224,8 @@
             = dot == std::string::npos ? std::string() : declaration.name.substr(0, dot);
         if (group != table) {
             table = group;
-            out << "\n## [" << group
-                << "]\n\n| setting | type | default | range | unit | meaning |\n"
+            out << "\n## " << (group.empty() ? std::string("Top level") : "[" + group + "]")
+                << "\n\n| setting | type | default | range | unit | meaning |\n"
                 << "|---|---|---|---|---|---|\n";
         }
         const bool numeric = declaration.defaultValue.index() < 2;
--- /dev/null
+++ b/main/daemon/daemon_settings.cpp
@@ -0,0 +1,282 @@
+#include "main/daemon/daemon_settings.h"
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "core/digest.h"
+#include "core/random_source.h"
+#include "servers/http_daemon/socket_address.h"
+
+namespace almondnotch {
+
+namespace {
+
+/// Shorter secrets could be guessed from one recorded message.
+constexpr std::size_t secretBytesMin = 16;
+
+/// Items of a comma-separated text, without surrounding blanks.
+std::vector<std::string> splitList(std::string_view text)
+{
+    std::vector<std::string> items;
+    while (!text.empty()) {
+        const std::size_t comma = std::min(text.find(','), text.size());
+        std::string_view item = text.substr(0, comma);
+        item.remove_prefix(std::min(item.find_first_not_of(" \t"), item.size()));
+        item = item.substr(0, item.find_last_not_of(" \t") + 1);
+        items.emplace_back(item);
+        text.remove_prefix(std::min(comma + 1, text.size()));
+    }
+    return items;
+}
+
+std::optional<shared_key> parseKey(std::string_view item)
+{
+    const std::size_t colon = item.find(':');
+    if (colon == std::string_view::npos || colon == 0)
+        return std::nullopt;
+    return shared_key {std::string(item.substr(0, colon)), std::string(item.substr(colon + 1))};
+}
+
+/// Faults that a type and a range do not express. Messages never quote secrets.
+class text_checks
+{
+public:
+    text_checks(const toml::table &file, const std::vector<setting_declaration> &declarations)
+        : m_file(file), m_declarations(declarations)
+    { }
+
+    std::vector<setting_fault> run()
+    {
+        checkAddress("entry.address");
+        checkAddress("peer.address");
+        checkAddress("platform.address");
+        checkSeeds();
+        checkKeys();
+        checkOperator();
+        const result<log_level> level = parseLogLevel(value("log.level"));
+        if (!level)
+            add("log.level",
+                "expected debug, info, warning or error, found \"" + value("log.level") + "\"");
+        return std::move(m_faults);
+    }
+
+private:
+    std::string value(const std::string &name) const
+    {
+        const std::optional<std::string> given = m_file.at_path(name).value<std::string>();
+        if (given)
+            return *given;
+        for (const setting_declaration &declaration : m_declarations) {
+            if (declaration.name == name)
+                return std::get<std::string>(declaration.defaultValue);
+        }
+        return {};
+    }
+
+    void add(const std::string &name, std::string message)
+    {
+        const toml::node *node = m_file.at_path(name).node();
+        const int line = node == nullptr ? 0 : static_cast<int>(node->source().begin.line);
+        m_faults.push_back({line, name, std::move(message)});
+    }
+
+    /// An address that others connect to; a missing one is reported as such elsewhere.
+    void checkAddress(const std::string &name)
+    {
+        const std::string text = value(name);
+        if (!text.empty() && !isReachable(text))
+            add(name, "expected a numeric address and port that others can connect to, as in "
+                      "192.0.2.1:80, found \""
+                          + text + "\"");
+    }
+
+    static bool isReachable(const std::string &text)
+    {
+        const result<socket_address> address = socket_address::parse(text);
+        return address && !address->isWildcard() && address->port() != 0;
+    }
+
+    void checkSeeds()
+    {
+        for (const std::string &seed : splitList(value("peer.seeds"))) {
+            if (!isReachable(seed))
+                add("peer.seeds", "expected numeric addresses with ports, found \"" + seed + "\"");
+        }
+    }
+
+    void checkKeys()
+    {
+        std::set<std::string> ids;
+        for (const std::string &item : splitList(value("peer.keys"))) {
+            const std::optional<shared_key> key = parseKey(item);
+            if (!key)
+                add("peer.keys", "expected keys as id:secret");
+            else if (key->secret.size() < secretBytesMin)
+                add("peer.keys", "key \"" + key->id + "\": expected a secret of at least "
+                                     + std::to_string(secretBytesMin) + " bytes, found "
+                                     + std::to_string(key->secret.size()));
+            else if (!ids.insert(key->id).second)
+                add("peer.keys", "key \"" + key->id + "\": the id is used twice");
+        }
+    }
+
+    void checkOperator()
+    {
+        const result<void> checked
+            = checkOperatorSettings({value("operator.address"), value("operator.token")});
+        if (!checked)
+            add("operator.address",
+                checked.error().message + ", found \"" + value("operator.address") + "\"");
+    }
+
+    const toml::table &m_file;
+    const std::vector<setting_declaration> &m_declarations;
+    std::vector<setting_fault> m_faults;
+};
+
+std::vector<setting_fault> findTextFaults(std::string_view text,
+                                          const std::vector<setting_declaration> &declarations)
+{
+    try {
+        const toml::table file = toml::parse(text);
+        return text_checks(file, declarations).run();
+    } catch (const toml::parse_error &) {
+        // `settings::parse` reports it.
+        return {};
+    }
+}
+
+/// Reads the values that need no check beyond their declaration.
+class setting_reader
+{
+public:
+    explicit setting_reader(const settings &values) : m_values(values) { }
+
+    template <typename Number>
+    void read(std::string_view name, Number &target) const
+    {
+        target = static_cast<Number>(m_values.integer(name));
+    }
+    void readMilliseconds(std::string_view name, duration &target) const
+    {
+        target = milliseconds(m_values.integer(name));
+    }
+    void readSeconds(std::string_view name, duration &target) const
+    {
+        target = seconds(m_values.integer(name));
+    }
+
+private:
+    const settings &m_values;
+};
+
+void readFleet(const settings &values, gateway_settings &target)
+{
+    const setting_reader reader(values);
+    fleet_settings &fleetPart = target.fleetPart;
+    fleetPart.self.vm = values.text("vm.name");
+    fleetPart.failureDomain = values.text("vm.failure_domain");
+    fleetPart.entryAddress = values.text("entry.address");
+    fleetPart.peerAddress = values.text("peer.address");
+    fleetPart.seedPeers = splitList(values.text("peer.seeds"));
+    reader.read("fleet.fanout", fleetPart.fanout);
+    reader.readMilliseconds("fleet.exchange_interval_ms", fleetPart.exchangeInterval);
+    reader.readSeconds("fleet.ask_peers_s", fleetPart.askPeers);
+    reader.read("fleet.readers", fleetPart.readers);
+    reader.readSeconds("fleet.reader_silence_s", fleetPart.readerSilence);
+    reader.readSeconds("fleet.watch_s", fleetPart.watch);
+    reader.readSeconds("fleet.suspect_after_s", fleetPart.suspectAfter);
+    reader.readSeconds("fleet.gone_after_s", fleetPart.goneAfter);
+    reader.read("fleet.platform_calls_per_second", fleetPart.platformCallsPerSecond);
+    reader.readMilliseconds("fleet.pause_threshold_ms", target.pauseThreshold);
+    reader.readSeconds("fleet.drain_time_max_s", target.drainTimeMax);
+}
+
+void readCalls(const settings &values, gateway_settings &target)
+{
+    const setting_reader reader(values);
+    reader.read("calls.in_progress_max", target.calls.inProgressMax);
+    reader.read("calls.attempts_max", target.calls.attemptsMax);
+    reader.readMilliseconds("calls.timeout_max_ms", target.calls.timeoutMax);
+    reader.readMilliseconds("calls.response_reserve_ms", target.calls.responseReserve);
+    reader.readSeconds("calls.quarantine_s", target.calls.quarantineTime);
+    reader.read("calls.crash_records_max", target.calls.crashRecordsMax);
+    reader.read("claims.claims_max", target.claims.claimsMax);
+    reader.read("claims.stored_response_bytes_max", target.claims.storedResponseBytesMax);
+    reader.read("claims.stored_bytes_max", target.claims.storedBytesMax);
+    reader.readSeconds("claims.accept_s", target.claims.accept);
+    reader.readSeconds("claims.repeat_s", target.claims.repeat);
+    reader.read("claims.chunk_claims_max", target.claims.chunkClaimsMax);
+    target.balancerPart.failureDomain = values.text("vm.failure_domain");
+    reader.readMilliseconds("balancer.probe_timeout_ms", target.balancerPart.probeTimeout);
+    reader.readMilliseconds("balancer.slow_start_ms", target.balancerPart.slowStart);
+    reader.readMilliseconds("balancer.ejection_time_ms", target.balancerPart.ejectionTime);
+}
+
+void readEntry(const settings &values, entry_settings &target)
+{
+    const setting_reader reader(values);
+    target.address = values.text("entry.address");
+    target.idleTimeout = seconds(values.integer("entry.idle_timeout_s"));
+    reader.read("entry.connections_max", target.connectionsMax);
+    reader.readMilliseconds("entry.receive_time_max_ms", target.receiveTimeMax);
+    reader.read("entry.body_bytes_max", target.bodyBytesMax);
+    reader.read("entry.header_bytes_max", target.headerBytesMax);
+    reader.read("entry.held_body_bytes_max", target.heldBodyBytesMax);
+}
+
+} // namespace
+
+tl::expected<daemon_settings, std::vector<setting_fault>>
+parseDaemonSettings(std::string_view text, const std::vector<setting_declaration> &declarations)
+{
+    std::vector<setting_fault> faults = findTextFaults(text, declarations);
+    tl::expected<settings, std::vector<setting_fault>> parsed = settings::parse(text, declarations);
+    if (!parsed)
+        faults.insert(faults.end(), parsed.error().begin(), parsed.error().end());
+    if (!faults.empty()) {
+        std::stable_sort(faults.begin(), faults.end(),
+                         [](const setting_fault &left, const setting_fault &right) {
+                             return left.line < right.line;
+                         });
+        return tl::unexpected(faults);
+    }
+
+    daemon_settings result;
+    result.values = std::move(*parsed);
+    readFleet(result.values, result.decisions);
+    readCalls(result.values, result.decisions);
+    readEntry(result.values, result.entry);
+    result.operators
+        = {result.values.text("operator.address"), result.values.text("operator.token")};
+    for (const std::string &item : splitList(result.values.text("peer.keys"))) {
+        result.keys.push_back(parseKey(item).value_or(shared_key {}));
+        // Two uses of one secret get keys of their own, so that a MAC for one never fits the other.
+        result.decisions.claims.tokenKeys.push_back(
+            hmacSha256(result.keys.back().secret, "almondnotch key range token"));
+    }
+    result.level = parseLogLevel(result.values.text("log.level")).value_or(log_level::info);
+    result.seed = static_cast<std::uint64_t>(result.values.integer("seed"));
+    return result;
+}
+
+void identify(daemon_settings &target, std::int64_t unixMs, std::uint64_t randomBits)
+{
+    constexpr unsigned randomBitsOfStartNumber = 20;
+    process_id &self = target.decisions.fleetPart.self;
+    self.startNumber = (static_cast<std::uint64_t>(unixMs) << randomBitsOfStartNumber)
+                       | (randomBits >> (64 - randomBitsOfStartNumber));
+
+    random_source seeds(target.seed != 0 ? target.seed : mixBits(randomBits));
+    target.decisions.seed = seeds.next();
+    // Gateways that are given the same seed must not make the same choices.
+    target.decisions.balancerPart.gatewaySeed
+        = seeds.next() ^ mixBits(std::hash<std::string> {}(self.vm));
+    // Request identifiers must differ between runs even if the decisions shall not.
+    target.entry.seed = mixBits(randomBits ^ self.startNumber);
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/main/daemon/gateway_process.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <memory>
+
+#include "core/error.h"
+#include "core/kernel.h"
+#include "main/daemon/daemon_settings.h"
+#include "servers/event_loop/event_loop.h"
+#include "servers/event_loop/signal_watcher.h"
+#include "servers/ports.h"
+
+namespace almondnotch {
+
+/// All services of one almondnotchd process.
+class gateway_process
+{
+public:
+    gateway_process() = default;
+    gateway_process(const gateway_process &) = delete;
+    gateway_process &operator=(const gateway_process &) = delete;
+
+    /// Registers and starts the services.
+    result<void> start(const daemon_settings &settings);
+
+    /// Runs until the process has drained or is told to exit.
+    /// \return exit code.
+    int run();
+
+private:
+    result<void> registerAll(const daemon_settings &settings);
+    void terminate();
+    void exitNow(int code);
+
+    kernel m_kernel;
+    event_loop *m_loop = nullptr;
+    event_sink *m_decision = nullptr;
+    std::unique_ptr<signal_watcher> m_onTerminate;
+    std::unique_ptr<signal_watcher> m_onInterrupt;
+    bool m_isDraining = false;
+    int m_exitCode = 0;
+};
+
+} // namespace almondnotch
--- a/servers/http_daemon/socket_address.cpp
+++ b/servers/http_daemon/socket_address.cpp
@@ -58,14 +58,37 @@
 
 bool socket_address::isLoopback() const
 {
-    if (m_address.ss_family == AF_INET) {
-        sockaddr_in v4 {};
-        std::memcpy(&v4, &m_address, sizeof v4);
-        return (ntohl(v4.sin_addr.s_addr) >> 24) == 127;
-    }
+    if (m_address.ss_family == AF_INET)
+        return (ntohl(asV4().sin_addr.s_addr) >> 24) == 127;
+    const sockaddr_in6 v6 = asV6();
+    return IN6_IS_ADDR_LOOPBACK(&v6.sin6_addr) != 0;
+}
+
+bool socket_address::isWildcard() const
+{
+    if (m_address.ss_family == AF_INET)
+        return asV4().sin_addr.s_addr == htonl(INADDR_ANY);
+    const sockaddr_in6 v6 = asV6();
+    return IN6_IS_ADDR_UNSPECIFIED(&v6.sin6_addr) != 0;
+}
+
+std::uint16_t socket_address::port() const
+{
+    return ntohs(m_address.ss_family == AF_INET ? asV4().sin_port : asV6().sin6_port);
+}
+
+sockaddr_in socket_address::asV4() const
+{
+    sockaddr_in v4 {};
+    std::memcpy(&v4, &m_address, sizeof v4);
+    return v4;
+}
+
+sockaddr_in6 socket_address::asV6() const
+{
     sockaddr_in6 v6 {};
     std::memcpy(&v6, &m_address, sizeof v6);
-    return IN6_IS_ADDR_LOOPBACK(&v6.sin6_addr);
+    return v6;
 }
 
 result<int> socket_address::listen(int backlog) const
--- a/servers/http_daemon/socket_address.h
+++ b/servers/http_daemon/socket_address.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include "core/error.h"
@@ -20,10 +21,17 @@
     /// True for 127.0.0.0/8 and ::1.
     bool isLoopback() const;
 
+    /// True for 0.0.0.0 and ::, which stand for every local address and cannot be connected to.
+    bool isWildcard() const;
+    std::uint16_t port() const;
+
     /// Opens a non-blocking listening socket. The caller owns the descriptor.
     result<int> listen(int backlog) const;
 
 private:
+    sockaddr_in asV4() const;
+    sockaddr_in6 asV6() const;
+
     std::string m_text;
     sockaddr_storage m_address {};
     socklen_t m_length = 0;
--- /dev/null
+++ b/tests/main/daemon/daemon_process_test.py
@@ -0,0 +1,135 @@
+"""Tests of the almondnotchd process: exit codes, start, drain and immediate exit.
+
+Usage: daemon_process_test.py PATH_OF_ALMONDNOTCHD
+"""
+import http.client
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+DAEMON = sys.argv.pop(1)
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+class DaemonProcess(unittest.TestCase):
+    def setUp(self):
+        self.directory = tempfile.TemporaryDirectory()
+        self.process = None
+        self.entry, self.operator, self.peer, self.platform = free_ports(4)
+
+    def tearDown(self):
+        if self.process and self.process.poll() is None:
+            self.process.kill()
+        if self.process:
+            self.process.communicate()
+        self.directory.cleanup()
+
+    def write(self, extra=""):
+        path = os.path.join(self.directory.name, "settings.toml")
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(f"""[vm]
+name = "vm1"
+failure_domain = "fd1"
+[entry]
+address = "127.0.0.1:{self.entry}"
+[operator]
+address = "127.0.0.1:{self.operator}"
+[peer]
+address = "127.0.0.1:{self.peer}"
+keys = "k1:0123456789abcdef"
+[platform]
+address = "127.0.0.1:{self.platform}"
+[fleet]
+drain_time_max_s = 3
+{extra}
+""")
+        return path
+
+    def get(self, port, target):
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
+        connection.request("GET", target)
+        response = connection.getresponse()
+        answer = response.status, response.read()
+        connection.close()
+        return answer
+
+    def start(self):
+        self.process = subprocess.Popen([DAEMON, "--settings", self.write()],
+                                        stderr=subprocess.PIPE)
+        limit = time.monotonic() + 20
+        while True:
+            try:
+                return self.get(self.entry, "/.well-known/almondnotch/health")
+            except OSError:
+                self.assertIsNone(self.process.poll())
+                self.assertLess(time.monotonic(), limit)
+                time.sleep(0.02)
+
+    def test_bad_settings_start_nothing(self):
+        """Guards against a daemon that serves with settings that are partly wrong."""
+        run = subprocess.run([DAEMON, "--settings", self.write("fanuot = 1\nreaders = 0")],
+                             capture_output=True, text=True, timeout=20, check=False)
+        self.assertEqual(run.returncode, 2)
+        self.assertIn(":15: fleet.fanuot: ", run.stderr)
+        self.assertIn("did you mean fleet.fanout?", run.stderr)
+        self.assertIn(":16: fleet.readers: ", run.stderr)
+
+    def test_check_settings_only_checks(self):
+        """Guards against a check that opens sockets, or that accepts a missing file."""
+        held = socket.socket()
+        held.bind(("127.0.0.1", self.entry))
+        held.listen()
+        path = self.write()
+        self.assertEqual(subprocess.run([DAEMON, "--settings", path, "--check_settings"],
+                                        timeout=20, check=False).returncode, 0)
+        self.assertEqual(subprocess.run([DAEMON, "--settings", path + "x", "--check_settings"],
+                                        stderr=subprocess.DEVNULL, timeout=20,
+                                        check=False).returncode, 2)
+        run = subprocess.run([DAEMON, "--settings", path], capture_output=True, text=True,
+                             timeout=20, check=False)
+        held.close()
+        self.assertEqual(run.returncode, 1)
+        self.assertIn(str(self.entry), run.stderr)
+
+    def test_terminate_drains(self):
+        """Guards against a SIGTERM that ends the process with an error or never."""
+        self.assertEqual(self.start(), (200, b"ok\n"))
+        self.assertEqual(self.get(self.operator, "/version")[0], 200)
+        self.assertIn(b"almondnotch_process_start_time_seconds",
+                      self.get(self.operator, "/metrics")[1])
+        self.assertEqual(self.get(self.operator, "/dump")[0], 200)
+        self.process.send_signal(signal.SIGTERM)
+        self.assertEqual(self.process.wait(30), 0)
+
+    def test_second_terminate_exits_at_once(self):
+        """Guards against an operator who cannot end a drain."""
+        self.start()
+        self.process.send_signal(signal.SIGTERM)
+        time.sleep(0.05)
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGTERM)
+            self.assertIn(self.process.wait(5), (0, 143))
+
+    def test_interrupt_exits_at_once(self):
+        """Guards against a SIGINT that is ignored or drains."""
+        self.start()
+        self.process.send_signal(signal.SIGINT)
+        self.assertEqual(self.process.wait(5), 130)
+
+
+if __name__ == "__main__":
+    unittest.main()
