Add the exchange with other gateways over gRPC

Gateways send one another digests, configuration, forwarded calls and handovers as one-way messages (design, section 3.4). A changed, foreign, replayed, over-long or unreadable message must change nothing.

peer_link signs and checks envelopes, converts messages, bounds what is under way and keeps a bounded set of channels. peer_rpc holds all of gRPC: server and client share one completion queue with one thread, which only posts to the event loop. gRPC's retries are off, so that a message is sent at most once, and its reconnection time is at most 1 s instead of 120 s, so that a restarted peer is reached. The MAC covers the deterministic serialisation; peer.proto says what this demands of later fields.

--- /dev/null
+++ b/servers/peer_link/peer_link.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/counters.h"
+#include "servers/event_loop/event_loop.h"
+#include "servers/event_loop/timer_watcher.h"
+#include "servers/peer_link/envelope_seal.h"
+#include "servers/peer_link/peer_link_settings.h"
+#include "servers/peer_link/peer_rpc.h"
+#include "servers/peer_link/replay_window.h"
+#include "servers/ports.h"
+
+namespace almondnotch {
+
+/// Sends messages to other gateways and receives theirs (design, section 3.4).
+///
+/// A message is delivered only if it has a known protocol number, key and MAC, is within the size
+/// bound and was not delivered before; otherwise it is counted and changes nothing. A failed send
+/// is reported once; a message that arrived may have been refused by the receiver.
+class peer_link : public peer_port
+{
+public:
+    explicit peer_link(peer_link_settings bounds);
+    ~peer_link() override;
+
+    result<void> start(kernel &owner) override;
+    /// Gives up what is under way without a report.
+    void stop() override;
+
+    void sendPeerMessage(const send_peer_message &order) override;
+    const counter_set &counters() const override { return m_counters; }
+
+    /// "ip:port" that is listened on, once started.
+    const std::string &address() const { return m_rpc->address(); }
+
+    /// Checks an envelope and delivers its message. Called on the loop's thread.
+    void receive(const peer::v1::Envelope &envelope);
+
+private:
+    struct peer_channel
+    {
+        std::shared_ptr<peer_rpc::channel> channel;
+        std::size_t inFlight = 0;
+        instant lastUsed;
+    };
+    struct sent_message
+    {
+        std::string peerAddress;
+        std::uint64_t messageId = 0;
+    };
+    struct sender
+    {
+        replay_window window;
+        /// Position in `m_senderOrder`.
+        std::list<process_id>::iterator order;
+    };
+
+    peer_channel *channelTo(const std::string &peerAddress);
+    bool dropIdlestChannel();
+    void dropIdleChannels();
+    bool acceptCounter(const process_id &from, std::uint64_t counter);
+    void refuse(const char *reason);
+    void messageSent(std::uint64_t sendId, const std::string &failure);
+    void failLater(const send_peer_message &order, const char *reason);
+    void deliverDeferred();
+    void updateGauges();
+
+    peer_link_settings m_bounds;
+    event_loop *m_loop = nullptr;
+    event_sink *m_decision = nullptr;
+    counter_set m_counters;
+    std::unique_ptr<envelope_seal> m_seal;
+    std::unique_ptr<peer_rpc> m_rpc;
+    /// Functions posted to the loop hold a weak reference, and do nothing after `stop`.
+    std::shared_ptr<bool> m_running;
+    std::uint64_t m_lastCounter = 0;
+    std::map<std::string, peer_channel> m_channels;
+    /// Messages under way by their counter.
+    std::unordered_map<std::uint64_t, sent_message> m_sending;
+    std::map<process_id, sender> m_senders;
+    /// Senders, the one heard last at the back.
+    std::list<process_id> m_senderOrder;
+    std::vector<peer_send_failed> m_deferred;
+    std::unique_ptr<timer_watcher> m_deferredTimer;
+    std::unique_ptr<timer_watcher> m_idleTimer;
+};
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/peer_link/peer_rpc.cpp
@@ -0,0 +1,278 @@
+#include "servers/peer_link/peer_rpc.h"
+
+#include <atomic>
+#include <chrono>
+#include <mutex>
+#include <set>
+#include <thread>
+
+#include <grpcpp/grpcpp.h>
+#include <grpcpp/resource_quota.h>
+#include <peer.grpc.pb.h>
+
+namespace almondnotch {
+
+namespace {
+
+/// Calls that may arrive while the thread handles another; more wait in gRPC.
+constexpr int acceptingCalls = 16;
+/// gRPC refuses longer messages itself. Above the message bound, so that a message that exceeds
+/// the bound a little is still counted by `peer_link`.
+constexpr std::size_t receiveMargin = 262'144;
+/// Reconnection times. gRPC's default of up to 120 s would leave a restarted peer unreachable.
+constexpr int reconnectMsMin = 100;
+constexpr int reconnectMsMax = 1'000;
+constexpr int connectMsMax = 1'500;
+/// Longest wait for calls under way when the server stops.
+constexpr std::chrono::milliseconds shutdownTimeLimit {200};
+
+/// Something that the completion queue reports.
+class operation
+{
+public:
+    operation() = default;
+    operation(const operation &) = delete;
+    operation &operator=(const operation &) = delete;
+    virtual ~operation() = default;
+    virtual void completed(bool ok) = 0;
+};
+
+} // namespace
+
+class peer_rpc::channel
+{
+public:
+    explicit channel(const std::shared_ptr<grpc::Channel> &connection)
+        : m_stub(peer::v1::Peer::NewStub(connection))
+    { }
+
+    peer::v1::Peer::Stub &stub() { return *m_stub; }
+
+private:
+    std::unique_ptr<peer::v1::Peer::Stub> m_stub;
+};
+
+struct peer_rpc::state
+{
+    class inbound;
+    class outbound;
+
+    void run();
+    void acceptNext();
+
+    bounds limits;
+    handlers callbacks;
+    std::string address;
+    grpc::ResourceQuota quota {"peer_link"};
+    peer::v1::Peer::AsyncService service;
+    std::unique_ptr<grpc::ServerCompletionQueue> queue;
+    std::unique_ptr<grpc::Server> server;
+    std::thread thread;
+    std::atomic<std::size_t> received {0};
+    std::atomic<std::uint64_t> refused {0};
+    /// Guards what follows: nothing may be added to the queue once it shuts down.
+    std::mutex mutex;
+    bool stopping = false;
+    std::set<outbound *> sending;
+};
+
+/// One call of the server, from waiting for it to the end of its response.
+class peer_rpc::state::inbound : public operation
+{
+public:
+    explicit inbound(state &owner) : m_owner(owner), m_response(&m_context) { }
+
+    /// The owner's mutex must be held.
+    void request()
+    {
+        m_owner.service.RequestSend(&m_context, m_envelope.get(), &m_response, m_owner.queue.get(),
+                                    m_owner.queue.get(), this);
+    }
+
+    void completed(bool ok) override
+    {
+        if (!ok || m_responding) {
+            delete this;
+            return;
+        }
+        m_owner.acceptNext();
+        const bool taken = m_owner.received.fetch_add(1) < m_owner.limits.receivedMax;
+        if (taken) {
+            m_owner.callbacks.onMessage(std::move(m_envelope));
+        } else {
+            m_owner.received.fetch_sub(1);
+            m_owner.refused.fetch_add(1);
+        }
+        respond(taken);
+    }
+
+private:
+    void respond(bool taken)
+    {
+        const std::scoped_lock lock(m_owner.mutex);
+        if (m_owner.stopping) {
+            delete this;
+            return;
+        }
+        m_responding = true;
+        if (taken)
+            m_response.Finish(peer::v1::Ack(), grpc::Status::OK, this);
+        else
+            m_response.FinishWithError(
+                grpc::Status(grpc::StatusCode::RESOURCE_EXHAUSTED, "too many messages wait"), this);
+    }
+
+    state &m_owner;
+    grpc::ServerContext m_context;
+    std::shared_ptr<peer::v1::Envelope> m_envelope = std::make_shared<peer::v1::Envelope>();
+    grpc::ServerAsyncResponseWriter<peer::v1::Ack> m_response;
+    bool m_responding = false;
+};
+
+/// One call of the client.
+class peer_rpc::state::outbound : public operation
+{
+public:
+    outbound(state &owner, std::shared_ptr<channel> to, std::uint64_t sendId)
+        : m_owner(owner), m_channel(std::move(to)), m_sendId(sendId)
+    { }
+
+    /// The owner's mutex must be held.
+    void start(const peer::v1::Envelope &envelope)
+    {
+        m_context.set_deadline(std::chrono::system_clock::now() + m_owner.limits.sendTimeLimit);
+        m_reader = m_channel->stub().AsyncSend(&m_context, envelope, m_owner.queue.get());
+        m_reader->Finish(&m_ack, &m_status, this);
+    }
+
+    void cancel() { m_context.TryCancel(); }
+
+    void completed(bool /*ok*/) override
+    {
+        {
+            const std::scoped_lock lock(m_owner.mutex);
+            m_owner.sending.erase(this);
+        }
+        m_owner.callbacks.onSent(
+            m_sendId, m_status.ok()
+                          ? std::string()
+                          : "gRPC status " + std::to_string(static_cast<int>(m_status.error_code()))
+                                + ": " + m_status.error_message());
+        delete this;
+    }
+
+private:
+    state &m_owner;
+    std::shared_ptr<channel> m_channel;
+    std::uint64_t m_sendId;
+    grpc::ClientContext m_context;
+    peer::v1::Ack m_ack;
+    grpc::Status m_status;
+    std::unique_ptr<grpc::ClientAsyncResponseReader<peer::v1::Ack>> m_reader;
+};
+
+void peer_rpc::state::acceptNext()
+{
+    const std::scoped_lock lock(mutex);
+    if (!stopping) {
+        // Deletes itself when its call has ended.
+        std::make_unique<inbound>(*this).release()->request();
+    }
+}
+
+void peer_rpc::state::run()
+{
+    void *tag = nullptr;
+    bool ok = false;
+    while (queue->Next(&tag, &ok))
+        static_cast<operation *>(tag)->completed(ok);
+}
+
+result<std::unique_ptr<peer_rpc>> peer_rpc::create(const std::string &listenAddress, bounds limits,
+                                                   handlers callbacks)
+{
+    std::unique_ptr<state> data = std::make_unique<state>();
+    data->limits = limits;
+    data->callbacks = std::move(callbacks);
+    data->quota.Resize(limits.memoryBytesMax);
+    data->quota.SetMaxThreads(2);
+    grpc::ServerBuilder builder;
+    int port = 0;
+    builder.AddListeningPort(listenAddress, grpc::InsecureServerCredentials(), &port);
+    builder.RegisterService(&data->service);
+    builder.SetResourceQuota(data->quota);
+    builder.SetMaxReceiveMessageSize(static_cast<int>(limits.messageBytesMax + receiveMargin));
+    // Two processes on one port would each get a part of the messages.
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    data->queue = builder.AddCompletionQueue();
+    data->server = builder.BuildAndStart();
+    if (!data->server || port == 0)
+        return fail(error_code::unavailable, "listen for peers", listenAddress,
+                    "gRPC could not listen on the address");
+    data->address = listenAddress.substr(0, listenAddress.rfind(':') + 1) + std::to_string(port);
+    for (int count = 0; count < acceptingCalls; ++count)
+        data->acceptNext();
+    state *borrowed = data.get();
+    data->thread = std::thread([borrowed]() { borrowed->run(); });
+    return std::unique_ptr<peer_rpc>(new peer_rpc(std::move(data)));
+}
+
+peer_rpc::peer_rpc(std::unique_ptr<state> data) : m_state(std::move(data)) { }
+
+peer_rpc::~peer_rpc()
+{
+    {
+        const std::scoped_lock lock(m_state->mutex);
+        m_state->stopping = true;
+        for (state::outbound *call : m_state->sending)
+            call->cancel();
+    }
+    m_state->server->Shutdown(std::chrono::system_clock::now() + shutdownTimeLimit);
+    m_state->queue->Shutdown();
+    m_state->thread.join();
+}
+
+const std::string &peer_rpc::address() const
+{
+    return m_state->address;
+}
+
+std::shared_ptr<peer_rpc::channel> peer_rpc::connect(const std::string &peerAddress)
+{
+    grpc::ChannelArguments arguments;
+    arguments.SetResourceQuota(m_state->quota);
+    arguments.SetMaxReceiveMessageSize(static_cast<int>(m_state->limits.messageBytesMax));
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, reconnectMsMin);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, connectMsMax);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, reconnectMsMax);
+    // A message is sent at most once.
+    arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    arguments.SetInt(GRPC_ARG_SERVICE_CONFIG_DISABLE_RESOLUTION, 1);
+    // Connections of the global pool would outlive the channel.
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    return std::make_shared<channel>(grpc::CreateCustomChannel(
+        "ipv4:" + peerAddress, grpc::InsecureChannelCredentials(), arguments));
+}
+
+void peer_rpc::send(const std::shared_ptr<channel> &to, std::uint64_t sendId,
+                    const peer::v1::Envelope &envelope)
+{
+    const std::scoped_lock lock(m_state->mutex);
+    // Deletes itself when it has completed.
+    state::outbound *call = std::make_unique<state::outbound>(*m_state, to, sendId).release();
+    m_state->sending.insert(call);
+    call->start(envelope);
+}
+
+void peer_rpc::messageHandled()
+{
+    m_state->received.fetch_sub(1);
+}
+
+std::uint64_t peer_rpc::refusedTotal() const
+{
+    return m_state->refused.load();
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/peer_link/register_services.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "core/error.h"
+#include "core/kernel.h"
+#include "servers/peer_link/peer_link.h"
+#include "servers/peer_link/peer_link_settings.h"
+
+namespace almondnotch {
+
+/// Adds the service "peer_link".
+result<peer_link *> registerPeerLink(kernel &owner, peer_link_settings bounds);
+
+} // namespace almondnotch
--- /dev/null
+++ b/tests/servers/message_codec_test.cpp
@@ -0,0 +1,147 @@
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "servers/peer_link/message_codec.h"
+
+namespace almondnotch {
+
+namespace {
+
+const process_id processA {"vm-a", 0xfedcba9876543210};
+const process_id processB {"vm-b", 1};
+
+/// The message after it was written, serialised, parsed and read.
+peer_message carried(const peer_message &message)
+{
+    peer::v1::Envelope sent;
+    encodeMessage(message, sent);
+    peer::v1::Envelope arrived;
+    BOOST_REQUIRE(arrived.ParseFromString(sent.SerializeAsString()));
+    result<peer_message> decoded = decodeMessage(arrived);
+    BOOST_REQUIRE(decoded);
+    BOOST_REQUIRE_EQUAL(decoded->index(), message.index());
+    return std::move(*decoded);
+}
+
+template <typename Message>
+Message carriedAs(const Message &message)
+{
+    return std::get<Message>(carried(message));
+}
+
+member_update member(gateway_state state)
+{
+    return {processA,      7,  state,           "domain",       "127.0.0.1:1",
+            "127.0.0.1:2", 11, milliseconds(5), milliseconds(6)};
+}
+
+shared_request request()
+{
+    call_request made;
+    made.method = "POST";
+    made.target = "/a?b=\xff";
+    made.headers = {{"X-A", "\xe4"}, {"X-A", ""}};
+    made.body = std::string("\0\xff body", 7);
+    made.idempotencyKey = "k/1";
+    made.timeout = duration(0);
+    made.depth = 3;
+    made.attempt = 2;
+    made.requestId = "r";
+    return std::make_shared<const call_request>(made);
+}
+
+shared_response response(call_outcome outcome)
+{
+    call_response made;
+    made.status = 503;
+    made.headers = {{"X-B", "1"}};
+    made.body = std::string("\0\xfe", 2);
+    made.outcome = outcome;
+    return std::make_shared<const call_response>(made);
+}
+
+} // namespace
+
+// Guards against a field that is lost or mixed up between gateways.
+BOOST_AUTO_TEST_CASE(fleet_messages_survive_the_round_trip)
+{
+    fleet_digest digest;
+    digest.self = member(gateway_state::leaving);
+    digest.configVersion = 1;
+    digest.manifestSha256 = "sha";
+    digest.newestReadAge = duration(3);
+    digest.replyWanted = true;
+    digest.vmListVersion = 4;
+    digest.leavingVmCount = 5;
+    digest.leavingVms = {{"vm-c", true, -6}};
+    for (const gateway_state state : {gateway_state::alive, gateway_state::suspect,
+                                      gateway_state::leaving, gateway_state::gone})
+        digest.members.push_back(member(state));
+    digest.unanswered = {processB};
+    digest.drains = {{"w", duration(8)}};
+    digest.crashes = {{~0ULL, "w", duration(9)}};
+    digest.handovers = {{processA, processB, duration(10)}};
+    BOOST_CHECK(carriedAs(digest) == digest);
+    const config_request wanted {2, "sha", {"p", "q"}};
+    BOOST_CHECK(carriedAs(wanted) == wanted);
+    const config_data data {"manifest", 3, "version = 3\n\xff"};
+    BOOST_CHECK(carriedAs(data) == data);
+}
+
+// Guards against a forwarded call or response that differs from the original.
+BOOST_AUTO_TEST_CASE(forwarded_messages_survive_the_round_trip)
+{
+    const forwarded_call call = carriedAs(forwarded_call {1, request(), milliseconds(7)});
+    BOOST_CHECK(call.forwardId == 1 && call.timeLeft == milliseconds(7));
+    BOOST_CHECK(*call.request == *request());
+    for (const call_outcome outcome :
+         {call_outcome::run, call_outcome::not_run, call_outcome::unknown}) {
+        const forwarded_response answer = carriedAs(forwarded_response {2, response(outcome)});
+        BOOST_CHECK(answer.forwardId == 2 && *answer.response == *response(outcome));
+    }
+}
+
+// Guards against a claim that changes during a handover.
+BOOST_AUTO_TEST_CASE(handover_messages_survive_the_round_trip)
+{
+    const handover_chunk chunk
+        = carriedAs(handover_chunk {processA,
+                                    9,
+                                    {{"k/1", 1, call_outcome::run, response(call_outcome::run)},
+                                     {"k/2", 2, call_outcome::unknown, nullptr}}});
+    BOOST_CHECK(chunk.from == processA && chunk.sequence == 9);
+    BOOST_REQUIRE_EQUAL(chunk.claims.size(), 2U);
+    BOOST_CHECK(chunk.claims[0].key == "k/1" && chunk.claims[0].requestDigest == 1);
+    BOOST_CHECK(*chunk.claims[0].response == *response(call_outcome::run));
+    BOOST_CHECK(chunk.claims[1].outcome == call_outcome::unknown && !chunk.claims[1].response);
+    const handover_commit commit
+        = carriedAs(handover_commit {processB, 4, duration(1), duration(2), duration(3)});
+    BOOST_CHECK(commit.from == processB && commit.chunkCount == 4);
+    BOOST_CHECK(commit.clock == duration(1) && commit.accept == duration(2)
+                && commit.repeat == duration(3));
+    const handover_ack ack = carriedAs(handover_ack {processA, true, {1, 5}, true});
+    BOOST_CHECK(ack.from == processA && ack.committed && ack.refused);
+    BOOST_CHECK((ack.missing == std::vector<std::uint32_t> {1, 5}));
+}
+
+// Guards against a null request or response, or an outcome made up for an unknown number.
+BOOST_AUTO_TEST_CASE(incomplete_messages_are_refused)
+{
+    peer::v1::Envelope envelope;
+    BOOST_CHECK(!decodeMessage(envelope));
+    envelope.mutable_forwarded_call();
+    BOOST_CHECK(!decodeMessage(envelope));
+    envelope.mutable_forwarded_response();
+    BOOST_CHECK(!decodeMessage(envelope));
+    envelope.mutable_forwarded_response()->mutable_response()->set_status(200);
+    BOOST_CHECK(!decodeMessage(envelope));
+    envelope.mutable_handover_chunk()->add_claims()->set_outcome(peer::v1::Outcome(9));
+    BOOST_CHECK(!decodeMessage(envelope));
+    envelope.mutable_fleet_digest()->mutable_self()->set_state(peer::v1::GatewayState(9));
+    BOOST_CHECK(!decodeMessage(envelope));
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/tests/servers/peer_link_test.cpp
@@ -0,0 +1,216 @@
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "servers/peer_link/message_codec.h"
+#include "servers/peer_link/register_services.h"
+#include "tests/servers/transport_fixture.h"
+
+namespace almondnotch {
+
+namespace {
+
+const peer_key keyA {"a", "secret of the first key"};
+const peer_key keyB {"b", "secret of the second key"};
+const peer_key keyC {"c", "secret of another fleet"};
+
+peer_link_settings bounds(const std::string &vm)
+{
+    peer_link_settings out;
+    out.listenAddress = "127.0.0.1:0";
+    out.self = {vm, 1};
+    out.keys = {keyA, keyB};
+    return out;
+}
+
+/// A receiving link, and a second one that sends to it.
+struct peer_fixture : transport_fixture
+{
+    explicit peer_fixture(const peer_link_settings &ofSender = bounds("sender"))
+    {
+        receiver = registerPeerLink(owner, bounds("receiver")).value();
+        std::unique_ptr<peer_link> second = std::make_unique<peer_link>(ofSender);
+        sender = second.get();
+        BOOST_REQUIRE(owner.add("second_peer_link", start_level::transports, std::move(second)));
+        BOOST_REQUIRE(owner.start());
+    }
+
+    std::uint64_t refused(const std::string &reason) const
+    {
+        return receiver->counters().value("peer_messages_refused_total{reason=\"" + reason + "\"}");
+    }
+
+    std::size_t delivered() const { return sink->all<peer_message_received>().size(); }
+
+    peer_link *receiver = nullptr;
+    peer_link *sender = nullptr;
+};
+
+peer::v1::Envelope envelope(std::uint64_t counter, const peer_key &key,
+                            unsigned protocol = peerProtocolCurrent)
+{
+    peer::v1::Envelope out;
+    out.set_protocol(protocol);
+    out.set_sender_vm("vm");
+    out.set_sender_start(1);
+    out.set_send_counter(counter);
+    encodeMessage(config_data {"manifest", 5, "text"}, out);
+    envelope_seal::create({key}).value().sign(out);
+    return out;
+}
+
+} // namespace
+
+// Guards against a changed or foreign message taking effect.
+BOOST_FIXTURE_TEST_CASE(unauthentic_envelopes_change_nothing, peer_fixture)
+{
+    const std::vector<std::function<void(peer::v1::Envelope &)>> changes {
+        [](peer::v1::Envelope &changed) { changed.mutable_config_data()->set_version(6); },
+        [](peer::v1::Envelope &changed) { changed.set_send_counter(2); },
+        [](peer::v1::Envelope &changed) { changed.set_sender_vm("other"); },
+        [](peer::v1::Envelope &changed) { changed.set_sender_start(2); },
+        [](peer::v1::Envelope &changed) { changed.set_protocol(peerProtocolPrevious); },
+        [](peer::v1::Envelope &changed) { changed.set_key_id(keyB.id); },
+        [](peer::v1::Envelope &changed) { changed.clear_mac(); },
+        [](peer::v1::Envelope &changed) { changed.set_mac(changed.mac().substr(0, 16)); },
+    };
+    for (const std::function<void(peer::v1::Envelope &)> &change : changes) {
+        peer::v1::Envelope changed = envelope(1, keyA);
+        change(changed);
+        receiver->receive(changed);
+    }
+    BOOST_CHECK_EQUAL(refused("mac"), changes.size());
+    receiver->receive(envelope(1, keyC));
+    BOOST_CHECK_EQUAL(refused("unknown_key"), 1U);
+    BOOST_CHECK_EQUAL(delivered(), 0U);
+    // The refused envelopes did not use up the counter of the authentic one.
+    receiver->receive(envelope(1, keyA));
+    BOOST_CHECK_EQUAL(delivered(), 1U);
+}
+
+// Guards against messages of an unknown protocol, and against a fleet that cannot be upgraded or
+// rekeyed one process at a time.
+BOOST_FIXTURE_TEST_CASE(two_protocols_and_all_keys_are_accepted, peer_fixture)
+{
+    receiver->receive(envelope(1, keyA, peerProtocolCurrent));
+    receiver->receive(envelope(2, keyB, peerProtocolPrevious));
+    BOOST_CHECK_EQUAL(delivered(), 2U);
+    receiver->receive(envelope(3, keyA, peerProtocolCurrent + 1));
+    receiver->receive(envelope(4, keyA, peerProtocolPrevious - 1));
+    BOOST_CHECK_EQUAL(refused("protocol"), 2U);
+    BOOST_CHECK_EQUAL(delivered(), 2U);
+}
+
+// Guards against recorded messages taking effect again, and against oversized ones.
+BOOST_FIXTURE_TEST_CASE(replayed_and_oversized_envelopes_change_nothing, peer_fixture)
+{
+    receiver->receive(envelope(replay_window::size + 5, keyA));
+    receiver->receive(envelope(replay_window::size + 5, keyA));
+    receiver->receive(envelope(5, keyA));
+    BOOST_CHECK_EQUAL(refused("replay"), 2U);
+    receiver->receive(envelope(6, keyA));
+    BOOST_CHECK_EQUAL(delivered(), 2U);
+    peer::v1::Envelope large = envelope(7, keyA);
+    large.mutable_config_data()->set_text(std::string(1'258'291, 'x'));
+    envelope_seal::create({keyA}).value().sign(large);
+    receiver->receive(large);
+    BOOST_CHECK_EQUAL(refused("too_large"), 1U);
+    BOOST_CHECK_EQUAL(delivered(), 2U);
+}
+
+// Guards against counters that are accepted twice near the edges of the window.
+BOOST_AUTO_TEST_CASE(replay_window_accepts_each_counter_once)
+{
+    replay_window window;
+    BOOST_CHECK(!window.accept(0));
+    for (const std::uint64_t counter : {3UL, 1UL, 2UL, 10UL, replay_window::size + 9UL})
+        BOOST_CHECK(window.accept(counter) && !window.accept(counter));
+    BOOST_CHECK(!window.accept(9));
+    BOOST_CHECK(!window.accept(10));
+    BOOST_CHECK(window.accept(11));
+    BOOST_CHECK(window.accept(1'000'000) && !window.accept(replay_window::size + 9));
+    BOOST_CHECK(window.accept(1'000'000 - replay_window::size + 1));
+    BOOST_CHECK(!window.accept(1'000'000 - replay_window::size));
+}
+
+// Guards against lost, doubled or misattributed messages, and uncounted bytes.
+BOOST_FIXTURE_TEST_CASE(messages_arrive_once_over_the_network, peer_fixture)
+{
+    for (std::uint64_t id = 1; id <= 20; ++id)
+        sender->sendPeerMessage({receiver->address(), id, config_data {"k", id, "t"}});
+    sender->sendPeerMessage(
+        {receiver->address(), 21, config_data {"large", 21, std::string(1'000'000, 'x')}});
+    BOOST_REQUIRE(runUntil([&]() { return delivered() == 21; }));
+    runFor(milliseconds(20));
+    std::vector<bool> seen(22);
+    for (const peer_message_received &received : sink->all<peer_message_received>()) {
+        BOOST_CHECK((received.from == process_id {"sender", 1}));
+        const config_data data = std::get<config_data>(received.message);
+        BOOST_CHECK(!seen[data.version]);
+        seen[data.version] = true;
+    }
+    BOOST_CHECK_EQUAL(delivered(), 21U);
+    BOOST_CHECK(sink->all<peer_send_failed>().empty());
+    BOOST_CHECK_EQUAL(sender->counters().value("peer_bytes_sent_total"),
+                      receiver->counters().value("peer_bytes_received_total"));
+    BOOST_CHECK_GT(sender->counters().value("peer_bytes_sent_total"), 1'000'000U);
+}
+
+// Guards against a send that fails silently, and against a restarted peer that stays unreachable.
+BOOST_FIXTURE_TEST_CASE(failed_sends_are_reported_and_a_restarted_peer_is_reached, peer_fixture)
+{
+    std::unique_ptr<http_fake> reserved
+        = listen([](http_fake::connection_id, const fake_request &) {});
+    const std::string address = reserved->address();
+    reserved.reset();
+    sender->sendPeerMessage({address, 5, config_data {}});
+    sender->sendPeerMessage({"peer.example:1", 6, config_data {}});
+    sender->sendPeerMessage(
+        {receiver->address(), 7, config_data {"k", 1, std::string(1'300'000, 'x')}});
+    BOOST_REQUIRE(runUntil([&]() { return sink->all<peer_send_failed>().size() == 3; }));
+    std::vector<std::uint64_t> failed;
+    for (const peer_send_failed &report : sink->all<peer_send_failed>())
+        failed.push_back(report.messageId);
+    std::sort(failed.begin(), failed.end());
+    BOOST_CHECK((failed == std::vector<std::uint64_t> {5, 6, 7}));
+
+    peer_link_settings restarted = bounds("restarted");
+    restarted.listenAddress = address;
+    peer_link late(restarted);
+    BOOST_REQUIRE(late.start(owner));
+    std::uint64_t id = 100;
+    BOOST_CHECK(runUntil(
+        [&]() {
+            if (++id % 50 == 0)
+                sender->sendPeerMessage({address, id, config_data {}});
+            return delivered() > 0;
+        },
+        seconds(5)));
+    late.stop();
+}
+
+// Guards against an unbounded number of messages under way to a peer that does not respond.
+BOOST_AUTO_TEST_CASE(messages_in_flight_are_bounded_and_time_out)
+{
+    peer_link_settings few = bounds("sender");
+    few.inFlightPerPeerMax = 3;
+    few.sendTimeLimit = milliseconds(200);
+    peer_fixture fixture(few);
+    // Accepts connections and never responds.
+    const std::unique_ptr<http_fake> silent
+        = fixture.listen([](http_fake::connection_id, const fake_request &) {});
+    for (std::uint64_t id = 1; id <= 5; ++id)
+        fixture.sender->sendPeerMessage({silent->address(), id, config_data {}});
+    BOOST_REQUIRE(
+        fixture.runUntil([&]() { return fixture.sink->all<peer_send_failed>().size() == 5; }));
+    BOOST_CHECK_EQUAL(
+        fixture.sender->counters().value("peer_sends_failed_total{reason=\"in_flight_per_peer\"}"),
+        2U);
+    BOOST_CHECK_EQUAL(fixture.sender->counters().value("peer_sends_failed_total{reason=\"rpc\"}"),
+                      3U);
+}
+
+} // namespace almondnotch
