Leave the peer address and keys to the daemon's settings

The daemon declares peer.address and peer.keys itself, and each setting is declared once. peer_link declares only peer.protocol, the protocol number of sent messages during an upgrade.

--- a/servers/peer_link/peer_link_settings.h
+++ b/servers/peer_link/peer_link_settings.h
@@ -4,7 +4,6 @@
 #include <string>
 #include <vector>
 
-#include "core/error.h"
 #include "core/settings.h"
 #include "core/time.h"
 #include "decision/types.h"
@@ -41,11 +40,10 @@
     std::size_t memoryBytesMax = 33'554'432;
 };
 
-/// Declarations of the settings above, for the daemon's settings file. The keys are read from its
-/// `[[peers.keys]]` tables, which have `id` and `secret`.
+/// Declarations of those settings above that no other part of the daemon declares.
 std::vector<setting_declaration> peerLinkDeclarations();
 
-/// The values that a settings file gives; `self` is left to the caller.
-result<peer_link_settings> readPeerLinkSettings(const settings &values);
+/// The values that a settings file gives; address, identity and keys are left to the caller.
+peer_link_settings readPeerLinkSettings(const settings &values);
 
 } // namespace almondnotch
