--- /dev/null
+++ b/servers/peer_link/peer_link_settings.cpp
@@ -0,0 +1,25 @@
+#include "servers/peer_link/peer_link_settings.h"
+
+namespace almondnotch {
+
+std::vector<setting_declaration> peerLinkDeclarations()
+{
+    setting_declaration protocol;
+    protocol.name = "peer.protocol";
+    protocol.defaultValue = static_cast<std::int64_t>(peerProtocolCurrent);
+    protocol.minimum = peerProtocolPrevious;
+    protocol.maximum = peerProtocolCurrent;
+    protocol.unit = "protocol number";
+    protocol.doc = "Protocol of sent messages. Keep the previous one until every gateway runs a "
+                   "version that understands the current one.";
+    return {protocol};
+}
+
+peer_link_settings readPeerLinkSettings(const settings &values)
+{
+    peer_link_settings out;
+    out.protocol = static_cast<unsigned>(values.integer("peer.protocol"));
+    return out;
+}
+
+} // namespace almondnotch
