Send responses that the gateway gives within the delivery of a call

The gateway may answer from within deliver(), as it does for entry queries. The connection is then resumed while libmicrohttpd runs, and the run after it was lost: version 0.9.75 reports a resumed connection neither through its epoll descriptor nor in MHD_get_timeout, and http_daemon::run stopped the timer that resume() had started. The caller waited until the next activity. http_daemon now remembers that a connection was resumed during the run.

--- a/servers/http_daemon/http_daemon.cpp
+++ b/servers/http_daemon/http_daemon.cpp
@@ -123,18 +123,21 @@
 void http_daemon::resume(MHD_Connection *connection)
 {
     MHD_resume_connection(connection);
-    // Without a thread of its own, libmicrohttpd 0.9.75 does not make its epoll descriptor ready
-    // when a connection is resumed.
+    m_hasResumed = true;
     m_timeout.start(duration(0));
 }
 
 void http_daemon::run()
 {
+    m_hasResumed = false;
     MHD_run(m_daemon);
     // libmicrohttpd does not report all of its pending work through the epoll descriptor; a
-    // timeout of 0 stands for work that is ready now.
+    // timeout of 0 stands for work that is ready now. Without a thread of its own, version 0.9.75
+    // reports a resumed connection in neither way, also if it was resumed during the run.
     MHD_UNSIGNED_LONG_LONG wait = 0;
-    if (MHD_get_timeout(m_daemon, &wait) == MHD_YES)
+    if (m_hasResumed)
+        m_timeout.start(duration(0));
+    else if (MHD_get_timeout(m_daemon, &wait) == MHD_YES)
         m_timeout.start(milliseconds(wait));
     else
         m_timeout.stop();
--- a/servers/http_daemon/http_daemon.h
+++ b/servers/http_daemon/http_daemon.h
@@ -93,6 +93,8 @@
     MHD_Daemon *m_daemon = nullptr;
     io_watcher m_epollWatcher;
     timer_watcher m_timeout;
+    /// A connection was resumed since the last run began.
+    bool m_hasResumed = false;
 };
 
 } // namespace almondnotch
--- a/tests/servers/http_entry_test.cpp
+++ b/tests/servers/http_entry_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <ostream>
 #include <stdexcept>
@@ -25,9 +26,15 @@
 public:
     result<void> start(kernel & /*owner*/) override { return {}; }
     void stop() override { }
-    void deliver(event input) override { events.push_back(std::move(input)); }
+    void deliver(event input) override
+    {
+        events.push_back(std::move(input));
+        if (onEvent)
+            onEvent();
+    }
 
     std::vector<event> events;
+    std::function<void()> onEvent;
 };
 
 struct entry_fixture
@@ -267,6 +274,15 @@
     BOOST_TEST(entry->counters().value("entry_responses_dropped_total") == 1U);
 }
 
+// Guards against a response from within the delivery of its call that waits for the next activity.
+BOOST_AUTO_TEST_CASE(immediateResponseIsSent)
+{
+    sink->onEvent = [this] { respond(sink->events.size() - 1, {200, {}, "x", call_outcome::run}); };
+    raw_client client(entry->port());
+    client.send(get("/a"));
+    BOOST_TEST(waitForResponse(client));
+}
+
 // Guards against pipelined requests whose responses overtake one another or are lost.
 BOOST_AUTO_TEST_CASE(pipelinedRequestsAreAnsweredInOrder)
 {
