--- a/main/daemon/daemon_declarations.cpp
+++ b/main/daemon/daemon_declarations.cpp
@@ -67,7 +67,7 @@
         integer("entry.held_body_bytes_max", 67108864, 1048576, 4294967296.0, "bytes",
                 "Bodies of all requests that are being received or answered; more are refused "
                 "with 503."),
-        text("operator.address", "127.0.0.1:8099", "Address of the operator endpoint, as ip:port."),
+        text("operator.address", "127.0.0.1:9901", "Address of the operator endpoint, as ip:port."),
         secret(text("operator.token", "",
                     "Token for `Authorization: Bearer`. Required if operator.address is not a "
                     "loopback address; if set, it is checked there too.")),
