--- a/decision/balance/balancer.cpp
+++ b/decision/balance/balancer.cpp
@@ -127,7 +127,7 @@
     else
         own.counters.add("balancer_unknown_strategies_total");
 
-    std::map<std::string_view, std::string> addresses;
+    std::map<std::string, std::string, std::less<>> addresses;
     for (const worker_record &worker : own.table.workers()) {
         if (own.drains.contains(worker.name))
             addresses.emplace(worker.name, worker.address);
@@ -555,8 +555,10 @@
         // All look bad, so the cause is more likely common to them than in each of them.
         for (const worker_index member : group.members) {
             worker_record &other = table.at(member);
-            if (other.ejected.isEjected())
+            if (other.ejected.isEjected()) {
                 readmit(now, group, other);
+                other.ejected.keepSuspect();
+            }
         }
         counters.add("balancer_ejections_total{result=\"all_bad\"}");
         return;
--- a/decision/balance/ejection.cpp
+++ b/decision/balance/ejection.cpp
@@ -40,4 +40,10 @@
     m_failuresInARow = std::min(m_failuresInARow, failuresMax - 1);
 }
 
+void ejection::keepSuspect()
+{
+    m_failuresInARow = std::max(m_failuresInARow, failuresMax);
+    m_backoff = 0;
+}
+
 } // namespace almondnotch
--- a/decision/balance/ejection.h
+++ b/decision/balance/ejection.h
@@ -27,6 +27,10 @@
     /// Ends the ejection.
     void readmit(instant now);
 
+    /// Keeps a readmitted worker from counting as one that works until it served a call. Used when
+    /// it was readmitted only because all others look bad too.
+    void keepSuspect();
+
     bool isEjected() const { return m_ejected; }
     instant until() const { return m_until; }
     unsigned failuresInARow() const { return m_failuresInARow; }
--- a/decision/balance/expected_wait.cpp
+++ b/decision/balance/expected_wait.cpp
@@ -10,6 +10,10 @@
 /// enough that a worker that fails half of its calls is chosen only if all others are overloaded.
 constexpr double failureCost = 40;
 
+/// Random part of each time. Without it differences far below what is known would decide, and
+/// all gateways would prefer the same one of several idle workers.
+constexpr double tieBreak = 0.01;
+
 /// Sum of three uniform numbers, scaled to mean 0 and variance 1. The tails end at 3 deviations,
 /// which keeps a rare draw from sending a call to a worker known to be overloaded.
 double deviate(random_source &random)
@@ -30,10 +34,12 @@
     double bestScore = std::numeric_limits<double>::max();
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const worker_record &worker = context.workers.at(candidates[i].worker);
+        const double displacement = deviate(context.random);
         const load_prediction prediction
             = worker.load.predict(context.now, context.group.estimate, context.tuning, worker.slots,
-                                  worker.roundTripS, deviate(context.random));
-        const double cost = score(prediction, context.group.estimate);
+                                  worker.roundTripS, displacement);
+        const double cost
+            = score(prediction, context.group.estimate) * (1 + tieBreak * displacement);
         if (cost < bestScore) {
             best = i;
             bestScore = cost;
--- a/decision/balance/load_estimate.cpp
+++ b/decision/balance/load_estimate.cpp
@@ -20,6 +20,8 @@
 constexpr double outcomeMemoryS = 1;
 /// Outcomes assumed good before the first; one failure alone gives a share of one third.
 constexpr double priorOutcomes = 2;
+/// Calls in flight are overdue after this many expected times.
+constexpr double overdueFrom = 1.5;
 /// A report is distrusted once latency differs from what it implies by more than this factor.
 constexpr double trustedFactor = 2;
 
@@ -72,8 +74,6 @@
 void load_estimate::attemptStarted(instant now, double expectedS)
 {
     m_attempts.push_back({secondsOf(now), std::max(expectedS, 1e-5)});
-    m_inverseExpected += 1 / m_attempts.back().expectedS;
-    m_startOverExpected += m_attempts.back().startS / m_attempts.back().expectedS;
     ++m_unseen;
 }
 
@@ -145,7 +145,12 @@
     load_prediction out;
 
     const double weight = evidenceWeight(nowS, group, tuning);
-    const double inFlightExposure = std::max(0.0, nowS * m_inverseExpected - m_startOverExpected);
+    double inFlightExposure = 0;
+    for (const attempt_record &attempt : m_attempts) {
+        const double ratio = std::max(0.0, nowS - attempt.startS) / attempt.expectedS;
+        const double overdue = std::max(0.0, ratio - overdueFrom);
+        inFlightExposure += ratio + tuning.overdueWeight * overdue * overdue;
+    }
     out.slowdown = (tuning.priorResponses + weight * m_exposure + inFlightExposure)
                    / (tuning.priorResponses + weight * m_responses);
     out.slowdown = std::clamp(out.slowdown, slowdownMin, slowdownMax);
@@ -191,12 +196,8 @@
 
 void load_estimate::recount()
 {
-    m_inverseExpected = 0;
-    m_startOverExpected = 0;
     m_unseen = 0;
     for (const attempt_record &attempt : m_attempts) {
-        m_inverseExpected += 1 / attempt.expectedS;
-        m_startOverExpected += attempt.startS / attempt.expectedS;
         if (attempt.startS > m_reportS - m_roundTripS)
             ++m_unseen;
     }
--- a/decision/balance/load_estimate.h
+++ b/decision/balance/load_estimate.h
@@ -14,9 +14,9 @@
 struct estimate_tuning
 {
     /// A report loses its influence with exp(-age / (relaxFactor * service time)).
-    double relaxFactor = 4;
+    double relaxFactor = 2;
     /// Weight of the assumption "as fast as the rest of the group", in responses.
-    double priorResponses = 2;
+    double priorResponses = 4;
     /// Observed latency loses its influence with exp(-age / memory); memory in service times.
     double memoryFactor = 12;
     /// Shortest memory, seconds.
@@ -24,8 +24,10 @@
     /// Spread of the queue length that a fresh report leaves, in calls. Makes a worker with spare
     /// slots better than one whose last slot is free.
     double freshSpread = 1;
+    /// Weight of the square of the time by which a call in flight is overdue, see `load_estimate`.
+    double overdueWeight = 2;
     /// Scale of the random part of a choice; 1 draws from the estimated distribution.
-    double noiseScale = 1;
+    double noiseScale = 0.25;
 
     bool operator==(const estimate_tuning &) const = default;
 };
@@ -88,7 +90,8 @@
 /// Slowdown: maximum likelihood of an exponential rate with censored observations and a gamma
 /// prior: (prior + time under observation) / (prior + responses), where time is in units of the
 /// expected response time. Calls in flight count with their age, so an overdue call raises the
-/// slowdown before it ends.
+/// slowdown before it ends. Real times vary less than exponential ones, so a call that is well
+/// overdue says more than its age: the square of the excess is added.
 class load_estimate
 {
 public:
@@ -132,9 +135,7 @@
     double evidenceWeight(double nowS, const group_estimate &group,
                           const estimate_tuning &tuning) const;
 
-    // Sums over m_attempts, so that a prediction costs the same for any number in flight.
-    double m_inverseExpected = 0;
-    double m_startOverExpected = 0;
+    /// Own calls that the last report cannot contain.
     unsigned m_unseen = 0;
     bool m_stale = true;
     std::optional<load_report> m_report;
--- a/decision/balance/probe_planner.cpp
+++ b/decision/balance/probe_planner.cpp
@@ -9,8 +9,15 @@
 /// Bounds the checks to 20,000 a second, less than 1% of a core, for any number of workers.
 constexpr std::int64_t checkMicrosecondsPerWorker = 50;
 constexpr duration checkIntervalMin = milliseconds(50);
-/// A report is old when this much of its influence on the estimate is left. In relaxation times.
+/// A report is old after this many relaxation times, but not before `staleMinS`. Younger reports
+/// cost probes without effect: at 85% load with noise bursts p99 is the same with 48 ms, with 1 s
+/// and without any probe (docs/decisions/0004-measuring-budget.md), as responses to calls bring
+/// reports much faster than the budget allows.
 constexpr double staleRelaxations = 3;
+constexpr double staleMinS = 1;
+/// Every worker of a group with calls is heard of within this time if the budget allows, so that
+/// a drain is known before a call goes there.
+constexpr duration hearWithin = seconds(3);
 /// Groups without calls for this long need no load; only that the workers live.
 constexpr duration groupIdleAfter = seconds(2);
 constexpr duration idleRefresh = seconds(10);
@@ -67,10 +74,13 @@
         return worker.ejected.until() - now <= beforeReturn && unheard >= beforeReturn;
     if (!group.called || now - group.lastCallAt >= groupIdleAfter)
         return unheard >= idleRefresh;
-    const double staleS = staleRelaxations * tuning.relaxFactor * group.estimate.serviceS();
+    const double staleS
+        = std::max(staleMinS, staleRelaxations * tuning.relaxFactor * group.estimate.serviceS());
     const duration age = worker.load.reportAge(now);
     if (toSeconds(age) < staleS)
         return false;
+    if (age >= hearWithin)
+        return true;
     return worker.roundTripS + group.estimate.serviceS() <= group.chosenTimeS;
 }
 
--- a/tests/decision/balance/balance_scenario.cpp
+++ b/tests/decision/balance/balance_scenario.cpp
@@ -73,6 +73,7 @@
 private:
     config_objects describe() const;
     void addGateway(std::size_t number);
+    void apply(const planned_fault &fault);
     void scheduleArrival(std::size_t service);
     void attempt(const shared_call &call);
     void finish(const shared_call &call, worker_index worker, instant startedAt,
@@ -92,6 +93,7 @@
     std::vector<std::unique_ptr<fake_gateway>> m_gateways;
     std::vector<double> m_gapUs;
     std::vector<std::uint64_t> m_probesByWorker;
+    std::vector<std::uint64_t> m_attempts;
     std::vector<float> m_latencies;
     std::uint64_t m_calls = 0;
     std::uint64_t m_refused = 0;
@@ -106,11 +108,14 @@
 {
     m_config = config_set::create(1, "0", describe());
     for (const worker_entry &entry : m_config->objects().workers) {
-        m_workers.push_back(
-            std::make_unique<fake_worker>(m_queue, m_random, m_settings.user.worker));
+        m_workers.push_back(std::make_unique<fake_worker>(
+            m_queue, m_settings.seed * 1000 + m_workers.size(), m_settings.user.worker));
         m_workerDomains.push_back(static_cast<unsigned>(std::stoul(entry.failureDomain.substr(1))));
     }
     m_probesByWorker.resize(m_workers.size());
+    m_attempts.resize(m_workers.size());
+    for (const planned_fault &fault : settings.faults)
+        m_queue.at(instant(fault.at), [this, fault] { apply(fault); });
     const std::size_t gatewayCount = 13 + settings.seed % 4;
     for (std::size_t number = 0; number < gatewayCount; ++number)
         addGateway(number);
@@ -166,6 +171,29 @@
     }
 }
 
+void scenario::apply(const planned_fault &fault)
+{
+    fake_worker &worker = *m_workers[fault.worker];
+    switch (fault.kind) {
+    case worker_fault::slow:
+        worker.setSpeed(0.1);
+        break;
+    case worker_fault::slow_and_claims_idle:
+        worker.setSpeed(0.1);
+        worker.setFalseReport(load_report {0, 0, m_settings.user.worker.slots});
+        break;
+    case worker_fault::fails_fast:
+        worker.setFailFast(true);
+        break;
+    case worker_fault::drains:
+        worker.setDraining(true);
+        break;
+    case worker_fault::reports_late:
+        worker.setReportLag(seconds(2));
+        break;
+    }
+}
+
 void scenario::scheduleArrival(std::size_t service)
 {
     const duration gap(static_cast<std::int64_t>(m_random.exponential(m_gapUs[service])));
@@ -193,6 +221,7 @@
     const instant startedAt = m_queue.now();
     gateway.decisions->attemptStarted(startedAt, worker);
     call->tried.push_back(worker);
+    m_attempts[static_cast<std::size_t>(worker)] += isMeasured(startedAt) ? 1 : 0;
     // The table's indexes are those of the configuration, since it is applied only once.
     const std::size_t place = static_cast<std::size_t>(worker);
     m_queue.after(delay(gateway, place), [this, call, worker, startedAt, place] {
@@ -305,6 +334,7 @@
     out.overruns = m_overruns;
     for (const std::unique_ptr<fake_gateway> &gateway : m_gateways)
         out.invariantFailures += gateway->invariants.failures();
+    out.attempts = m_attempts;
     out.events = m_queue.executed();
     return out;
 }
--- a/tests/decision/balance/balance_scenario.h
+++ b/tests/decision/balance/balance_scenario.h
@@ -29,6 +29,28 @@
 /// Bursts of 5 to 500 ms that take 50 to 95% of a worker's capacity, on average every 2 s.
 noise_profile noisyNeighbours();
 
+/// What goes wrong with one worker during a run.
+enum class worker_fault {
+    /// Ten times slower.
+    slow,
+    /// Ten times slower, while all reports say that it is idle.
+    slow_and_claims_idle,
+    /// Answers at once with status 500.
+    fails_fast,
+    /// Refuses new calls as `not-run` and reports that it drains.
+    drains,
+    /// Load endpoint and headers are 2 s behind.
+    reports_late,
+};
+
+struct planned_fault
+{
+    duration at {0};
+    /// Index in the order of the services.
+    std::size_t worker = 0;
+    worker_fault kind = worker_fault::slow;
+};
+
 struct scenario_settings
 {
     user_profile user;
@@ -46,6 +68,7 @@
     /// A response that comes later than this is of no use to the caller.
     duration useful {seconds(1)};
     estimate_tuning tuning;
+    std::vector<planned_fault> faults;
 };
 
 struct scenario_result
@@ -67,6 +90,8 @@
     std::uint64_t overruns = 0;
     std::uint64_t invariantFailures = 0;
     std::uint64_t calls = 0;
+    /// Attempts sent to each worker in the measured time.
+    std::vector<std::uint64_t> attempts;
     std::uint64_t events = 0;
 };
 
--- /dev/null
+++ b/tests/decision/balance/balancer_fixture.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "config/model.h"
+#include "core/counters.h"
+#include "core/invariants.h"
+#include "core/random_source.h"
+#include "decision/balance/balancer.h"
+
+namespace almondnotch {
+
+/// One balancer with a group "g" of workers w0, w1, ... on VMs vm0, vm1, ...
+class balancer_fixture
+{
+public:
+    explicit balancer_fixture(std::size_t workers, std::uint64_t seed = 1,
+                              std::string selection = "expected_wait")
+        : random(seed)
+    {
+        objects.limits.selection = std::move(selection);
+        objects.failureDomains = {{"near", "r", milliseconds(1)}, {"far", "r", milliseconds(1)}};
+        objects.budgets = {{"b", 16, 16 * 1024}};
+        objects.groups = {{"g", "b", 4, 160, 0.3}};
+        for (std::size_t i = 0; i < workers; ++i)
+            addWorker(i);
+        balancer_settings own;
+        own.failureDomain = "near";
+        own.gatewaySeed = seed;
+        decisions = balancer::create(own, random, invariants, counters);
+        apply();
+    }
+
+    void addWorker(std::size_t number)
+    {
+        const std::string text = std::to_string(number);
+        objects.workers.push_back(
+            {"w" + text, "g", "near", "vm" + text, "127.0.0.1:" + std::to_string(10000 + number)});
+    }
+
+    void apply()
+    {
+        config = config_set::create(++version, "0", objects);
+        decisions->applyConfig(now, config);
+    }
+
+    std::optional<selected_worker> select(std::vector<worker_index> excluded = {},
+                                          duration timeLeft = seconds(1))
+    {
+        return decisions->select({config->group("g"), std::move(excluded), timeLeft, now});
+    }
+
+    /// Ends an attempt that began `elapsed` ago.
+    void finish(worker_index worker, duration elapsed, attempt_end end, int status,
+                std::optional<load_report> load = std::nullopt, bool refusedNotRun = false)
+    {
+        decisions->attemptFinished(now, {worker, end, elapsed, status, refusedNotRun, load});
+    }
+
+    /// A call that takes `elapsed` and ends with status 200.
+    void serve(worker_index worker, duration elapsed, std::optional<load_report> load)
+    {
+        decisions->attemptStarted(now, worker);
+        now = now + elapsed;
+        finish(worker, elapsed, attempt_end::answered, 200, load);
+    }
+
+    /// Makes every worker known as lightly loaded, with service times of 10 ms.
+    void warmUp(unsigned running = 1)
+    {
+        for (int round = 0; round < 10; ++round) {
+            for (std::size_t i = 0; i < objects.workers.size(); ++i)
+                serve(index(i), milliseconds(10), load_report {running, 0, 4, worker_state::ready});
+        }
+    }
+
+    /// Choices of each worker out of `count`, without starting attempts.
+    std::vector<int> shares(int count)
+    {
+        std::vector<int> out(objects.workers.size());
+        for (int i = 0; i < count; ++i) {
+            const std::optional<selected_worker> chosen = select();
+            if (chosen)
+                ++out[static_cast<std::size_t>(chosen->worker)];
+        }
+        return out;
+    }
+
+    static worker_index index(std::size_t number)
+    {
+        return worker_index(static_cast<std::uint32_t>(number));
+    }
+
+    instant now {seconds(100)};
+    random_source random;
+    invariant_set invariants;
+    counter_set counters;
+    config_objects objects;
+    shared_config config;
+    std::uint64_t version = 0;
+    std::unique_ptr<balancer> decisions;
+};
+
+} // namespace almondnotch
--- /dev/null
+++ b/tests/decision/balance/drain_test.cpp
@@ -0,0 +1,151 @@
+#include <boost/test/unit_test.hpp>
+
+#include "decision/balance/drain_table.h"
+#include "tests/decision/balance/balancer_fixture.h"
+
+namespace almondnotch {
+
+namespace {
+
+const std::vector<std::string> strategies
+    = {"uniform_random", "round_robin", "least_in_flight", "power_of_two", "expected_wait"};
+
+} // namespace
+
+// Guards against a strategy that sends new work to a worker that is leaving.
+BOOST_AUTO_TEST_CASE(no_strategy_selects_a_draining_or_excluded_worker)
+{
+    for (const std::string &strategy : strategies) {
+        balancer_fixture fixture(4, 1, strategy);
+        fixture.decisions->markDraining(fixture.now, "w0", milliseconds(10));
+        for (int i = 0; i < 200; ++i) {
+            const std::optional<selected_worker> chosen
+                = fixture.select({balancer_fixture::index(1)});
+            BOOST_REQUIRE(chosen);
+            BOOST_TEST(chosen->name != "w0");
+            BOOST_TEST(chosen->name != "w1");
+        }
+        BOOST_TEST(fixture.invariants.failures() == 0U);
+    }
+}
+
+// Guards against work for the last worker when it leaves too, instead of a refusal.
+BOOST_AUTO_TEST_CASE(a_group_of_draining_workers_has_no_worker)
+{
+    balancer_fixture fixture(2);
+    fixture.decisions->markDraining(fixture.now, "w0", duration(0));
+    fixture.decisions->markDraining(fixture.now, "w1", duration(0));
+    BOOST_TEST(!fixture.select());
+}
+
+// Guards against calls that are cut off because their VM goes before they end.
+BOOST_AUTO_TEST_CASE(a_leaving_vm_gets_no_call_that_would_outlast_it)
+{
+    balancer_fixture fixture(2);
+    fixture.decisions->markVmLeaving(fixture.now, "vm0", fixture.now + seconds(5));
+    for (int i = 0; i < 100; ++i)
+        BOOST_TEST(fixture.select()->name == "w1");
+    // With no other worker: calls that end in time are served, others are not.
+    BOOST_TEST(fixture.select({balancer_fixture::index(1)}, seconds(4))->name == "w0");
+    BOOST_TEST(!fixture.select({balancer_fixture::index(1)}, seconds(6)));
+    fixture.decisions->clearVmLeaving(fixture.now, "vm0");
+    BOOST_TEST(fixture.select({balancer_fixture::index(1)}, seconds(6))->name == "w0");
+}
+
+// Guards against a drain that is only learned from the VM list and not from the worker.
+BOOST_AUTO_TEST_CASE(a_report_of_draining_ends_selection_at_once)
+{
+    balancer_fixture fixture(3);
+    fixture.serve(balancer_fixture::index(2), milliseconds(5),
+                  load_report {0, 0, 4, worker_state::draining});
+    for (int i = 0; i < 100; ++i)
+        BOOST_TEST(fixture.select()->name != "w2");
+    BOOST_TEST(fixture.decisions->recentDrains(fixture.now, 10).size() == 1U);
+}
+
+// Guards against a lagging load endpoint that says `ready` and so undoes a drain, and against a
+// worker that stays out for ever after its restart.
+BOOST_AUTO_TEST_CASE(a_drain_ends_with_a_newer_report_of_ready)
+{
+    balancer_fixture fixture(2);
+    const load_report ready {0, 0, 4, worker_state::ready};
+    fixture.decisions->markDraining(fixture.now, "w0", duration(0));
+    fixture.now = fixture.now + seconds(1);
+    fixture.decisions->probeFinished(fixture.now, balancer_fixture::index(0), ready, 400);
+    BOOST_TEST(!fixture.select({balancer_fixture::index(1)}));
+    fixture.now = fixture.now + seconds(10);
+    fixture.decisions->probeFinished(fixture.now, balancer_fixture::index(0), ready, 400);
+    BOOST_TEST(fixture.select({balancer_fixture::index(1)}).has_value());
+    // A peer repeats the old news.
+    fixture.decisions->markDraining(fixture.now, "w0", seconds(11));
+    BOOST_TEST(fixture.select({balancer_fixture::index(1)}).has_value());
+    // A new drain counts.
+    fixture.now = fixture.now + seconds(10);
+    fixture.decisions->markDraining(fixture.now, "w0", seconds(1));
+    BOOST_TEST(!fixture.select({balancer_fixture::index(1)}));
+}
+
+// Guards against a drain heard of before the configuration that adds the worker.
+BOOST_AUTO_TEST_CASE(a_drain_of_an_unknown_worker_is_kept)
+{
+    balancer_fixture fixture(1);
+    fixture.decisions->markDraining(fixture.now, "w1", duration(0));
+    fixture.addWorker(1);
+    fixture.apply();
+    for (int i = 0; i < 100; ++i)
+        BOOST_TEST(fixture.select()->name == "w0");
+}
+
+// Guards against a replacement under the same name that inherits the drain of the old process.
+BOOST_AUTO_TEST_CASE(another_address_is_another_process)
+{
+    balancer_fixture fixture(1);
+    fixture.decisions->markDraining(fixture.now, "w0", duration(0));
+    fixture.now = fixture.now + seconds(1);
+    fixture.objects.workers[0].address = "127.0.0.1:20000";
+    fixture.apply();
+    const std::optional<selected_worker> chosen = fixture.select();
+    BOOST_REQUIRE(chosen);
+    BOOST_TEST(chosen->address == "127.0.0.1:20000");
+}
+
+// Guards against a table that grows with every name that peers send.
+BOOST_AUTO_TEST_CASE(the_drain_table_is_bounded)
+{
+    drain_table table;
+    for (std::size_t i = 0; i < drain_table::drainsMax + 10; ++i)
+        table.add("w" + std::to_string(i), instant(milliseconds(i)));
+    BOOST_TEST(table.size() == drain_table::drainsMax);
+    BOOST_TEST(table.dropped() == 10U);
+    BOOST_TEST(!table.contains("w0"));
+    const std::vector<worker_drain> recent = table.recent(instant(seconds(10)), 2);
+    BOOST_REQUIRE(recent.size() == 2U);
+    BOOST_TEST(recent[0].worker == "w" + std::to_string(drain_table::drainsMax + 9));
+}
+
+// Guards against late events of a removed worker that change or crash anything.
+BOOST_AUTO_TEST_CASE(events_of_removed_workers_are_harmless)
+{
+    balancer_fixture fixture(3);
+    fixture.decisions->attemptStarted(fixture.now, balancer_fixture::index(2));
+    fixture.objects.workers.pop_back();
+    fixture.apply();
+    fixture.now = fixture.now + milliseconds(5);
+    fixture.finish(balancer_fixture::index(2), milliseconds(5), attempt_end::broken, 0);
+    fixture.decisions->probeFinished(fixture.now, balancer_fixture::index(2), std::nullopt, 0);
+    fixture.decisions->attemptStarted(fixture.now, balancer_fixture::index(99));
+    for (int i = 0; i < 50; ++i)
+        BOOST_TEST(fixture.select()->name != "w2");
+}
+
+// Guards against a connection limit of 0 and against one that the sum of gateways exceeds.
+BOOST_AUTO_TEST_CASE(connection_limit_is_the_share_of_one_gateway)
+{
+    balancer_fixture fixture(1);
+    BOOST_TEST(fixture.select()->connectionLimit == 10U);
+    fixture.objects.groups[0].connections = 3;
+    fixture.apply();
+    BOOST_TEST(fixture.select()->connectionLimit == 1U);
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/tests/decision/balance/ejection_test.cpp
@@ -0,0 +1,144 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+#include "tests/decision/balance/balancer_fixture.h"
+
+namespace almondnotch {
+
+namespace {
+
+const load_report idle {0, 0, 4, worker_state::ready};
+
+/// A call that ends with status 500 after 200 us and a report of an idle worker.
+void failFast(balancer_fixture &fixture, std::size_t worker)
+{
+    fixture.decisions->attemptStarted(fixture.now, balancer_fixture::index(worker));
+    fixture.now = fixture.now + microseconds(200);
+    fixture.finish(balancer_fixture::index(worker), microseconds(200), attempt_end::answered, 500,
+                   idle);
+}
+
+} // namespace
+
+// Guards against a worker that attracts calls because it fails faster than others answer.
+BOOST_AUTO_TEST_CASE(a_fast_failing_worker_attracts_no_calls)
+{
+    balancer_fixture fixture(4);
+    fixture.warmUp(3);
+    failFast(fixture, 0);
+    BOOST_TEST(fixture.shares(400)[0] <= 100);
+    failFast(fixture, 0);
+    failFast(fixture, 0);
+    BOOST_TEST(fixture.shares(400)[0] == 0);
+    BOOST_TEST(fixture.counters.value("balancer_ejections_total{result=\"ejected\"}") == 1U);
+}
+
+// Guards against ejections that leave the rest of the group overloaded.
+BOOST_AUTO_TEST_CASE(ejections_stay_within_the_share)
+{
+    balancer_fixture fixture(10);
+    fixture.warmUp();
+    for (std::size_t worker = 0; worker < 8; ++worker) {
+        for (int i = 0; i < 5; ++i)
+            failFast(fixture, worker);
+    }
+    BOOST_TEST(fixture.counters.value("balancer_ejections_total{result=\"ejected\"}") == 3U);
+    BOOST_TEST(fixture.counters.value("balancer_ejections_total{result=\"bound\"}") >= 1U);
+    BOOST_TEST(fixture.invariants.failures() == 0U);
+    // Those that may not be ejected still lose their share.
+    const std::vector<int> shares = fixture.shares(400);
+    BOOST_TEST(shares[8] + shares[9] >= 320);
+}
+
+// Guards against a group without workers when a cause common to all makes them fail.
+BOOST_AUTO_TEST_CASE(when_all_look_bad_all_are_used)
+{
+    balancer_fixture fixture(4);
+    fixture.objects.groups[0].ejectionShareMax = 0.5;
+    fixture.apply();
+    fixture.warmUp();
+    for (int i = 0; i < 10; ++i) {
+        for (std::size_t worker = 0; worker < 4; ++worker)
+            failFast(fixture, worker);
+    }
+    fixture.now = fixture.now + seconds(10);
+    const std::vector<int> shares = fixture.shares(400);
+    BOOST_TEST(*std::min_element(shares.begin(), shares.end()) >= 20);
+}
+
+// Guards against a returning worker that gets its full share at once and fails again under it.
+BOOST_AUTO_TEST_CASE(return_from_ejection_is_a_slow_start)
+{
+    balancer_fixture fixture(4);
+    fixture.warmUp();
+    for (int i = 0; i < 3; ++i)
+        failFast(fixture, 0);
+    fixture.now = fixture.now + milliseconds(1900);
+    BOOST_TEST(fixture.shares(400)[0] == 0);
+    fixture.now = fixture.now + milliseconds(400);
+    const int first = fixture.shares(400)[0];
+    BOOST_TEST(first <= 40);
+    fixture.now = fixture.now + seconds(6);
+    BOOST_TEST(fixture.shares(400)[0] >= 60);
+}
+
+// Guards against a broken worker that costs three calls at each return.
+BOOST_AUTO_TEST_CASE(repeated_ejections_last_longer)
+{
+    balancer_fixture fixture(4);
+    fixture.warmUp();
+    for (int i = 0; i < 3; ++i)
+        failFast(fixture, 0);
+    fixture.now = fixture.now + milliseconds(2100);
+    fixture.select();
+    failFast(fixture, 0);
+    fixture.now = fixture.now + milliseconds(3500);
+    BOOST_TEST(fixture.shares(200)[0] == 0);
+}
+
+// Guards against ejection of workers that shed load as they should.
+BOOST_AUTO_TEST_CASE(refusals_do_not_eject)
+{
+    balancer_fixture fixture(4);
+    fixture.warmUp();
+    for (int i = 0; i < 10; ++i) {
+        fixture.decisions->attemptStarted(fixture.now, balancer_fixture::index(0));
+        fixture.finish(balancer_fixture::index(0), microseconds(200), attempt_end::answered, 503,
+                       load_report {4, 20, 4, worker_state::ready}, true);
+    }
+    BOOST_TEST(fixture.counters.value("balancer_ejections_total{result=\"ejected\"}") == 0U);
+    BOOST_TEST(fixture.shares(400)[0] <= 20);
+}
+
+// Guards against short deadlines of callers that make healthy workers look broken.
+BOOST_AUTO_TEST_CASE(short_deadlines_do_not_eject)
+{
+    balancer_fixture fixture(4);
+    fixture.warmUp();
+    for (int i = 0; i < 10; ++i) {
+        fixture.decisions->attemptStarted(fixture.now, balancer_fixture::index(0));
+        fixture.now = fixture.now + milliseconds(2);
+        fixture.finish(balancer_fixture::index(0), milliseconds(2), attempt_end::timed_out, 0);
+    }
+    BOOST_TEST(fixture.counters.value("balancer_ejections_total{result=\"ejected\"}") == 0U);
+}
+
+// Guards against a cold worker that gets a full share before it is warm.
+BOOST_AUTO_TEST_CASE(a_cold_worker_ramps_up)
+{
+    balancer_fixture fixture(3);
+    fixture.warmUp();
+    fixture.addWorker(3);
+    fixture.apply();
+    BOOST_TEST(fixture.shares(400)[3] <= 40);
+    fixture.decisions->probeFinished(fixture.now, balancer_fixture::index(3),
+                                     load_report {0, 0, 4, worker_state::cold}, 400);
+    fixture.now = fixture.now + seconds(20);
+    BOOST_TEST(fixture.shares(400)[3] <= 40);
+    fixture.decisions->probeFinished(fixture.now, balancer_fixture::index(3), idle, 400);
+    fixture.now = fixture.now + seconds(6);
+    BOOST_TEST(fixture.shares(400)[3] >= 60);
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/tests/decision/balance/estimate_test.cpp
@@ -0,0 +1,131 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+#include "tests/decision/balance/balancer_fixture.h"
+
+namespace almondnotch {
+
+namespace {
+
+const load_report idle {0, 0, 4, worker_state::ready};
+
+} // namespace
+
+// Guards against gateways that all send to the worker that was idle in a report they all have.
+BOOST_AUTO_TEST_CASE(gateways_with_the_same_old_report_do_not_herd)
+{
+    std::vector<int> chosen(8);
+    for (std::uint64_t gateway = 1; gateway <= 64; ++gateway) {
+        balancer_fixture fixture(8, gateway);
+        fixture.warmUp(4);
+        for (std::size_t i = 0; i < 8; ++i) {
+            const unsigned running = i == 0 ? 0 : 4;
+            fixture.decisions->probeFinished(fixture.now, balancer_fixture::index(i),
+                                             load_report {running, 2, 4, worker_state::ready}, 400);
+        }
+        fixture.now = fixture.now + milliseconds(400);
+        ++chosen[static_cast<std::size_t>(fixture.select()->worker)];
+    }
+    // An even share is 8 of 64; a herd would be near 64.
+    BOOST_TEST(*std::max_element(chosen.begin(), chosen.end()) <= 24);
+}
+
+// Guards against a slowed worker that keeps its calls until the first slow one ends.
+BOOST_AUTO_TEST_CASE(overdue_calls_lower_the_share_before_they_end)
+{
+    balancer_fixture fixture(4);
+    fixture.warmUp();
+    const std::vector<int> before = fixture.shares(400);
+    BOOST_TEST(before[0] >= 50);
+    fixture.decisions->attemptStarted(fixture.now, balancer_fixture::index(0));
+    fixture.now = fixture.now + milliseconds(40);
+    for (std::size_t i = 1; i < 4; ++i)
+        fixture.serve(balancer_fixture::index(i), milliseconds(1), idle);
+    const std::vector<int> after = fixture.shares(400);
+    BOOST_TEST(after[0] <= 40);
+}
+
+// Guards against a worker ten times slower that claims to be idle (lagging or misleading reports).
+BOOST_AUTO_TEST_CASE(latency_is_believed_over_a_report_that_contradicts_it)
+{
+    balancer_fixture fixture(4);
+    fixture.warmUp();
+    for (int i = 0; i < 3; ++i)
+        fixture.serve(balancer_fixture::index(0), milliseconds(100), idle);
+    for (std::size_t i = 1; i < 4; ++i)
+        fixture.serve(balancer_fixture::index(i), milliseconds(10),
+                      load_report {3, 0, 4, worker_state::ready});
+    BOOST_TEST(fixture.shares(400)[0] <= 40);
+}
+
+// Guards against a worker that never gets its share back after it recovered.
+BOOST_AUTO_TEST_CASE(a_slow_spell_is_forgotten)
+{
+    balancer_fixture fixture(4);
+    fixture.warmUp();
+    for (int i = 0; i < 3; ++i)
+        fixture.serve(balancer_fixture::index(0), milliseconds(100), idle);
+    fixture.now = fixture.now + seconds(3);
+    BOOST_TEST(fixture.shares(400)[0] >= 40);
+}
+
+// Guards against decisions on reports from before a pause.
+BOOST_AUTO_TEST_CASE(what_was_known_before_a_pause_is_old)
+{
+    balancer_fixture fixture(4);
+    fixture.warmUp();
+    for (std::size_t i = 1; i < 4; ++i)
+        fixture.decisions->probeFinished(fixture.now, balancer_fixture::index(i),
+                                         load_report {4, 20, 4, worker_state::ready}, 400);
+    BOOST_TEST(fixture.shares(400)[0] >= 350);
+    fixture.decisions->pauseDetected(fixture.now);
+    BOOST_TEST(fixture.shares(400)[0] <= 200);
+}
+
+// Guards against calls in flight that look overdue only because this process did not run.
+BOOST_AUTO_TEST_CASE(a_pause_does_not_make_calls_in_flight_overdue)
+{
+    balancer_fixture fixture(4);
+    fixture.warmUp();
+    fixture.decisions->attemptStarted(fixture.now, balancer_fixture::index(0));
+    fixture.now = fixture.now + seconds(5);
+    fixture.decisions->pauseDetected(fixture.now);
+    fixture.finish(balancer_fixture::index(0), seconds(5), attempt_end::answered, 200, idle);
+    BOOST_TEST(fixture.shares(400)[0] >= 40);
+}
+
+// Guards against calls to the far domain while near workers are free, and against a near worker
+// that is kept although its queue costs more time than the way to the far one.
+BOOST_AUTO_TEST_CASE(near_workers_first_and_spill_by_time)
+{
+    balancer_fixture fixture(4);
+    fixture.objects.workers[2].failureDomain = "far";
+    fixture.objects.workers[3].failureDomain = "far";
+    fixture.apply();
+    fixture.warmUp(0);
+    const std::vector<int> quiet = fixture.shares(400);
+    BOOST_TEST(quiet[2] + quiet[3] <= 20);
+    for (std::size_t i = 0; i < 4; ++i)
+        fixture.decisions->probeFinished(
+            fixture.now, balancer_fixture::index(i),
+            load_report {i < 2 ? 4U : 1U, i < 2 ? 8U : 0U, 4, worker_state::ready}, 400);
+    const std::vector<int> busy = fixture.shares(400);
+    BOOST_TEST(busy[0] + busy[1] <= 40);
+}
+
+// Guards against own calls that are forgotten until the next report arrives.
+BOOST_AUTO_TEST_CASE(own_calls_count_before_a_report_shows_them)
+{
+    balancer_fixture fixture(4);
+    fixture.warmUp();
+    std::vector<int> chosen(4);
+    for (int i = 0; i < 16; ++i) {
+        const std::optional<selected_worker> worker = fixture.select();
+        ++chosen[static_cast<std::size_t>(worker->worker)];
+        fixture.decisions->attemptStarted(fixture.now, worker->worker);
+    }
+    BOOST_TEST(*std::max_element(chosen.begin(), chosen.end()) <= 6);
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/tests/decision/balance/policy_test.cpp
@@ -0,0 +1,74 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "tests/decision/balance/balance_scenario.h"
+
+namespace almondnotch {
+
+namespace {
+
+constexpr std::uint64_t seeds = 3;
+
+struct comparison
+{
+    /// Median over the seeds of p99 as a multiple of the baseline's on the same seed.
+    double tailRatio = 0;
+    double probesPerWorker = 0;
+    std::uint64_t violations = 0;
+};
+
+comparison compare(const user_profile &user, double load, const std::string &baseline)
+{
+    comparison out;
+    std::vector<double> ratios;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        scenario_settings settings;
+        settings.user = user;
+        settings.user.worker.noise = noisyNeighbours();
+        settings.load = load;
+        settings.seed = seed;
+        settings.measured = seconds(4);
+        const scenario_result own = runScenario(settings);
+        settings.policy = baseline;
+        const scenario_result other = runScenario(settings);
+        ratios.push_back(own.p99 / other.p99);
+        out.probesPerWorker = std::max(out.probesPerWorker, own.probeCalls);
+        out.violations
+            += own.overruns + own.invariantFailures + other.overruns + other.invariantFailures;
+    }
+    std::sort(ratios.begin(), ratios.end());
+    out.tailRatio = ratios[ratios.size() / 2];
+    return out;
+}
+
+void checkUser(const user_profile &user)
+{
+    const comparison busy = compare(user, 0.85, "power_of_two");
+    BOOST_TEST(busy.tailRatio <= 0.6);
+    // A fifth of 13 gateways that poll each worker every 100 ms.
+    BOOST_TEST(busy.probesPerWorker <= 0.2 * 13 * 10);
+    BOOST_TEST(busy.violations == 0U);
+    const comparison quiet = compare(user, 0.5, "power_of_two");
+    BOOST_TEST(quiet.tailRatio <= 1);
+    BOOST_TEST(quiet.violations == 0U);
+}
+
+} // namespace
+
+// Guards against a default strategy that has lost its advantage under noise, at the size of the
+// user whose priority is tail latency.
+BOOST_AUTO_TEST_CASE(default_strategy_meets_its_targets_at_kestrelwood)
+{
+    checkUser(kestrelwood());
+}
+
+// Same at the size of the user whose priority is the cost of measuring.
+BOOST_AUTO_TEST_CASE(default_strategy_meets_its_targets_at_obrt_horvatic)
+{
+    checkUser(obrtHorvatic());
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/tests/decision/balance/probe_budget_test.cpp
@@ -0,0 +1,145 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+#include "decision/balance/probe_budget.h"
+#include "tests/decision/balance/balancer_fixture.h"
+
+namespace almondnotch {
+
+namespace {
+
+/// Probes of all workers in the time from `fixture.now` on, one look each millisecond.
+std::vector<instant> runProbes(balancer_fixture &fixture, duration length, int callsEachMs)
+{
+    std::vector<instant> starts;
+    const instant end = fixture.now + length;
+    while (fixture.now < end) {
+        for (int i = 0; i < callsEachMs; ++i)
+            fixture.select();
+        if (fixture.decisions->nextWake() <= fixture.now) {
+            for (const probe_order &order : fixture.decisions->dueProbes(fixture.now)) {
+                starts.push_back(fixture.now);
+                fixture.decisions->probeFinished(fixture.now, order.worker,
+                                                 load_report {1, 0, 4, worker_state::ready}, 400);
+            }
+        }
+        fixture.now = fixture.now + milliseconds(1);
+    }
+    return starts;
+}
+
+} // namespace
+
+// Guards against read traffic that drives the cost of measuring (invariant 1 of the design).
+BOOST_AUTO_TEST_CASE(a_surge_of_calls_does_not_raise_the_probe_rate)
+{
+    for (const int callsEachMs : {1, 100}) {
+        balancer_fixture fixture(3);
+        const std::vector<instant> starts = runProbes(fixture, seconds(10), callsEachMs);
+        // Share of one gateway: 16 / 16 = 1 a worker and second.
+        BOOST_TEST(starts.size() <= 30U);
+        BOOST_TEST(starts.size() >= 15U);
+        BOOST_TEST(fixture.invariants.failures() == 0U);
+    }
+}
+
+// Guards against a burst of probes that makes up for the time of a pause.
+BOOST_AUTO_TEST_CASE(a_pause_is_not_caught_up)
+{
+    balancer_fixture fixture(20);
+    runProbes(fixture, seconds(3), 1);
+    fixture.now = fixture.now + seconds(60);
+    fixture.decisions->pauseDetected(fixture.now);
+    // One second of the share is 20 probes; the buckets hold at most one more for each worker.
+    const std::vector<instant> starts = runProbes(fixture, seconds(1), 1);
+    BOOST_TEST(starts.size() <= 40U);
+    // They are spread and not sent at once.
+    const instant soon = starts.empty() ? fixture.now : starts.front() + milliseconds(100);
+    const std::ptrdiff_t early
+        = std::count_if(starts.begin(), starts.end(), [soon](instant at) { return at <= soon; });
+    BOOST_TEST(early <= 10);
+}
+
+// Guards against a process that restarts again and again and starts each time with a probe.
+BOOST_AUTO_TEST_CASE(a_new_process_has_saved_nothing)
+{
+    probe_budget budget;
+    budget.setRates(instant(seconds(50)), 2, 4096);
+    BOOST_TEST(!budget.tryStart(instant(seconds(50))));
+    BOOST_TEST((budget.readyAt() == instant(milliseconds(50500))));
+    BOOST_TEST(budget.tryStart(budget.readyAt()));
+    BOOST_TEST(budget.withinShare(instant(milliseconds(50500))));
+}
+
+// Guards against probes whose responses are larger than assumed and so exceed the byte budget.
+BOOST_AUTO_TEST_CASE(large_responses_lower_the_rate)
+{
+    probe_budget budget;
+    const instant begin {seconds(1)};
+    budget.setRates(begin, 1000, 1024);
+    double bytes = 0;
+    for (int ms = 0; ms < 100000; ++ms) {
+        const instant now = begin + milliseconds(ms);
+        if (!budget.tryStart(now))
+            continue;
+        BOOST_TEST(budget.withinShare(now));
+        budget.finish(5000);
+        bytes += 5000;
+    }
+    BOOST_TEST(bytes <= 1024 * 100 + 5000);
+    BOOST_TEST(bytes >= 1024 * 90);
+}
+
+// Guards against bytes or probes without a limit when the budget is 0.
+BOOST_AUTO_TEST_CASE(no_budget_means_no_probe)
+{
+    probe_budget budget;
+    budget.setRates(instant(seconds(1)), 0, 1000000);
+    BOOST_TEST((budget.readyAt() == instant::never()));
+    BOOST_TEST(!budget.tryStart(instant(seconds(1000000))));
+}
+
+// Guards against a change of the rates that refills the bucket.
+BOOST_AUTO_TEST_CASE(configuration_changes_do_not_refill_the_buckets)
+{
+    probe_budget budget;
+    std::uint64_t started = 0;
+    for (int ms = 0; ms < 10000; ++ms) {
+        const instant now = instant(seconds(1)) + milliseconds(ms);
+        budget.setRates(now, ms % 2 == 0 ? 1 : 1.001, 1 << 20);
+        if (budget.tryStart(now)) {
+            ++started;
+            budget.finish(400);
+        }
+    }
+    BOOST_TEST(started <= 11U);
+}
+
+// Guards against probes of workers about which responses already say enough.
+BOOST_AUTO_TEST_CASE(workers_heard_of_by_responses_are_not_probed)
+{
+    balancer_fixture fixture(3);
+    fixture.warmUp();
+    std::size_t probes = 0;
+    for (int round = 0; round < 200; ++round) {
+        for (std::size_t i = 0; i < 3; ++i) {
+            fixture.select();
+            fixture.serve(balancer_fixture::index(i), milliseconds(10),
+                          load_report {1, 0, 4, worker_state::ready});
+        }
+        probes += fixture.decisions->dueProbes(fixture.now).size();
+    }
+    BOOST_TEST(probes == 0U);
+}
+
+// Guards against measuring that goes on while no calls come.
+BOOST_AUTO_TEST_CASE(idle_groups_are_probed_rarely)
+{
+    balancer_fixture fixture(3);
+    const std::vector<instant> starts = runProbes(fixture, seconds(60), 0);
+    BOOST_TEST(starts.size() >= 3U);
+    BOOST_TEST(starts.size() <= 18U);
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/tests/decision/balance/select_benchmark.cpp
@@ -0,0 +1,98 @@
+/// Cost of one choice and memory of one known worker, for one group of 10 to 11,000 workers.
+
+#include <benchmark/benchmark.h>
+
+#include <malloc.h>
+
+#include "tests/decision/balance/balancer_fixture.h"
+
+namespace almondnotch {
+
+namespace {
+
+/// Bytes of the heap in use.
+double heapBytes()
+{
+    const struct mallinfo2 info = mallinfo2();
+    return static_cast<double>(info.uordblks) + static_cast<double>(info.hblkhd);
+}
+
+void selectWorker(benchmark::State &state)
+{
+    const std::size_t count = static_cast<std::size_t>(state.range(0));
+    balancer_fixture fixture(count);
+    for (std::size_t i = 0; i < count; ++i)
+        fixture.serve(balancer_fixture::index(i), milliseconds(1),
+                      load_report {static_cast<unsigned>(i % 4), 0, 4, worker_state::ready});
+    for (std::size_t i = 0; i < count; i += 2)
+        fixture.decisions->attemptStarted(fixture.now, balancer_fixture::index(i));
+    const worker_group *group = fixture.config->group("g");
+    for (auto iterator : state) {
+        static_cast<void>(iterator);
+        fixture.now = fixture.now + microseconds(2);
+        benchmark::DoNotOptimize(fixture.decisions->select({group, {}, seconds(1), fixture.now}));
+    }
+}
+
+/// A choice with the events that follow it: attempt started and finished with a report.
+void serveCall(benchmark::State &state)
+{
+    balancer_fixture fixture(static_cast<std::size_t>(state.range(0)));
+    const worker_group *group = fixture.config->group("g");
+    for (auto iterator : state) {
+        static_cast<void>(iterator);
+        const std::optional<selected_worker> chosen
+            = fixture.decisions->select({group, {}, seconds(1), fixture.now});
+        fixture.serve(chosen->worker, microseconds(100),
+                      load_report {1, 0, 4, worker_state::ready});
+    }
+}
+
+/// Memory of the balancer without the configuration, which the config package owns.
+void memoryOfWorkers(benchmark::State &state)
+{
+    const std::size_t count = static_cast<std::size_t>(state.range(0));
+    double perWorker = 0;
+    for (auto iterator : state) {
+        static_cast<void>(iterator);
+        balancer_fixture fixture(1);
+        for (std::size_t i = 1; i < count; ++i)
+            fixture.addWorker(i);
+        const shared_config large = config_set::create(2, "0", fixture.objects);
+        const double before = heapBytes();
+        fixture.decisions->applyConfig(fixture.now, large);
+        for (std::size_t i = 0; i < count; ++i)
+            fixture.serve(balancer_fixture::index(i), milliseconds(1),
+                          load_report {1, 0, 4, worker_state::ready});
+        perWorker = (heapBytes() - before) / static_cast<double>(count);
+    }
+    state.counters["bytes_per_worker"] = perWorker;
+}
+
+/// Control work: the looks at all workers for probes during one second without calls.
+void probeSecond(benchmark::State &state)
+{
+    balancer_fixture fixture(static_cast<std::size_t>(state.range(0)));
+    for (auto iterator : state) {
+        static_cast<void>(iterator);
+        const instant end = fixture.now + seconds(1);
+        while (fixture.decisions->nextWake() < end) {
+            fixture.now = fixture.decisions->nextWake();
+            for (const probe_order &order : fixture.decisions->dueProbes(fixture.now))
+                fixture.decisions->probeFinished(fixture.now, order.worker,
+                                                 load_report {1, 0, 4, worker_state::ready}, 400);
+        }
+        fixture.now = end;
+    }
+}
+
+} // namespace
+
+BENCHMARK(selectWorker)->Arg(10)->Arg(100)->Arg(1000)->Arg(11000);
+BENCHMARK(serveCall)->Arg(10)->Arg(100)->Arg(1000)->Arg(11000);
+BENCHMARK(memoryOfWorkers)->Arg(1000)->Arg(11000)->Iterations(3)->Unit(benchmark::kMillisecond);
+BENCHMARK(probeSecond)->Arg(1000)->Arg(11000)->Unit(benchmark::kMillisecond);
+
+} // namespace almondnotch
+
+BENCHMARK_MAIN();
--- a/tests/decision/driver/fake_worker.cpp
+++ b/tests/decision/driver/fake_worker.cpp
@@ -16,9 +16,9 @@
 
 } // namespace
 
-fake_worker::fake_worker(event_queue &queue, random_source &random, worker_profile profile)
-    : m_queue(queue), m_random(random), m_profile(profile), m_startedAt(queue.now()),
-      m_advancedAt(queue.now())
+fake_worker::fake_worker(event_queue &queue, std::uint64_t seed, worker_profile profile)
+    : m_queue(queue), m_random(mixBits(seed)), m_noiseRandom(mixBits(~seed)), m_profile(profile),
+      m_startedAt(queue.now()), m_advancedAt(queue.now())
 {
     const double logVariance = std::log1p(m_profile.serviceVariation * m_profile.serviceVariation);
     m_logDeviation = std::sqrt(logVariance);
@@ -67,6 +67,8 @@
     if (m_falseReport)
         return *m_falseReport;
     load_report out = load();
+    if (m_lag <= duration(0))
+        return out;
     for (const std::pair<instant, load_report> &past : m_history) {
         if (past.first + m_lag > m_queue.now())
             break;
@@ -152,7 +154,7 @@
     remember();
     for (const response_handler &respond : done) {
         fake_response response;
-        response.load = m_falseReport ? *m_falseReport : load();
+        response.load = report();
         respond(response);
     }
 }
@@ -171,15 +173,15 @@
     if (noise.meanGap <= duration(0))
         return;
     const duration gap(static_cast<std::int64_t>(
-        m_random.exponential(static_cast<double>(noise.meanGap.count()))));
+        m_noiseRandom.exponential(static_cast<double>(noise.meanGap.count()))));
     m_queue.after(gap, [this] {
         const noise_profile &profile = m_profile.noise;
         const double range = std::log(toSeconds(profile.longest) / toSeconds(profile.shortest));
-        const double lengthUs
-            = static_cast<double>(profile.shortest.count()) * std::exp(range * m_random.uniform());
+        const double lengthUs = static_cast<double>(profile.shortest.count())
+                                * std::exp(range * m_noiseRandom.uniform());
         advance();
         m_noiseSpeed = 1 - profile.leastTaken
-                       - (profile.mostTaken - profile.leastTaken) * m_random.uniform();
+                       - (profile.mostTaken - profile.leastTaken) * m_noiseRandom.uniform();
         plan();
         m_queue.after(duration(static_cast<std::int64_t>(lengthUs)), [this] {
             advance();
--- a/tests/decision/driver/fake_worker.h
+++ b/tests/decision/driver/fake_worker.h
@@ -57,7 +57,9 @@
 public:
     using response_handler = std::function<void(const fake_response &)>;
 
-    fake_worker(event_queue &queue, random_source &random, worker_profile profile);
+    /// \param seed of the service times and, apart from them, of the noise, so that the noise is
+    /// the same whatever calls arrive.
+    fake_worker(event_queue &queue, std::uint64_t seed, worker_profile profile);
     fake_worker(const fake_worker &) = delete;
     fake_worker &operator=(const fake_worker &) = delete;
 
@@ -66,7 +68,7 @@
     std::uint64_t submit(response_handler respond);
     void cancel(std::uint64_t call);
 
-    /// What the load endpoint says, with the lag or the lie that was set.
+    /// What the load endpoint and the response headers say, with the lag or the lie that was set.
     load_report report() const;
     /// The truth.
     load_report load() const;
@@ -81,7 +83,7 @@
     /// All reports say this.
     void setFalseReport(const std::optional<load_report> &report) { m_falseReport = report; }
 
-    /// Calls that were started, and that were accepted after the drain began.
+    /// Calls that were taken on and not refused.
     std::uint64_t accepted() const { return m_accepted; }
     /// Time that calls spent in execution at full speed, seconds: work done.
     double workDoneS() const { return m_workDoneS; }
@@ -106,7 +108,8 @@
     void remember();
 
     event_queue &m_queue;
-    random_source &m_random;
+    random_source m_random;
+    random_source m_noiseRandom;
     worker_profile m_profile;
     double m_logMean = 0;
     double m_logDeviation = 0;
--- a/tests/decision/policy_bench/policy_bench.cpp
+++ b/tests/decision/policy_bench/policy_bench.cpp
@@ -6,17 +6,17 @@
 #include <algorithm>
 #include <atomic>
 #include <cstdio>
-#include <fstream>
-#include <iostream>
 #include <map>
 #include <sstream>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <gflags/gflags.h>
 
 #include "tests/decision/balance/balance_scenario.h"
+#include "tests/decision/policy_bench/line_chart.h"
 
 DEFINE_bool(quick, false, "3 seeds, the loads 50 and 85 with noise, no budget series");
 DEFINE_int32(seeds, 10, "runs of each policy and scenario");
@@ -31,6 +31,8 @@
 DEFINE_double(memory, 0, "estimate tuning: memoryFactor");
 DEFINE_double(fresh, -1, "estimate tuning: freshSpread");
 DEFINE_double(noise_scale, -1, "estimate tuning: noiseScale");
+DEFINE_double(overdue, -1, "estimate tuning: overdueWeight");
+DEFINE_int32(seconds, 4, "measured time of a run");
 DEFINE_bool(budget_series, true, "also run the series over the measuring budget");
 
 namespace almondnotch {
@@ -96,6 +98,9 @@
     out.seed = seed;
     out.probesPerSecond = what.budget;
     out.bytesPerSecond = what.budget * 1024;
+    out.measured = seconds(FLAGS_seconds);
+    if (FLAGS_overdue >= 0)
+        out.tuning.overdueWeight = FLAGS_overdue;
     if (FLAGS_relax > 0)
         out.tuning.relaxFactor = FLAGS_relax;
     if (FLAGS_prior > 0)
@@ -276,6 +281,60 @@
     return met;
 }
 
+/// p99 over `x` of the cases that `wanted` lets through, one line for each policy.
+template <typename Wanted, typename X>
+bool writeChart(const std::string &path, line_chart chart, const results &all, Wanted wanted, X x)
+{
+    std::map<std::string, chart_line> lines;
+    for (const std::pair<const bench_case, std::vector<scenario_result>> &entry : all) {
+        if (!wanted(entry.first))
+            continue;
+        chart_line &line = lines[entry.first.policy];
+        line.label = entry.first.policy;
+        line.points.emplace_back(x(entry.first), tailOf(entry.second).median);
+    }
+    for (std::pair<const std::string, chart_line> &line : lines) {
+        std::sort(line.second.points.begin(), line.second.points.end());
+        chart.lines.push_back(line.second);
+    }
+    chart.yLabel = "p99, ms";
+    const result<void> written = chart.write(path);
+    if (!written)
+        std::fprintf(stderr, "%s\n", toString(written.error()).c_str());
+    return written.has_value();
+}
+
+bool writeFigures(const results &all)
+{
+    bool written = true;
+    for (const std::string user : {"kestrelwood", "obrt_horvatic"}) {
+        std::string loadPath = FLAGS_figures;
+        loadPath.append("/p99_load_").append(user).append(".svg");
+        std::string budgetPath = FLAGS_figures;
+        budgetPath.append("/p99_budget_").append(user).append(".svg");
+        written &= writeChart(
+            loadPath, {"p99 against load with noise bursts", "load, % of the capacity", "", {}},
+            all,
+            [&](const bench_case &what) {
+                return what.user == user && what.noise && what.budget == FLAGS_budget;
+            },
+            [](const bench_case &what) { return what.load; });
+        written &= writeChart(
+            budgetPath,
+            {"p99 against measuring budget, 85% load with noise bursts",
+             "budget, probes per worker and second over all gateways",
+             "",
+             {}},
+            all,
+            [&](const bench_case &what) {
+                return what.user == user && what.noise && what.load == seriesLoad
+                       && (what.policy == defaultPolicy || what.policy == baselinePolicy);
+            },
+            [](const bench_case &what) { return what.budget; });
+    }
+    return written;
+}
+
 } // namespace
 
 } // namespace almondnotch
@@ -288,5 +347,8 @@
     const std::vector<bench_case> cases = listCases();
     const results all = runAll(cases, seeds);
     printRows(cases, all);
-    return checkTargets(cases, all) ? 0 : 1;
+    bool good = checkTargets(cases, all);
+    if (!FLAGS_figures.empty())
+        good &= writeFigures(all);
+    return good ? 0 : 1;
 }
