--- a/decision/balance/load_estimate.cpp
+++ b/decision/balance/load_estimate.cpp
@@ -20,8 +20,6 @@
 constexpr double outcomeMemoryS = 1;
 /// Outcomes assumed good before the first; one failure alone gives a share of one third.
 constexpr double priorOutcomes = 2;
-/// Calls in flight are overdue after this many expected times.
-constexpr double overdueFrom = 1.5;
 /// A report is distrusted once latency differs from what it implies by more than this factor.
 constexpr double trustedFactor = 2;
 
@@ -146,11 +144,8 @@
 
     const double weight = evidenceWeight(nowS, group, tuning);
     double inFlightExposure = 0;
-    for (const attempt_record &attempt : m_attempts) {
-        const double ratio = std::max(0.0, nowS - attempt.startS) / attempt.expectedS;
-        const double overdue = std::max(0.0, ratio - overdueFrom);
-        inFlightExposure += ratio + tuning.overdueWeight * overdue * overdue;
-    }
+    for (const attempt_record &attempt : m_attempts)
+        inFlightExposure += std::max(0.0, nowS - attempt.startS) / attempt.expectedS;
     out.slowdown = (tuning.priorResponses + weight * m_exposure + inFlightExposure)
                    / (tuning.priorResponses + weight * m_responses);
     out.slowdown = std::clamp(out.slowdown, slowdownMin, slowdownMax);
--- a/decision/balance/load_estimate.h
+++ b/decision/balance/load_estimate.h
@@ -24,8 +24,6 @@
     /// Spread of the queue length that a fresh report leaves, in calls. Makes a worker with spare
     /// slots better than one whose last slot is free.
     double freshSpread = 1;
-    /// Weight of the square of the time by which a call in flight is overdue, see `load_estimate`.
-    double overdueWeight = 2;
     /// Scale of the random part of a choice; 1 draws from the estimated distribution.
     double noiseScale = 0.25;
 
@@ -90,8 +88,7 @@
 /// Slowdown: maximum likelihood of an exponential rate with censored observations and a gamma
 /// prior: (prior + time under observation) / (prior + responses), where time is in units of the
 /// expected response time. Calls in flight count with their age, so an overdue call raises the
-/// slowdown before it ends. Real times vary less than exponential ones, so a call that is well
-/// overdue says more than its age: the square of the excess is added.
+/// slowdown before it ends.
 class load_estimate
 {
 public:
--- a/tests/decision/policy_bench/policy_bench.cpp
+++ b/tests/decision/policy_bench/policy_bench.cpp
@@ -31,7 +31,6 @@
 DEFINE_double(memory, 0, "estimate tuning: memoryFactor");
 DEFINE_double(fresh, -1, "estimate tuning: freshSpread");
 DEFINE_double(noise_scale, -1, "estimate tuning: noiseScale");
-DEFINE_double(overdue, -1, "estimate tuning: overdueWeight");
 DEFINE_int32(seconds, 4, "measured time of a run");
 DEFINE_bool(budget_series, true, "also run the series over the measuring budget");
 
@@ -99,8 +98,6 @@
     out.probesPerSecond = what.budget;
     out.bytesPerSecond = what.budget * 1024;
     out.measured = seconds(FLAGS_seconds);
-    if (FLAGS_overdue >= 0)
-        out.tuning.overdueWeight = FLAGS_overdue;
     if (FLAGS_relax > 0)
         out.tuning.relaxFactor = FLAGS_relax;
     if (FLAGS_prior > 0)
