--- a/decision/balance/load_estimate.h
+++ b/decision/balance/load_estimate.h
@@ -14,9 +14,9 @@
 struct estimate_tuning
 {
     /// A report loses its influence with exp(-age / (relaxFactor * service time)).
-    double relaxFactor = 4;
+    double relaxFactor = 2;
     /// Weight of the assumption "as fast as the rest of the group", in responses.
-    double priorResponses = 2;
+    double priorResponses = 4;
     /// Observed latency loses its influence with exp(-age / memory); memory in service times.
     double memoryFactor = 12;
     /// Shortest memory, seconds.
@@ -25,7 +25,7 @@
     /// slots better than one whose last slot is free.
     double freshSpread = 1;
     /// Scale of the random part of a choice; 1 draws from the estimated distribution.
-    double noiseScale = 1;
+    double noiseScale = 0.25;
 
     bool operator==(const estimate_tuning &) const = default;
 };
@@ -132,9 +132,7 @@
     double evidenceWeight(double nowS, const group_estimate &group,
                           const estimate_tuning &tuning) const;
 
-    // Sums over m_attempts, so that a prediction costs the same for any number in flight.
-    double m_inverseExpected = 0;
-    double m_startOverExpected = 0;
+    /// Own calls that the last report cannot contain.
     unsigned m_unseen = 0;
     bool m_stale = true;
     std::optional<load_report> m_report;
