Bound the answers about doubted processes; name only itself after a pause

Such news now goes with messages that are sent anyway. A process that was paused names only itself and tells no records until a peer answers.

--- a/decision/fleet/config_fetch.cpp
+++ b/decision/fleet/config_fetch.cpp
@@ -62,6 +62,8 @@
 
 void config_fetch::startFromPlatform(instant now)
 {
+    if (m_version > m_store.pendingVersion())
+        return;
     if (m_version == m_store.pendingVersion() && m_sha256 == m_store.pendingSha256()
         && m_manifestHeld)
         return;
--- a/decision/fleet/config_store.cpp
+++ b/decision/fleet/config_store.cpp
@@ -82,6 +82,7 @@
     const std::vector<std::string> faults = manifestFaults(*manifest);
     if (!faults.empty())
         return refuse(manifest->version, sha256, faults, actions);
+    // Not an error: the platform's readers see versions at different times.
     if (manifest->version < std::max(m_staged.manifest.version, m_pending.manifest.version))
         return offer_outcome::older;
 
--- a/decision/fleet/fleet.cpp
+++ b/decision/fleet/fleet.cpp
@@ -41,6 +41,8 @@
 constexpr std::size_t relaysMax = 64;
 /// A gateway that has not answered for this long is named to callers only if there is no other.
 constexpr duration doubtAfter = seconds(1);
+/// A faulty peer sends several digests a second; the counter shows them all.
+constexpr duration refusalLogSpacing = seconds(10);
 
 enum class start_phase {
     /// No peer has told a configuration version.
@@ -117,7 +119,7 @@
         bool full = false;
         bool replyWanted = false;
         /// VMs whose records the receiver must get.
-        std::vector<std::string> tell;
+        std::set<std::string> tell;
     };
 
     /// A contact with a process on behalf of a peer.
@@ -197,6 +199,7 @@
     std::map<std::string, std::uint64_t> listedStart;
     std::vector<relay> relays;
 
+    instant nextRefusalLog;
     local_facts facts;
     instant factsAt;
     std::size_t drainTurn = 0;
@@ -234,12 +237,13 @@
         if (const std::optional<member_update> update = members.tell(now, vm);
             update && digest.members.size() < digestMembersMax)
             digest.members.push_back(*update);
+    if (members.isAwaitingContact())
+        return digest;
     const std::size_t room = digestMembersMax - digest.members.size();
     for (member_update &update :
          members.news(now, options.full ? room : std::min(room, answerMembersMax),
                       options.full ? digestTurns : 0))
-        if (std::find(options.tell.begin(), options.tell.end(), update.process.vm)
-            == options.tell.end())
+        if (!options.tell.contains(update.process.vm))
             digest.members.push_back(std::move(update));
     if (!options.full)
         return digest;
@@ -259,7 +263,13 @@
 {
     if (options.replyWanted)
         members.contactTried(now, address);
-    send(actions, address, makeDigest(now, options));
+    // A process can refute what others say of it only if it learns of it. This goes with messages
+    // that are sent anyway: an answer of its own to each digest of a doubted process would let two
+    // processes that doubt each other exchange digests without end.
+    digest_options complete = options;
+    if (std::optional<std::string> doubted = members.doubtedAt(address))
+        complete.tell.insert(std::move(*doubted));
+    send(actions, address, makeDigest(now, complete));
 }
 
 std::vector<std::string> fleet::state::pickPeers(std::size_t count)
@@ -483,11 +493,8 @@
     const member_record *record = members.find(digest.self.process.vm);
     if (record != nullptr
         && (record->update.incarnation != digest.self.incarnation
-            || record->update.state != digest.self.state)) {
-        // The sender can refute what others say of it only if it learns of it.
-        answer.tell.push_back(digest.self.process.vm);
-        answerWanted = true;
-    }
+            || record->update.state != digest.self.state))
+        answer.tell.insert(digest.self.process.vm);
 }
 
 void fleet::state::relayContacts(instant now, const fleet_digest &digest, digest_options &answer,
@@ -499,7 +506,7 @@
             || record->update.state == gateway_state::gone)
             continue;
         if (now - record->heardAt <= recentContact) {
-            answer.tell.push_back(process.vm);
+            answer.tell.insert(process.vm);
             answerWanted = true;
         } else if (std::any_of(relays.begin(), relays.end(), [&](const relay &open) {
                        return open.vm == process.vm && open.forAddress == digest.self.peerAddress;
@@ -544,8 +551,10 @@
 {
     if (const result<void> checked = checkDigest(from, digest); !checked) {
         counters.add("peer_messages_refused_total{reason=\"malformed\"}");
-        log(actions, log_level::warning, "refused a digest",
-            {{"peer", toString(from)}, {"message", checked.error().message}});
+        if (now >= nextRefusalLog)
+            log(actions, log_level::warning, "refused a digest",
+                {{"peer", toString(from)}, {"message", checked.error().message}});
+        nextRefusalLog = std::max(nextRefusalLog, now + refusalLogSpacing);
         return;
     }
     if (from == settings.self)
@@ -555,7 +564,7 @@
     if (known != nullptr && known->update.process.startNumber > from.startNumber) {
         // An old process of a VM that was replaced: it learns of its successor.
         counters.add("peer_messages_refused_total{reason=\"replaced_process\"}");
-        answer.tell.push_back(from.vm);
+        answer.tell.insert(from.vm);
         sendDigest(now, actions, digest.self.peerAddress, answer);
         return;
     }
@@ -589,10 +598,14 @@
                                  action_list &actions)
 {
     const member_record *record = members.find(from.vm);
-    if (record == nullptr || record->update.process != from || !checkRequest(request)) {
+    if (!checkRequest(request)) {
         counters.add("peer_messages_refused_total{reason=\"malformed\"}");
         return;
     }
+    if (record == nullptr || record->update.process != from) {
+        counters.add("peer_messages_refused_total{reason=\"unknown_sender\"}");
+        return;
+    }
     const std::string &address = record->update.peerAddress;
     if (request.version != store.version() || request.manifestSha256 != store.manifestSha256()) {
         // The set was replaced meanwhile: the digest tells the peer the newer one.
@@ -834,6 +847,9 @@
                             update.callsInProgress});
     };
     add(own.members.self(), own.members.isSuperseded());
+    // After a pause the others may have left or ended meanwhile; peers answer within a round trip.
+    if (own.members.isAwaitingContact() && !candidates.empty())
+        return {own.settings.entryAddress};
     for (const std::pair<const std::string, member_record> &entry : own.members.records())
         add(entry.second.update, entry.second.unansweredSince != instant::never()
                                      && now - entry.second.unansweredSince > doubtAfter);
--- a/decision/fleet/membership.cpp
+++ b/decision/fleet/membership.cpp
@@ -252,13 +252,13 @@
     return found == m_records.end() ? nullptr : &found->second;
 }
 
-const member_record *membership::findByAddress(const std::string &peerAddress) const
+std::optional<std::string> membership::doubtedAt(const std::string &peerAddress) const
 {
     for (const std::pair<const std::string, member_record> &entry : m_records)
-        if (entry.second.update.state != gateway_state::gone
+        if (entry.second.update.state != gateway_state::alive
             && entry.second.update.peerAddress == peerAddress)
-            return &entry.second;
-    return nullptr;
+            return entry.first;
+    return std::nullopt;
 }
 
 std::vector<const member_record *> membership::contactable() const
--- a/decision/fleet/membership.h
+++ b/decision/fleet/membership.h
@@ -101,8 +101,8 @@
     std::optional<member_update> tell(instant now, const std::string &vm) const;
 
     const member_record *find(const std::string &vm) const;
-    /// Record of a running process with that peer address, or null.
-    const member_record *findByAddress(const std::string &peerAddress) const;
+    /// VM at that peer address whose process is not known as alive, if there is one.
+    std::optional<std::string> doubtedAt(const std::string &peerAddress) const;
     const std::map<std::string, member_record> &records() const { return m_records; }
 
     /// Processes other than this one that may run, suspects and leavers included.
--- a/tests/decision/fleet/fleet_driver.h
+++ b/tests/decision/fleet/fleet_driver.h
@@ -6,15 +6,15 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
 
-#include "core/digest.h"
 #include "decision/fleet/fleet.h"
+#include "tests/decision/fleet/event_queue.h"
+#include "tests/decision/fleet/fleet_process.h"
 #include "tests/decision/fleet/platform_fake.h"
 #include "tests/decision/fleet/sample_config.h"
 
@@ -33,29 +33,9 @@
 };
 
 /// Runs many `fleet` objects with fake time, unreliable links and a platform fake.
-class fleet_driver
+class fleet_driver : public event_queue
 {
 public:
-    struct process
-    {
-        fleet_settings settings;
-        std::unique_ptr<random_source> random;
-        std::unique_ptr<invariant_set> invariants;
-        std::unique_ptr<counter_set> counters;
-        std::unique_ptr<fleet> instance;
-        /// Raised with each start and crash, so that input for an earlier run is dropped.
-        unsigned run = 0;
-        duration clockOffset {0};
-        instant pausedUntil;
-        instant expectedWake = instant::never();
-        std::uint64_t version = 0;
-        /// Lowest version that the first accepted one may have.
-        std::uint64_t versionFloor = 0;
-        instant leavingSince = instant::never();
-        unsigned side = 0;
-        std::vector<listed_vm> leavingVms;
-    };
-
     explicit fleet_driver(driver_options given) : options(given), random(given.seed)
     {
         processes.resize(options.processes);
@@ -73,37 +53,19 @@
 
     void start(unsigned index)
     {
-        process &own = processes[index];
-        own.instance.reset();
-        ++own.run;
-        own.settings.self.startNumber
-            = (static_cast<std::uint64_t>(1'700'000'000'000 + toMilliseconds(now.sinceOrigin()))
-               << 20)
-              + own.run;
-        own.random = std::make_unique<random_source>(random.next());
-        own.invariants = std::make_unique<invariant_set>();
-        own.invariants->setFailureHandler([](std::string_view name, const std::string &detail) {
-            BOOST_ERROR("invariant " << name << ": " << detail);
-        });
-        own.counters = std::make_unique<counter_set>();
-        own.clockOffset = seconds(1) + duration(random.below(1'000'000'000));
-        own.version = 0;
-        own.versionFloor = lowestReachableVersion(own);
-        own.leavingSince = instant::never();
-        own.pausedUntil = instant();
-        own.expectedWake = instant::never();
-        own.leavingVms.clear();
-        own.instance = fleet::create(own.settings, *own.random, *own.invariants, *own.counters);
+        processes[index].restart(now, random, lowestReachableVersion(processes[index].side));
         input(index, [](fleet &target, instant at, action_list &actions) {
             target.start(at, actions);
             return fleet_changes {};
         });
     }
 
-    void startAll()
+    /// Starts all and lets the fleet settle.
+    void startAll(duration settle)
     {
         for (unsigned i = 0; i < processes.size(); ++i)
             start(i);
+        run(settle);
     }
 
     void crash(unsigned index)
@@ -141,23 +103,6 @@
         answerWatches();
     }
 
-    void run(duration length)
-    {
-        const instant end = now + length;
-        while (!m_queue.empty() && m_queue.top().at <= end) {
-            queued next = m_queue.top();
-            m_queue.pop();
-            now = next.at;
-            next.work();
-        }
-        now = end;
-    }
-
-    void after(duration delay, std::function<void()> work)
-    {
-        m_queue.push({now + delay, ++m_sequence, std::move(work)});
-    }
-
     /// Share of the running processes that have at least this version.
     double shareAt(std::uint64_t version) const
     {
@@ -170,56 +115,46 @@
         return up == 0 ? 0 : static_cast<double>(reached) / up;
     }
 
+    nlohmann::json dump(unsigned index) const
+    {
+        return processes[index].instance->dump(now + processes[index].clockOffset);
+    }
+
     std::vector<std::string> entry(unsigned index)
     {
-        process &own = processes[index];
+        fleet_process &own = processes[index];
         return own.instance->entryAddresses(now + own.clockOffset, "catalogue");
     }
 
     driver_options options;
     random_source random;
-    instant now;
-    std::vector<process> processes;
+    std::vector<fleet_process> processes;
     platform_fake platform;
-    bool losesMessages = true;
     std::uint64_t bytesSent = 0;
     std::uint64_t messagesSent = 0;
     std::size_t platformCallsMax = 0;
 
 private:
-    struct queued
-    {
-        instant at;
-        std::uint64_t sequence;
-        std::function<void()> work;
-
-        bool operator<(const queued &other) const
-        {
-            return at != other.at ? at > other.at : sequence > other.sequence;
-        }
-    };
-
     struct watch
     {
         unsigned index;
         unsigned run;
         read_platform read;
     };
-
     using handler = std::function<fleet_changes(fleet &, instant, action_list &)>;
 
-    std::uint64_t lowestReachableVersion(const process &own) const
+    std::uint64_t lowestReachableVersion(unsigned side) const
     {
         std::uint64_t lowest = 0;
-        for (const process &peer : processes)
-            if (peer.instance != nullptr && peer.side == own.side && peer.version > 0)
+        for (const fleet_process &peer : processes)
+            if (peer.instance != nullptr && peer.side == side && peer.version > 0)
                 lowest = lowest == 0 ? peer.version : std::min(lowest, peer.version);
         return lowest;
     }
 
     void input(unsigned index, const handler &handle)
     {
-        process &own = processes[index];
+        fleet_process &own = processes[index];
         if (own.instance == nullptr)
             return;
         if (own.pausedUntil > now) {
@@ -243,14 +178,26 @@
         for (const action &each : actions)
             perform(index, each);
         own.expectedWake = own.instance->nextWake();
+        scheduleTimer(index);
+    }
+
+    /// Keeps one timer in the queue for each wake time, not one for each input.
+    void scheduleTimer(unsigned index)
+    {
+        const fleet_process &own = processes[index];
         const instant wake = own.expectedWake;
-        if (wake == instant::never())
+        if (wake == instant::never() || wake == own.scheduledWake)
             return;
-        deliver(std::max(duration {0}, wake - at), index,
-                [this, index, wake](fleet &target, instant local, action_list &out) {
-                    return processes[index].expectedWake == wake ? target.timerExpired(local, out)
-                                                                 : fleet_changes {};
-                });
+        processes[index].scheduledWake = wake;
+        after(std::max(duration {0}, wake - (now + own.clockOffset)),
+              [this, index, wake, run = own.run] {
+                  if (processes[index].run != run || processes[index].expectedWake != wake)
+                      return;
+                  processes[index].scheduledWake = instant::never();
+                  input(index, [](fleet &target, instant at, action_list &actions) {
+                      return target.timerExpired(at, actions);
+                  });
+              });
     }
 
     void deliver(duration delay, unsigned index, handler handle)
@@ -286,13 +233,14 @@
                     });
             return;
         }
-        const unsigned copies = losesMessages && random.uniform() < options.duplication ? 2 : 1;
+        const std::shared_ptr<const peer_message> content
+            = std::make_shared<const peer_message>(message.message);
+        const unsigned copies = random.uniform() < options.duplication ? 2 : 1;
         for (unsigned copy = 0; copy < copies; ++copy)
-            if (!losesMessages || random.uniform() >= options.loss)
+            if (random.uniform() >= options.loss)
                 deliver(milliseconds(1) + duration(random.below(options.delayMax.count())), target,
-                        [from, content = message.message](fleet &own, instant at,
-                                                          action_list &actions) {
-                            return own.peerMessage(at, from, content, actions);
+                        [from, content](fleet &own, instant at, action_list &actions) {
+                            return own.peerMessage(at, from, *content, actions);
                         });
     }
 
@@ -339,8 +287,6 @@
                 m_watches.push_back(each);
     }
 
-    std::priority_queue<queued> m_queue;
-    std::uint64_t m_sequence = 0;
     std::vector<watch> m_watches;
     std::deque<instant> m_calls;
 };
--- a/tests/decision/fleet/fleet_protocol_test.cpp
+++ b/tests/decision/fleet/fleet_protocol_test.cpp
@@ -175,6 +175,25 @@
     BOOST_TEST(!isNamed(0));
 }
 
+// Guards against entry responses from what a process knew before it was paused.
+BOOST_AUTO_TEST_CASE(paused_process_names_itself_until_contact)
+{
+    platform.setSet(sampleSet(3, 4));
+    start();
+    runTo(now + seconds(1));
+    hear(digestOf(1, 5));
+    now = now + seconds(30);
+    actions.clear();
+    target->pauseDetected(now, actions);
+    BOOST_TEST(!isNamed(1));
+    BOOST_TEST(isNamed(0));
+    for (const action &each : actions)
+        if (const send_peer_message *sent = std::get_if<send_peer_message>(&each))
+            BOOST_TEST(std::get<fleet_digest>(sent->message).members.empty());
+    hear(digestOf(1, 5));
+    BOOST_TEST(isNamed(1));
+}
+
 // Guards against key ranges that are minted ahead of their home's clock.
 BOOST_AUTO_TEST_CASE(clock_of_a_peer_moves_on_with_time)
 {
--- a/tests/decision/fleet/fleet_random_test.cpp
+++ b/tests/decision/fleet/fleet_random_test.cpp
@@ -22,8 +22,7 @@
 
     void run()
     {
-        m_driver.startAll();
-        m_driver.run(seconds(5));
+        m_driver.startAll(seconds(5));
         for (unsigned step = 0; step < 80; ++step) {
             disturb();
             m_driver.run(milliseconds(100 + below(1500)));
@@ -54,7 +53,7 @@
             m_driver.pause(index, length);
             break;
         case 4:
-            for (fleet_driver::process &process : m_driver.processes)
+            for (fleet_process &process : m_driver.processes)
                 process.side = static_cast<unsigned>(below(2));
             m_driver.after(length, [this] { endPartition(); });
             break;
@@ -80,7 +79,7 @@
 
     void endPartition()
     {
-        for (fleet_driver::process &process : m_driver.processes) {
+        for (fleet_process &process : m_driver.processes) {
             if (process.side != 0)
                 m_partitionEnd = m_driver.now;
             process.side = 0;
@@ -90,7 +89,7 @@
     bool isPartitioned() const
     {
         return std::any_of(m_driver.processes.begin(), m_driver.processes.end(),
-                           [](const fleet_driver::process &process) { return process.side != 0; });
+                           [](const fleet_process &process) { return process.side != 0; });
     }
 
     void checkEntryResponses()
@@ -100,7 +99,7 @@
                 continue;
             for (const std::string &address : m_driver.entry(i)) {
                 for (unsigned other = 0; other < m_driver.processes.size(); ++other) {
-                    const fleet_driver::process &named = m_driver.processes[other];
+                    const fleet_process &named = m_driver.processes[other];
                     // A process that was cut off or paused cannot know of the announcement.
                     const instant knownSince
                         = std::max({named.leavingSince, m_partitionEnd,
@@ -130,10 +129,10 @@
     void checkAgreement()
     {
         std::uint64_t newest = 0;
-        for (const fleet_driver::process &process : m_driver.processes)
+        for (const fleet_process &process : m_driver.processes)
             newest = std::max(newest, process.version);
         for (unsigned i = 0; i < m_driver.processes.size(); ++i) {
-            const fleet_driver::process &process = m_driver.processes[i];
+            const fleet_process &process = m_driver.processes[i];
             BOOST_TEST(process.version == newest,
                        vmName(i) << " has version " << process.version << ", expected " << newest);
             BOOST_TEST(process.instance->livePeers().size() == m_driver.processes.size() - 1,
--- a/tests/decision/fleet/fleet_spread_test.cpp
+++ b/tests/decision/fleet/fleet_spread_test.cpp
@@ -6,12 +6,20 @@
 
 namespace {
 
-/// Milliseconds until this share of the running processes has the version, at most `limit`.
-std::int64_t timeToReach(fleet_driver &driver, std::uint64_t version, double share, duration limit)
+unsigned watchers(const fleet_driver &driver)
+{
+    unsigned count = 0;
+    for (unsigned i = 0; i < driver.processes.size(); ++i)
+        count += driver.isUp(i) && driver.dump(i)["reader"]["watching"] == true ? 1 : 0;
+    return count;
+}
+
+/// Milliseconds until `holds` returns true, at most `limit`.
+std::int64_t timeUntil(fleet_driver &driver, const std::function<bool()> &holds, duration limit)
 {
     const instant begin = driver.now;
-    while (driver.shareAt(version) < share && driver.now - begin < limit)
-        driver.run(milliseconds(10));
+    while (!holds() && driver.now - begin < limit)
+        driver.run(milliseconds(20));
     return toMilliseconds(driver.now - begin);
 }
 
@@ -24,8 +32,7 @@
         for (std::uint64_t seed = 1; seed <= 3; ++seed) {
             fleet_driver driver(
                 {.processes = size, .seed = seed, .loss = 0.02, .duplication = 0.02});
-            driver.startAll();
-            driver.run(seconds(10));
+            driver.startAll(seconds(10));
             BOOST_TEST(driver.shareAt(1) == 1.0);
             for (unsigned i = 0; i < size / 10 + 1; ++i) {
                 const unsigned index = static_cast<unsigned>(driver.random.below(size));
@@ -34,9 +41,13 @@
                              [&driver, index] { driver.start(index); });
             }
             driver.publish(2);
-            const std::int64_t most = timeToReach(driver, 2, 0.99, seconds(20));
+            const std::int64_t most = timeUntil(
+                driver, [&driver] { return driver.shareAt(2) >= 0.99; }, seconds(20));
             driver.run(seconds(3) - milliseconds(std::min<std::int64_t>(most, 3000)));
-            const std::int64_t all = std::max(most, 3000 + timeToReach(driver, 2, 1, seconds(20)));
+            const std::int64_t all = std::max(
+                most, 3000
+                          + timeUntil(
+                              driver, [&driver] { return driver.shareAt(2) == 1; }, seconds(20)));
             BOOST_TEST_MESSAGE("processes=" << size << " seed=" << seed << " share99_ms=" << most
                                             << " all_ms<=" << all);
             BOOST_TEST(most <= 2000);
@@ -52,8 +63,7 @@
     std::map<unsigned, double> rates;
     for (const unsigned size : {16U, 64U, 200U}) {
         fleet_driver driver({.processes = size, .seed = 5});
-        driver.startAll();
-        driver.run(seconds(30));
+        driver.startAll(seconds(30));
         const std::uint64_t before = driver.bytesSent;
         const std::uint64_t messagesBefore = driver.messagesSent;
         driver.run(seconds(30));
@@ -65,4 +75,75 @@
     BOOST_TEST(rates[200] <= 1.3 * rates[16]);
 }
 
+// Guards against callers sent to a gateway that announced its leave.
+BOOST_AUTO_TEST_CASE(announced_leave_reaches_all_within_3_s)
+{
+    fleet_driver driver({.processes = 200, .seed = 7, .loss = 0.05});
+    driver.startAll(seconds(30));
+    driver.leave(17);
+    const std::int64_t took = timeUntil(
+        driver,
+        [&driver] {
+            for (unsigned i = 0; i < 200; ++i)
+                for (const member_update &peer : driver.processes[i].instance->livePeers())
+                    if (peer.process.vm == vmName(17))
+                        return false;
+            return true;
+        },
+        seconds(20));
+    BOOST_TEST_MESSAGE("leave_known_by_200_ms=" << took);
+    BOOST_TEST(took <= 3000);
+}
+
+// Guards against a platform that nobody reads after its readers died, and one that all read after
+// an outage.
+BOOST_AUTO_TEST_CASE(readers_are_replaced_and_step_back)
+{
+    fleet_driver driver({.processes = 64, .seed = 3});
+    driver.startAll(seconds(20));
+    BOOST_TEST(watchers(driver) == 2 * sampleDomains);
+    for (unsigned i = 0; i < 64; ++i)
+        if (driver.dump(i)["reader"]["watching"] == true)
+            driver.crash(i);
+    driver.publish(2);
+    const std::int64_t took = timeUntil(
+        driver, [&driver] { return driver.shareAt(2) == 1; }, seconds(30));
+    BOOST_TEST_MESSAGE("change_after_loss_of_all_readers_ms=" << took);
+    BOOST_TEST(took <= 12000);
+    driver.platform.isUp = false;
+    driver.run(seconds(30));
+    BOOST_TEST(watchers(driver) > 2 * sampleDomains);
+    driver.platform.isUp = true;
+    driver.publish(3);
+    driver.run(seconds(20));
+    BOOST_TEST(driver.shareAt(3) == 1);
+    BOOST_TEST(watchers(driver) == 2 * sampleDomains);
+    BOOST_TEST(driver.platformCallsMax <= 2000U);
+}
+
+// Guards against halves of a fleet that hold each other gone after a partition has healed.
+BOOST_AUTO_TEST_CASE(partition_heals_within_12_s)
+{
+    fleet_driver driver({.processes = 64, .seed = 9, .loss = 0.02});
+    driver.startAll(seconds(20));
+    for (unsigned i = 0; i < 64; ++i)
+        driver.processes[i].side = i % sampleDomains < 2 ? 0 : 1;
+    driver.run(seconds(40));
+    for (unsigned i = 0; i < 64; ++i)
+        BOOST_TEST(driver.processes[i].instance->livePeers().size() == 31U);
+    for (fleet_process &process : driver.processes)
+        process.side = 0;
+    const std::int64_t took = timeUntil(
+        driver,
+        [&driver] {
+            return std::all_of(driver.processes.begin(), driver.processes.end(),
+                               [](const fleet_process &process) {
+                                   return process.instance->livePeers().size() == 63;
+                               });
+        },
+        seconds(30));
+    BOOST_TEST_MESSAGE("membership_of_64_after_partition_ms=" << took);
+    BOOST_TEST(took <= 12000);
+}
+
 } // namespace almondnotch
