--- a/tests/decision/fleet/fleet_protocol_test.cpp
+++ b/tests/decision/fleet/fleet_protocol_test.cpp
@@ -99,6 +99,35 @@
     BOOST_TEST(target->dump(now)["unconfirmed"] == false);
 }
 
+// Guards against a new process that takes the platform's stale set although a peer has a newer one.
+BOOST_AUTO_TEST_CASE(newer_version_of_a_peer_goes_before_the_platforms)
+{
+    platform.setSet(sampleSet(3, 4));
+    settings.seedPeers = {peerAddressOf(1)};
+    start();
+    runTo(now + seconds(1));
+    const sample_set newer = sampleSet(5, 4);
+    fleet_digest digest = digestOf(1, 5);
+    digest.configVersion = 5;
+    digest.manifestSha256 = sha256Hex(newer.manifest);
+    actions.clear();
+    hear(digest);
+    BOOST_TEST((target->config() == nullptr));
+    config_data data {"manifest", 5, newer.manifest};
+    target->peerMessage(now, digest.self.process, data, actions);
+    std::vector<std::string> requested;
+    for (const action &each : actions)
+        if (const send_peer_message *sent = std::get_if<send_peer_message>(&each))
+            if (const config_request *request = std::get_if<config_request>(&sent->message))
+                requested = request->partSha256;
+    BOOST_TEST(requested.size() == 1U);
+    for (const std::string &hash : requested)
+        target->peerMessage(now, digest.self.process, config_data {hash, 5, newer.parts.at(hash)},
+                            actions);
+    BOOST_REQUIRE((target->config() != nullptr));
+    BOOST_TEST(target->config()->version() == 5U);
+}
+
 // Guards against a needless wait of a process that has nobody to ask.
 BOOST_AUTO_TEST_CASE(start_without_seeds_serves_at_once)
 {
--- a/tests/decision/fleet/fleet_random_test.cpp
+++ b/tests/decision/fleet/fleet_random_test.cpp
@@ -128,7 +128,7 @@
 
     void checkAgreement()
     {
-        std::uint64_t newest = 0;
+        std::uint64_t newest = m_driver.platform.configVersion();
         for (const fleet_process &process : m_driver.processes)
             newest = std::max(newest, process.version);
         for (unsigned i = 0; i < m_driver.processes.size(); ++i) {
--- a/tests/decision/fleet/fleet_spread_test.cpp
+++ b/tests/decision/fleet/fleet_spread_test.cpp
@@ -75,11 +75,16 @@
     BOOST_TEST(rates[200] <= 1.3 * rates[16]);
 }
 
-// Guards against callers sent to a gateway that announced its leave.
+// Guards against suspicion of live processes when messages are lost, and against callers sent to a
+// gateway that announced its leave.
 BOOST_AUTO_TEST_CASE(announced_leave_reaches_all_within_3_s)
 {
     fleet_driver driver({.processes = 200, .seed = 7, .loss = 0.05});
     driver.startAll(seconds(30));
+    std::uint64_t suspicions = 0;
+    for (const fleet_process &process : driver.processes)
+        suspicions += process.counters->value("member_declared_total{state=\"suspect\"}");
+    BOOST_TEST(suspicions == 0U);
     driver.leave(17);
     const std::int64_t took = timeUntil(
         driver,
--- a/tests/decision/fleet/platform_fake.h
+++ b/tests/decision/fleet/platform_fake.h
@@ -24,7 +24,7 @@
         m_parts.insert(set.parts.begin(), set.parts.end());
         m_values[platform_key::manifest]
             = {m_values[platform_key::manifest].version + 1, true, set.manifest};
-        m_history.push_back(m_values[platform_key::manifest]);
+        m_history.push_back({m_values[platform_key::manifest], set.content.version});
     }
 
     void setLeavingVms(const std::vector<std::string> &leaving)
@@ -41,9 +41,12 @@
     {
         if (steps < m_history.size())
             m_history.resize(m_history.size() - steps);
-        m_values[platform_key::manifest] = m_history.back();
+        m_values[platform_key::manifest] = m_history.back().value;
     }
 
+    /// Version of the configuration that is published now.
+    std::uint64_t configVersion() const { return m_history.back().configVersion; }
+
     std::uint64_t versionOf(platform_key key) const { return m_values.at(key).version; }
 
     platform_value valueOf(const read_platform &read) const
@@ -55,11 +58,17 @@
     }
 
 private:
+    struct published
+    {
+        platform_value value;
+        std::uint64_t configVersion = 0;
+    };
+
     std::map<platform_key, platform_value> m_values {
         {platform_key::manifest, {}},
         {platform_key::vm_list, {1, true, R"({"version":1,"vms":[]})"}}};
     std::map<std::string, std::string> m_parts;
-    std::vector<platform_value> m_history;
+    std::vector<published> m_history;
 };
 
 } // namespace almondnotch
