--- a/decision/calls/call_record.cpp
+++ b/decision/calls/call_record.cpp
@@ -36,6 +36,14 @@
                       [](const attempt_record &attempt) { return !attempt.end.has_value(); }));
 }
 
+unsigned call_record::brokenAttempts() const
+{
+    return static_cast<unsigned>(
+        std::count_if(attempts.begin(), attempts.end(), [](const attempt_record &attempt) {
+            return attempt.end == attempt_end::broken;
+        }));
+}
+
 std::vector<worker_index> call_record::triedWorkers() const
 {
     std::vector<worker_index> tried;
--- a/decision/calls/call_record.h
+++ b/decision/calls/call_record.h
@@ -69,6 +69,7 @@
     /// True if a worker may have executed the call, by the record of what was sent.
     bool mayHaveRun() const;
     unsigned runningAttempts() const;
+    unsigned brokenAttempts() const;
     std::vector<worker_index> triedWorkers() const;
 };
 
--- a/decision/calls/call_runner.cpp
+++ b/decision/calls/call_runner.cpp
@@ -11,11 +11,23 @@
 /// Hedges start when a call takes longer than this share of recent ones.
 constexpr double hedgeQuantile = 0.95;
 
+/// Connections that one call may break before it is no longer retried; with this one call of a
+/// request that crashes workers costs two of them at most.
+constexpr unsigned brokenAttemptsMax = 2;
+
 bool isServerFailure(const shared_response &response)
 {
     return response->status >= 500 && response->status != 501;
 }
 
+/// True for a call with a key whose owner was not asked: another copy of it may be running there.
+bool isDecidedElsewhere(const call_record &record)
+{
+    const bool idempotent = record.target.rule != nullptr && record.target.rule->idempotent;
+    return !record.request->idempotencyKey.empty() && !record.claimed && !idempotent
+           && isMechanismEnabled("owner_decides");
+}
+
 } // namespace
 
 call_runner::call_runner(call_settings settings, call_runner_parts parts)
@@ -122,6 +134,7 @@
 
 bool call_runner::claimKey(instant now, call_record &record, action_list &actions)
 {
+    record.stage = call_stage::running;
     const claim_result verdict
         = m_parts.claims.begin(now, *record.request, digestOf(*record.request), record.call);
     switch (verdict.verdict) {
@@ -280,11 +293,13 @@
     switch (input.end) {
     case attempt_end::answered:
         m_parts.quarantine.workerAnswered(attempt.workerName);
+        m_uncheckedWorkers.erase(attempt.worker);
         if (!attempt.refusedNotRun)
             stateOf(record).latency.add(seen.elapsed);
         break;
     case attempt_end::broken:
         m_parts.quarantine.connectionBroke(now, digestOf(*record.request), attempt.workerName);
+        m_uncheckedWorkers[attempt.worker] = now + quarantine_table::confirmWindow;
         break;
     case attempt_end::not_sent:
         m_parts.quarantine.workerUnreachable(now, attempt.workerName);
@@ -351,6 +366,9 @@
     if (record.attempts.size() >= m_settings.attemptsMax
         || record.deadline - now <= m_settings.responseReserve)
         return false;
+    // A request that may be crashing workers gets no third one.
+    if (record.brokenAttempts() >= brokenAttemptsMax && isMechanismEnabled("crash_limit"))
+        return false;
     // A repeat after `not_sent` loads no worker, so it needs no budget.
     if (input.end == attempt_end::not_sent)
         return true;
@@ -440,7 +458,8 @@
     details.status = cause.status;
     details.type = std::string(cause.type);
     details.title = std::string(cause.title);
-    details.outcome = record.mayHaveRun() ? call_outcome::unknown : call_outcome::not_run;
+    details.outcome = record.mayHaveRun() || isDecidedElsewhere(record) ? call_outcome::unknown
+                                                                        : call_outcome::not_run;
     details.step = std::string(cause.step);
     details.peer = cause.peer;
     details.detail = cause.detail;
@@ -454,7 +473,9 @@
 void call_runner::finish(instant now, call_record &record, const shared_response &given,
                          action_list &actions)
 {
-    const shared_response response = given; // Outlives the record that it may come from.
+    // The copy outlives the record that `given` may belong to.
+    // NOLINTNEXTLINE(performance-unnecessary-copy-initialization)
+    const shared_response response = given;
     cancelAttempts(record, actions);
     if (record.stage == call_stage::running)
         m_parts.invariants.check("not_run_was_not_sent",
@@ -533,6 +554,18 @@
     }
 }
 
+std::vector<probe_order> call_runner::takeChecks(instant now)
+{
+    std::vector<probe_order> checks;
+    for (auto it = m_uncheckedWorkers.begin(); it != m_uncheckedWorkers.end();) {
+        const std::optional<probe_order> check = m_parts.workers.checkWorker(now, it->first);
+        if (check)
+            checks.push_back(*check);
+        it = check || now >= it->second ? m_uncheckedWorkers.erase(it) : std::next(it);
+    }
+    return checks;
+}
+
 void call_runner::addTimer(instant at, call_id call)
 {
     m_timers.emplace(at, call);
--- a/decision/claims/handover_sender.cpp
+++ b/decision/claims/handover_sender.cpp
@@ -18,7 +18,7 @@
         return;
     m_started = true;
     for (const process_id &owner : m_claims.ownedProcesses())
-        m_transfers.push_back({owner, m_claims.exportClaims(owner), false, false, {}, {}});
+        m_transfers.push_back({owner, m_claims.exportClaims(owner), false, false, false, {}, {}});
     timerExpired(now, candidates, actions);
 }
 
@@ -38,9 +38,7 @@
 {
     if (!m_started || isFinished())
         return;
-    const bool fixed = std::any_of(m_transfers.begin(), m_transfers.end(),
-                                   [](const transfer &part) { return part.commitSent; });
-    if (!fixed) {
+    if (!isSuccessorFixed()) {
         const bool stillLive = m_successor
                                && std::any_of(candidates.begin(), candidates.end(),
                                               [this](const successor_candidate &candidate) {
@@ -57,7 +55,7 @@
     }
     m_resendAt = now + resendInterval;
     for (transfer &part : m_transfers) {
-        if (part.committed)
+        if (part.committed || part.refused)
             continue;
         if (part.commitSent || part.chunks.empty())
             sendCommit(now, part, actions);
@@ -72,16 +70,22 @@
     if (!m_successor || from != m_successor->process)
         return;
     for (transfer &part : m_transfers) {
-        if (part.owner != ack.from || part.committed)
+        if (part.owner != ack.from || part.committed || part.refused)
             continue;
         if (ack.committed) {
             part.committed = true;
             m_counters.add("handovers_committed_total");
-        } else if (ack.refused && !part.commitSent) {
-            m_refused.push_back(from);
-            m_successor.reset();
-            m_resendAt = now;
-            return;
+        } else if (ack.refused) {
+            if (!isSuccessorFixed()) {
+                m_refused.push_back(from);
+                m_successor.reset();
+                m_resendAt = now;
+                return;
+            }
+            // Another transfer may be committed there already, so nobody else may take this one;
+            // its keys stay unknown.
+            part.refused = true;
+            m_counters.add("handovers_abandoned_total");
         } else if (!ack.missing.empty()) {
             sendMissing(now, part, ack.missing, actions);
         } else if (!part.commitSent) {
@@ -116,7 +120,7 @@
         part.commitSent = true;
         part.commit = commit;
         part.commitSentAt = now;
-        m_claims.handOver(part.owner, m_successor->process);
+        m_claims.handOver(now, part.owner, m_successor->process);
     } else {
         commit = part.commit;
         commit.clock = part.commit.clock + (now - part.commitSentAt);
@@ -133,7 +137,13 @@
 {
     return m_abandoned
            || std::all_of(m_transfers.begin(), m_transfers.end(),
-                          [](const transfer &part) { return part.committed; });
+                          [](const transfer &part) { return part.committed || part.refused; });
+}
+
+bool handover_sender::isSuccessorFixed() const
+{
+    return std::any_of(m_transfers.begin(), m_transfers.end(),
+                       [](const transfer &part) { return part.commitSent; });
 }
 
 nlohmann::json handover_sender::dump() const
--- a/decision/claims/handover_sender.h
+++ b/decision/claims/handover_sender.h
@@ -59,11 +59,14 @@
         std::vector<handover_chunk> chunks;
         bool commitSent = false;
         bool committed = false;
+        /// The fixed successor refused; nobody else may take over.
+        bool refused = false;
         /// The first commit; repeats carry the same facts with the clock moved on.
         handover_commit commit;
         instant commitSentAt;
     };
 
+    bool isSuccessorFixed() const;
     void chooseSuccessor(const std::vector<successor_candidate> &candidates);
     void sendChunks(const transfer &part, action_list &actions);
     void sendMissing(instant now, transfer &part, const std::vector<std::uint32_t> &missing,
--- /dev/null
+++ b/servers/curl_loop/response_reader.cpp
@@ -0,0 +1,139 @@
+#include "servers/curl_loop/response_reader.h"
+
+#include <charconv>
+
+#include "servers/curl_loop/header_text.h"
+
+namespace almondnotch {
+
+namespace {
+
+template <typename Number>
+std::optional<Number> parseDigits(std::string_view text)
+{
+    Number value = 0;
+    const std::from_chars_result parsed
+        = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || text.front() == '-' || parsed.ec != std::errc()
+        || parsed.ptr != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+} // namespace
+
+bool response_reader::addHeaderLine(std::string_view line)
+{
+    const bool interim = m_status >= 100 && m_status < 200;
+    if (line.starts_with("HTTP/") && (!m_headerEnded || interim)) {
+        // "HTTP/1.1 200 OK": the code has three digits after the first blank.
+        const std::size_t blank = line.find(' ');
+        const std::optional<int> status = blank == std::string_view::npos
+                                              ? std::nullopt
+                                              : parseDigits<int>(line.substr(blank + 1, 3));
+        if (!status || *status < 100)
+            return giveUp("the status line is malformed");
+        m_status = *status;
+        m_headerEnded = false;
+        m_headers.clear();
+        m_contentLength.reset();
+        m_chunked = false;
+        return true;
+    }
+    // Lines after the body are trailers, which must not change what the headers said.
+    if (m_headerEnded)
+        return true;
+    m_headerBytes += line.size();
+    if (m_headerBytes > headerBytesMax) {
+        m_tooLarge = true;
+        return giveUp("the headers exceed " + std::to_string(headerBytesMax) + " bytes");
+    }
+    const std::string_view content = trimmed(line);
+    if (content.empty()) {
+        m_headerEnded = true;
+        return true;
+    }
+    const std::size_t colon = content.find(':');
+    // Folded lines (RFC 9112, section 5.2) begin with a blank and are not accepted either.
+    if (colon == std::string_view::npos || colon == 0 || line.front() == ' '
+        || line.front() == '\t')
+        return giveUp("a header line has no name");
+    m_headers.push_back(
+        {std::string(content.substr(0, colon)), std::string(trimmed(content.substr(colon + 1)))});
+    noteFraming(m_headers.back());
+    if (m_contentLength && *m_contentLength > m_bodyBytesMax && !m_headRequest) {
+        m_tooLarge = true;
+        return giveUp("the announced body exceeds " + std::to_string(m_bodyBytesMax) + " bytes");
+    }
+    return true;
+}
+
+void response_reader::noteFraming(const header_field &field)
+{
+    if (equalIgnoringCase(field.name, "Content-Length")) {
+        const std::optional<std::uint64_t> length = parseDigits<std::uint64_t>(field.value);
+        if (!length || (m_contentLength && *m_contentLength != *length))
+            m_badlyFramed = true;
+        else
+            m_contentLength = length;
+    } else if (equalIgnoringCase(field.name, "Transfer-Encoding")) {
+        if (m_chunked || !equalIgnoringCase(field.value, "chunked"))
+            m_badlyFramed = true;
+        else
+            m_chunked = true;
+    }
+}
+
+bool response_reader::addBody(std::string_view bytes)
+{
+    if (m_body.size() + bytes.size() > m_bodyBytesMax) {
+        m_tooLarge = true;
+        return giveUp("the body exceeds " + std::to_string(m_bodyBytesMax) + " bytes");
+    }
+    if (m_body.empty() && m_contentLength)
+        m_body.reserve(*m_contentLength);
+    m_body.append(bytes);
+    return true;
+}
+
+bool response_reader::complete()
+{
+    if (!m_failure.empty())
+        return false;
+    if (!m_headerEnded || m_status < 200)
+        return giveUp("there is no whole header");
+    const bool bodyless = m_headRequest || m_status == 204 || m_status == 304;
+    // Length and chunks together may be read differently by each side (RFC 9112, section 6.3).
+    if (m_badlyFramed || (m_contentLength && m_chunked)) {
+        m_badlyFramed = true;
+        return giveUp("the framing headers contradict each other");
+    }
+    if (bodyless)
+        return true;
+    if (!m_contentLength && !m_chunked) {
+        m_badlyFramed = true;
+        return giveUp("the response has neither Content-Length nor chunked framing");
+    }
+    if (m_contentLength && *m_contentLength != m_body.size())
+        return giveUp("expected " + std::to_string(*m_contentLength) + " bytes of body, found "
+                      + std::to_string(m_body.size()));
+    return true;
+}
+
+bool response_reader::giveUp(std::string reason)
+{
+    m_failure = std::move(reason);
+    return false;
+}
+
+std::vector<std::string_view> response_reader::headerValues(std::string_view name) const
+{
+    std::vector<std::string_view> values;
+    for (const header_field &field : m_headers) {
+        if (equalIgnoringCase(field.name, name))
+            values.emplace_back(field.value);
+    }
+    return values;
+}
+
+} // namespace almondnotch
