--- a/decision/fleet/membership.cpp
+++ b/decision/fleet/membership.cpp
@@ -183,7 +183,8 @@
             }
             break;
         }
-        if (next != record.update.state && !m_awaitingContact) {
+        if (next != record.update.state
+            && (!m_awaitingContact || !isMechanismEnabled("pause_judges_nobody"))) {
             record.update.state = next;
             noteChange(now, record, true);
             m_counters.add("member_declared_total{state=\"" + std::string(toString(next)) + "\"}");
