--- a/decision/fleet/membership.cpp
+++ b/decision/fleet/membership.cpp
@@ -183,7 +183,8 @@
             }
             break;
         }
-        if (next != record.update.state && !m_awaitingContact) {
+        if (next != record.update.state
+            && (!m_awaitingContact || !isMechanismEnabled("pause_judges_nobody"))) {
             record.update.state = next;
             noteChange(now, record, true);
             m_counters.add("member_declared_total{state=\"" + std::string(toString(next)) + "\"}");
@@ -252,13 +253,13 @@
     return found == m_records.end() ? nullptr : &found->second;
 }
 
-const member_record *membership::findByAddress(const std::string &peerAddress) const
+std::optional<std::string> membership::doubtedAt(const std::string &peerAddress) const
 {
     for (const std::pair<const std::string, member_record> &entry : m_records)
-        if (entry.second.update.state != gateway_state::gone
+        if (entry.second.update.state != gateway_state::alive
             && entry.second.update.peerAddress == peerAddress)
-            return &entry.second;
-    return nullptr;
+            return entry.first;
+    return std::nullopt;
 }
 
 std::vector<const member_record *> membership::contactable() const
