--- a/tests/decision/gateway/fleet_world.cpp
+++ b/tests/decision/gateway/fleet_world.cpp
@@ -34,7 +34,7 @@
     }
     for (unsigned i = 0; i < settings.workers; ++i) {
         worker_node worker;
-        worker.fake = std::make_unique<fake_worker>(m_queue, m_random, profile);
+        worker.fake = std::make_unique<fake_worker>(m_queue, m_random.next(), profile);
         m_workers.push_back(std::move(worker));
     }
     m_nodes.resize(settings.gateways);
