Prove the promises on real processes and end forwards to a dead home at once

Cause: after a kill of a gateway 111 of 952 calls ended unknown at their deadline: forwards to the dead home waited for it, and callers went on using its key range. Change: a forward that cannot be delivered ends as unknown at once; the load generator takes a new key range if the connection to the home was refused before anything was sent, as OPERATIONS asks of callers. Ruled out: detection of the dead peer (the exchange notices the refused connection).

--- a/decision/calls/call_runner.cpp
+++ b/decision/calls/call_runner.cpp
@@ -186,6 +186,19 @@
                                            record.deadline - now - m_settings.responseReserve}});
 }
 
+void call_runner::forwardFailed(instant now, std::uint64_t forwardId, action_list &actions)
+{
+    const auto found = m_forwards.find(forwardId);
+    call_record *record = found == m_forwards.end() ? nullptr : find(found->second);
+    if (record == nullptr)
+        return;
+    m_parts.counters.add("forwards_failed_total");
+    finishWith(now, *record,
+               {502, "key-owner-unreachable", "Owner of the idempotency key is unreachable",
+                "forward", "", "the operation may have run there; it is not run again", seconds(1)},
+               actions);
+}
+
 void call_runner::forwardedResponse(instant now, const forwarded_response &input,
                                     action_list &actions)
 {
--- a/decision/calls/call_runner.h
+++ b/decision/calls/call_runner.h
@@ -62,6 +62,8 @@
     void forwardedCall(instant now, const process_id &from, const forwarded_call &input,
                        const shared_config &config, action_list &actions);
     void forwardedResponse(instant now, const forwarded_response &input, action_list &actions);
+    /// A forwarded call could not be delivered, or only perhaps.
+    void forwardFailed(instant now, std::uint64_t forwardId, action_list &actions);
     void attemptFinished(instant now, const attempt_finished &input, action_list &actions);
     void callerDisconnected(instant now, const caller_disconnected &input, action_list &actions);
 
--- a/decision/gateway.cpp
+++ b/decision/gateway.cpp
@@ -340,9 +340,11 @@
     actions.push_back(send_peer_message {*address, 0, std::move(ack)});
 }
 
-void gateway::state::on(instant now, const peer_send_failed &input, action_list &)
+void gateway::state::on(instant now, const peer_send_failed &input, action_list &actions)
 {
     members->peerSendFailed(now, input.peerAddress);
+    if (input.messageId != 0)
+        calls.forwardFailed(now, input.messageId, actions);
 }
 
 void gateway::state::on(instant now, const platform_read_finished &input, action_list &actions)
--- a/scripts/cluster/cluster.py
+++ b/scripts/cluster/cluster.py
@@ -91,7 +91,7 @@
         base = ports.free_base(service.workers)
         service.addresses = [f"127.0.0.1:{base + index}" for index in range(service.workers)]
         service.process = self.spawn(
-            service.name, [self.program("tests/standins/worker_standin/worker_standin"),
+            service.name, [self.program("tools/worker_standin/worker_standin"),
                            f"--workers={service.workers}", f"--base_port={base}",
                            f"--name={service.name}", f"--slots={service.slots}", *options])
         self.wait_for(lambda: http.get_json(service.addresses[-1], "/control/stats"), 5,
--- /dev/null
+++ b/tests/process_faults.py
@@ -0,0 +1,148 @@
+"""Faults on real processes and sockets: kill, SIGSTOP and SIGCONT of gateways, cut connections, an
+outage of the platform, a rolling replacement of all gateways. Usage: process_faults.py BUILD CASE."""
+
+import os
+import signal
+import sys
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "scripts"))
+
+from cluster import http  # noqa: E402
+from cluster.cluster import Cluster  # noqa: E402
+from cluster.config_text import Service  # noqa: E402
+
+
+def expect(condition, message):
+    if not condition:
+        raise AssertionError(message)
+
+
+def start(build, gateways=3, workers=6, options=("--service_ms=4",)):
+    cluster = Cluster(build, gateways=gateways)
+    service = Service("orders", workers=workers)
+    cluster.start_platform()
+    cluster.start_workers(service, options)
+    cluster.publish()
+    cluster.start_gateways()
+    return cluster, service
+
+
+def control(address, query):
+    """Changes a worker stand-in."""
+    status, _, body = http.request("POST", address, f"/control/set?{query}")
+    expect(status == 200, f"{query}: {body}")
+
+
+def finish(cluster, run, allowed_unknown=0):
+    """Checks what must hold in every case; returns the totals."""
+    code, totals = cluster.result(run)
+    print(totals)
+    expect(code == 0, "a response was wrong, a booking was doubled or falsely reported")
+    expect(totals["unknown"] <= allowed_unknown, f"unknown: {totals['unknown']}")
+    for gateway in cluster.gateways:
+        if gateway.is_running():
+            for name, row in gateway.dump()["invariants"].items():
+                expect(row["failures"] == 0, f"{gateway.name}: invariant {name} failed: {row}")
+    return totals
+
+
+def kill_gateway(build):
+    """Guards against doubled or falsely reported bookings when a gateway is killed."""
+    cluster, service = start(build)
+    with cluster:
+        run = cluster.load(service, rate=150, seconds=6, read_share=0.3)
+        time.sleep(2)
+        cluster.gateways[0].process.kill()
+        totals = finish(cluster, run, allowed_unknown=10 ** 6)
+        expect(totals["succeeded"] > 0.8 * totals["planned"], "most calls must go on elsewhere")
+
+
+def pause_gateway(build):
+    """Guards against a paused gateway that wakes up and runs what others were told did not run."""
+    cluster, service = start(build)
+    with cluster:
+        run = cluster.load(service, rate=150, seconds=8, read_share=0.3, deadline_ms=2000)
+        for _ in range(2):
+            time.sleep(1.5)
+            cluster.gateways[1].process.send_signal(signal.SIGSTOP)
+            time.sleep(1.5)
+            cluster.gateways[1].process.send_signal(signal.SIGCONT)
+        finish(cluster, run, allowed_unknown=10 ** 6)
+        expect(cluster.gateways[1].metric("pauses_total") >= 1, "the pause was not noticed")
+
+
+def cut_connections(build):
+    """Guards against a cut response that reaches a caller as whole, and a booking that runs twice
+    because its connection was cut before the response."""
+    cluster, service = start(build)
+    with cluster:
+        faults = ("close-before", "close-mid-length", "close-mid-unframed", "chunked-cut")
+        for address, fault in zip(service.addresses, faults):
+            control(address, f"fail={fault}&fail_rate=0.2")
+        run = cluster.load(service, rate=150, seconds=5, read_share=0.5)
+        finish(cluster, run, allowed_unknown=10 ** 6)
+
+
+def platform_outage(build):
+    """Guards against calls that depend on the platform, and a configuration that reverts."""
+    cluster, service = start(build)
+    with cluster:
+        run = cluster.load(service, rate=150, seconds=6, read_share=0.5)
+        time.sleep(1)
+        cluster.publish()
+        cluster.wait_for(lambda: all(g.dump()["config_version"] == 2 for g in cluster.gateways), 12,
+                         "version 2 in force")
+        http.request("POST", cluster.platform, "/control/rollback?version=1")
+        time.sleep(1)
+        http.request("POST", cluster.platform, "/control/mode?mode=down")
+        totals = finish(cluster, run)
+        expect(totals["succeeded"] == totals["planned"], "every call must succeed")
+        versions = [gateway.dump()["config_version"] for gateway in cluster.gateways]
+        expect(versions == [2, 2, 2], f"the configuration reverted: {versions}")
+
+
+def rolling_replacement(build):
+    """Guards against calls that are lost or refused while every gateway is replaced in turn."""
+    cluster, service = start(build)
+    with cluster:
+        run = cluster.load(service, rate=150, seconds=24, read_share=0.5)
+        for gateway in cluster.gateways:
+            time.sleep(1)
+            leaving = gateway.process
+            leaving.send_signal(signal.SIGTERM)
+            leaving.wait(timeout=30)
+            expect(leaving.returncode == 0, f"{gateway.name} left with {leaving.returncode}")
+            cluster.start_gateway(gateway)
+            cluster.wait_for(lambda g=gateway: g.dump()["config_version"] == cluster.version, 10,
+                             f"{gateway.name} serves again")
+        totals = finish(cluster, run)
+        expect(totals["succeeded"] == totals["planned"], "every call must succeed")
+
+
+def drain_half_of_the_workers(build):
+    """Guards against lost calls when half of the workers leave, and late work for them."""
+    cluster, service = start(build)
+    with cluster:
+        run = cluster.load(service, rate=150, seconds=6, read_share=0.5)
+        time.sleep(1)
+        leaving = service.addresses[:3]
+        for address in leaving:
+            control(address, "state=draining")
+        time.sleep(3)
+        before = [http.get_json(address, "/control/stats") for address in leaving]
+        totals = finish(cluster, run)
+        after = [http.get_json(address, "/control/stats") for address in leaving]
+        expect(totals["succeeded"] == totals["planned"], "every call must succeed")
+        for old, new in zip(before, after):
+            expect(old["received"] == new["received"],
+                   f"a leaving worker got calls after 3 s: {old} {new}")
+
+
+CASES = {case.__name__: case for case in (kill_gateway, pause_gateway, cut_connections,
+                                          platform_outage, rolling_replacement,
+                                          drain_half_of_the_workers)}
+
+if __name__ == "__main__":
+    CASES[sys.argv[2]](sys.argv[1])
+    print(f"{sys.argv[2]}: passed")
--- a/tools/load_generator/caller.cpp
+++ b/tools/load_generator/caller.cpp
@@ -58,6 +58,14 @@
     return !m_addresses.empty();
 }
 
+void caller::dropRange()
+{
+    if (m_addresses.size() > 1)
+        m_addresses.erase(m_addresses.begin());
+    m_keyRange.clear();
+    m_expiresAt = instant();
+}
+
 std::string caller::nextKey()
 {
     if (m_keyRange.empty())
--- a/tools/load_generator/caller.h
+++ b/tools/load_generator/caller.h
@@ -23,6 +23,9 @@
     /// Address for a call's n-th transmission; asks for new addresses when the old ones expired.
     std::string addressFor(instant now, unsigned transmission);
 
+    /// No connection to the first address: its process is gone, and its key range with it.
+    void dropRange();
+
     /// The next operation's key; empty without a key range.
     std::string nextKey();
 
--- a/tools/load_generator/load_run.cpp
+++ b/tools/load_generator/load_run.cpp
@@ -184,6 +184,14 @@
         curl_slist_free_all(call->headers);
         return;
     }
+    if (code == CURLE_COULDNT_CONNECT && !call->sent) {
+        // Nothing was sent under this key yet, so the operation may take one of another home.
+        call->owner->dropRange();
+        call->owner->addressFor(now(), 0);
+        if (!call->key.empty())
+            call->key = call->owner->nextKey();
+        call->transmissions = 0;
+    }
     sendAgain(*call);
     m_waiting.push_back(std::move(call));
 }
@@ -199,6 +207,7 @@
 /// \return true if the call has ended, false if it shall be sent again.
 bool load_run::judge(pending_call &call, CURLcode code, long status)
 {
+    call.sent = call.sent || code != CURLE_COULDNT_CONNECT;
     if (code == CURLE_OK && status == 200) {
         if (isOwnResponse(call)) {
             const duration latency = now() - call.plannedAt;
--- a/tools/load_generator/load_run.h
+++ b/tools/load_generator/load_run.h
@@ -95,6 +95,8 @@
         bool read = true;
         instant plannedAt;
         unsigned transmissions = 0;
+        /// A transmission may have reached a gateway.
+        bool sent = false;
         caller *owner = nullptr;
         instant sendAt;
         std::string responseBody;
--- a/tests/standins/worker_standin/main.cpp
+++ b/tools/worker_standin/main.cpp
@@ -7,7 +7,7 @@
 #include <ev++.h>
 #include <gflags/gflags.h>
 
-#include "tests/standins/worker_standin/worker_server.h"
+#include "tools/worker_standin/worker_server.h"
 
 DEFINE_string(host, "127.0.0.1", "address to listen on");
 DEFINE_int32(base_port, 0, "port of the first worker; 0 lets the kernel choose every port");
--- a/tests/standins/worker_standin/worker_behaviour.cpp
+++ b/tools/worker_standin/worker_behaviour.cpp
@@ -1,4 +1,4 @@
-#include "tests/standins/worker_standin/worker_behaviour.h"
+#include "tools/worker_standin/worker_behaviour.h"
 
 #include <charconv>
 #include <set>
--- a/tests/standins/worker_standin/worker_server.cpp
+++ b/tools/worker_standin/worker_server.cpp
@@ -1,4 +1,4 @@
-#include "tests/standins/worker_standin/worker_server.h"
+#include "tools/worker_standin/worker_server.h"
 
 #include <algorithm>
 
--- a/tests/standins/worker_standin/worker_server.h
+++ b/tools/worker_standin/worker_server.h
@@ -16,7 +16,7 @@
 #include "core/error.h"
 #include "core/random_source.h"
 #include "tests/standins/http_fake/http_fake.h"
-#include "tests/standins/worker_standin/worker_behaviour.h"
+#include "tools/worker_standin/worker_behaviour.h"
 
 namespace almondnotch {
 
