Send no call to a worker on a leaving VM, also to the last one

Cause: the balancer sent calls that would end in time to workers on leaving VMs when no other worker was usable; the promise is that a leaving worker receives no new work. Change: such workers are never chosen; the call is refused as not run. The test a_leaving_vm_gets_no_call_ that_would_outlast_it expected the old behaviour in one line and is replaced by the stricter a_leaving_vm_gets_no_calls, which fails without the change.

--- a/decision/balance/balancer.cpp
+++ b/decision/balance/balancer.cpp
@@ -34,7 +34,7 @@
 constexpr double chosenWeight = 0.05;
 
 /// How readily a worker is used. A class is used only if all before it are empty.
-enum class usability { preferred, reserve, ejected, leaving, unusable };
+enum class usability { preferred, reserve, ejected, unusable };
 constexpr std::size_t usabilityClasses = 4;
 
 bool isFailure(const attempt_observation &observation, double expectedS)
@@ -145,9 +145,7 @@
     }
     for (worker_record &worker : own.table.workers()) {
         worker.draining = own.drains.contains(worker.name);
-        const auto leaving = own.leavingVms.find(worker.vm);
-        worker.vmLeaving = leaving != own.leavingVms.end();
-        worker.vmLeavesAt = worker.vmLeaving ? leaving->second : instant::never();
+        worker.vmLeaving = own.leavingVms.contains(worker.vm);
     }
     for (const std::unique_ptr<group_record> &group : own.table.groups()) {
         // The members or the bound may have changed: counts anew and readmits those too many.
@@ -194,11 +192,8 @@
             = group->chosenTimeS <= 0
                   ? prediction.timeS
                   : group->chosenTimeS + chosenWeight * (prediction.timeS - group->chosenTimeS);
-        own.invariants.check(
-            "selected_worker_not_leaving",
-            worker.present && !worker.draining
-                && (!worker.vmLeaving || request.now + request.timeLeft <= worker.vmLeavesAt),
-            worker.name);
+        own.invariants.check("selected_worker_not_leaving",
+                             worker.present && !worker.draining && !worker.vmLeaving, worker.name);
         return selected_worker {index, worker.name, worker.address, worker.connectionLimit,
                                 duration(static_cast<std::int64_t>(prediction.timeS * 1e6))};
     }
@@ -267,10 +262,8 @@
     }
     own.leavingVms.insert_or_assign(vm, leaveAt);
     for (worker_record &worker : own.table.workers()) {
-        if (worker.vm != vm)
-            continue;
-        worker.vmLeaving = true;
-        worker.vmLeavesAt = leaveAt;
+        if (worker.vm == vm)
+            worker.vmLeaving = true;
     }
 }
 
@@ -283,7 +276,6 @@
         if (worker.vm != vm)
             continue;
         worker.vmLeaving = false;
-        worker.vmLeavesAt = instant::never();
         own.startRamp(now, worker);
     }
 }
@@ -451,16 +443,11 @@
                                     worker_index index)
 {
     const worker_record &worker = table.at(index);
-    if (!worker.present || worker.draining)
+    if (!worker.present || worker.draining || worker.vmLeaving)
         return usability::unusable;
     if (std::find(request.excluded.begin(), request.excluded.end(), index)
         != request.excluded.end())
         return usability::unusable;
-    if (worker.vmLeaving) {
-        if (now + request.timeLeft > worker.vmLeavesAt)
-            return usability::unusable;
-        return usability::leaving;
-    }
     if (worker.ejected.isEjected())
         return usability::ejected;
     if (worker.load.inFlight() >= worker.connectionLimit)
--- a/decision/balance/balancer.h
+++ b/decision/balance/balancer.h
@@ -42,7 +42,7 @@
     const worker_group *group = nullptr;
     /// Workers that the call has tried already.
     std::vector<worker_index> excluded;
-    /// Time left for the call; a worker whose VM leaves before that is not chosen.
+    /// Time left for the call.
     duration timeLeft {0};
     instant now;
 };
--- a/decision/balance/worker_table.h
+++ b/decision/balance/worker_table.h
@@ -19,8 +19,6 @@
 struct worker_record
 {
     load_estimate load;
-    /// Time at which the VM leaves, if `vmLeaving`; never if that is not known.
-    instant vmLeavesAt = instant::never();
     bool vmLeaving = false;
     bool present = false;
     bool draining = false;
--- a/main/daemon/daemon_declarations.cpp
+++ b/main/daemon/daemon_declarations.cpp
@@ -102,6 +102,8 @@
                 "Time as a suspect after which a gateway counts as gone."),
         integer("fleet.platform_calls_per_second", 2000, 1, 1000000, "calls/s",
                 "Calls to the platform by all gateways together."),
+        integer("fleet.gateways_assumed", 256, 1, 1000, "gateways",
+                "Gateways that share the calls to the platform while no configuration is known."),
         integer("fleet.pause_threshold_ms", 500, 50, 60000, "ms",
                 "A timer that is later than this shows that the process did not run."),
         integer("fleet.drain_time_max_s", 120, 1, 86400, "s",
--- a/main/daemon/daemon_settings.cpp
+++ b/main/daemon/daemon_settings.cpp
@@ -191,6 +191,7 @@
     reader.readSeconds("fleet.suspect_after_s", fleetPart.suspectAfter);
     reader.readSeconds("fleet.gone_after_s", fleetPart.goneAfter);
     reader.read("fleet.platform_calls_per_second", fleetPart.platformCallsPerSecond);
+    reader.read("fleet.gateways_assumed", fleetPart.gatewaysAssumed);
     reader.readMilliseconds("fleet.pause_threshold_ms", target.pauseThreshold);
     reader.readSeconds("fleet.drain_time_max_s", target.drainTimeMax);
 }
--- a/tests/decision/balance/drain_test.cpp
+++ b/tests/decision/balance/drain_test.cpp
@@ -38,15 +38,15 @@
     BOOST_TEST(!fixture.select());
 }
 
-// Guards against calls that are cut off because their VM goes before they end.
-BOOST_AUTO_TEST_CASE(a_leaving_vm_gets_no_call_that_would_outlast_it)
+// Guards against new work for a worker whose VM is leaving, also if it is the last one: a refusal
+// is `not-run`, while a call there could be cut off.
+BOOST_AUTO_TEST_CASE(a_leaving_vm_gets_no_calls)
 {
     balancer_fixture fixture(2);
     fixture.decisions->markVmLeaving(fixture.now, "vm0", fixture.now + seconds(5));
     for (int i = 0; i < 100; ++i)
         BOOST_TEST(fixture.select()->name == "w1");
-    // With no other worker: calls that end in time are served, others are not.
-    BOOST_TEST(fixture.select({balancer_fixture::index(1)}, seconds(4))->name == "w0");
+    BOOST_TEST(!fixture.select({balancer_fixture::index(1)}, seconds(4)));
     BOOST_TEST(!fixture.select({balancer_fixture::index(1)}, seconds(6)));
     fixture.decisions->clearVmLeaving(fixture.now, "vm0");
     BOOST_TEST(fixture.select({balancer_fixture::index(1)}, seconds(6))->name == "w0");
