Tell the balancer about attempts that outlive their call

Cause: an attempt that ended after its call (a cancelled hedge, a passed deadline, a lost caller) was not reported to the balancer, so the worker kept a call in flight for ever and lost its share: after 148 attempts two of four workers showed expected times of 145 and 445 ms instead of 5 ms. Ruled out: the transport (every attempt_finished arrived). Change: the runner keeps worker and start of each attempt until it ends. Before: attempts_that_outlive_their_call_are_taken_off_the_worker fails (1 in flight). After: it passes.

--- a/decision/calls/call_runner.cpp
+++ b/decision/calls/call_runner.cpp
@@ -238,7 +238,9 @@
     attempt.worker = chosen->worker;
     attempt.workerName = chosen->name;
     attempt.startedAt = now;
-    m_attempts.emplace(attempt.attempt, record.call);
+    m_attempts.emplace(attempt.attempt,
+                       running_attempt {record.call, chosen->worker, chosen->name,
+                                        record.target.service->name, now, record.request});
     m_parts.workers.attemptStarted(now, chosen->worker);
     m_parts.counters.add("attempts_total");
     m_parts.invariants.check("no_attempt_after_deadline", now < record.deadline,
@@ -288,17 +290,15 @@
     startAttempt(now, record, actions);
 }
 
-void call_runner::observe(instant now, const call_record &record, attempt_record &attempt,
+void call_runner::observe(instant now, const running_attempt &attempt,
                           const attempt_finished &input)
 {
-    attempt.end = input.end;
-    attempt.refusedNotRun = input.end == attempt_end::answered && input.refusedNotRun;
     attempt_observation seen;
     seen.worker = attempt.worker;
     seen.end = input.end;
     seen.elapsed = now - attempt.startedAt;
     seen.status = input.response ? input.response->status : 0;
-    seen.refusedNotRun = attempt.refusedNotRun;
+    seen.refusedNotRun = input.end == attempt_end::answered && input.refusedNotRun;
     seen.load = input.load;
     m_parts.workers.attemptFinished(now, seen);
     m_parts.counters.add("attempt_ends_total{end=\"" + std::string(toString(input.end)) + "\"}");
@@ -307,11 +307,11 @@
     case attempt_end::answered:
         m_parts.quarantine.workerAnswered(attempt.workerName);
         m_uncheckedWorkers.erase(attempt.worker);
-        if (!attempt.refusedNotRun)
-            stateOf(record).latency.add(seen.elapsed);
+        if (!seen.refusedNotRun)
+            m_services[attempt.service].latency.add(seen.elapsed);
         break;
     case attempt_end::broken:
-        m_parts.quarantine.connectionBroke(now, digestOf(*record.request), attempt.workerName);
+        m_parts.quarantine.connectionBroke(now, digestOf(*attempt.request), attempt.workerName);
         m_uncheckedWorkers[attempt.worker] = now + quarantine_table::confirmWindow;
         break;
     case attempt_end::not_sent:
@@ -330,14 +330,17 @@
         m_parts.invariants.check("attempt_ends_once", false);
         return;
     }
-    call_record *record = find(known->second);
+    const running_attempt ended = std::move(known->second);
     m_attempts.erase(known);
+    observe(now, ended, input);
+    call_record *record = find(ended.call);
     if (record == nullptr)
-        return;
+        return; // The call ended before; its other attempt won, or its time was over.
     const auto attempt = std::find_if(
         record->attempts.begin(), record->attempts.end(),
         [&input](const attempt_record &entry) { return entry.attempt == input.attempt; });
-    observe(now, *record, *attempt, input);
+    attempt->end = input.end;
+    attempt->refusedNotRun = input.end == attempt_end::answered && input.refusedNotRun;
 
     if (input.end == attempt_end::answered && !input.refusedNotRun) {
         responseArrived(now, *record, input, actions);
@@ -629,6 +632,7 @@
                                  {"p95_ms", toMilliseconds(service.latency.quantile(0.95))}};
     }
     return {{"in_progress", m_calls.size()},
+            {"attempts_in_flight", m_attempts.size()},
             {"in_progress_max", m_settings.inProgressMax},
             {"calls", calls},
             {"services", services}};
--- a/decision/calls/call_runner.h
+++ b/decision/calls/call_runner.h
@@ -93,6 +93,17 @@
         latency_tracker latency;
     };
 
+    /// An attempt that has not ended; it may outlive its call.
+    struct running_attempt
+    {
+        call_id call {};
+        worker_index worker {};
+        std::string workerName;
+        std::string service;
+        instant startedAt;
+        shared_request request;
+    };
+
     /// Why a call ends without a worker's response.
     struct ending
     {
@@ -114,8 +125,8 @@
     void planHedge(instant now, call_record &record);
     void hedge(instant now, call_record &record, action_list &actions);
     bool mayRetry(instant now, call_record &record, const attempt_finished &input);
-    void observe(instant now, const call_record &record, attempt_record &attempt,
-                 const attempt_finished &input);
+    /// Tells the balancer and the quarantine what the end of an attempt shows about its worker.
+    void observe(instant now, const running_attempt &attempt, const attempt_finished &input);
     void responseArrived(instant now, call_record &record, const attempt_finished &input,
                          action_list &actions);
     bool hasOtherWorker(instant now, const call_record &record);
@@ -135,7 +146,7 @@
     call_runner_parts m_parts;
     bool m_leaving = false;
     std::unordered_map<call_id, std::unique_ptr<call_record>> m_calls;
-    std::unordered_map<attempt_id, call_id> m_attempts;
+    std::unordered_map<attempt_id, running_attempt> m_attempts;
     std::unordered_map<std::uint64_t, call_id> m_forwards;
     /// Deadlines and hedges; an entry may be stale and is then skipped.
     std::set<std::pair<instant, call_id>> m_timers;
--- a/tests/decision/gateway/calls_test.cpp
+++ b/tests/decision/gateway/calls_test.cpp
@@ -259,6 +259,21 @@
     BOOST_TEST(fixture.take<send_response>().size() == 1U);
 }
 
+// Guards against attempts that count as in flight for ever at their worker, because their call
+// ended before them: the worker then seems loaded and loses its share.
+BOOST_AUTO_TEST_CASE(attempts_that_outlive_their_call_are_taken_off_the_worker)
+{
+    gateway_fixture fixture;
+    const call_id call = fixture.read("gone");
+    const start_attempt attempt = onlyAttempt(fixture);
+    fixture.handle(caller_disconnected {call});
+    fixture.end(attempt, attempt_end::cancelled);
+    const nlohmann::json workers = fixture.tested->dump(fixture.now)["workers"]["workers"];
+    BOOST_REQUIRE(workers.size() == 3U);
+    for (const nlohmann::json &worker : workers)
+        BOOST_TEST(worker["in_flight"] == 0);
+}
+
 // Guards against a leaving gateway that names itself, drops calls or exits too early.
 BOOST_AUTO_TEST_CASE(drain_serves_until_entry_responses_have_expired)
 {
