Give forwarded calls the identifier that a failed delivery names

Cause: forwarded calls were sent with message id 0, so a failed delivery could not be matched and the call still waited for its deadline. Before: forward_that_cannot_be_delivered_ends_at_once fails.

--- a/decision/calls/call_runner.cpp
+++ b/decision/calls/call_runner.cpp
@@ -181,7 +181,7 @@
     m_forwards.emplace(record.forwardId, record.call);
     m_parts.counters.add("forwards_total");
     actions.push_back(
-        send_peer_message {*address, 0,
+        send_peer_message {*address, record.forwardId,
                            forwarded_call {record.forwardId, record.request,
                                            record.deadline - now - m_settings.responseReserve}});
 }
--- a/tests/decision/gateway/calls_test.cpp
+++ b/tests/decision/gateway/calls_test.cpp
@@ -2,6 +2,7 @@
 
 #include <set>
 
+#include "decision/claims/key_range.h"
 #include "tests/decision/gateway/gateway_fixture.h"
 
 namespace almondnotch {
@@ -259,6 +260,47 @@
     BOOST_TEST(fixture.take<send_response>().size() == 1U);
 }
 
+// Guards against a key that is run by a process that does not own it, when its home is unknown.
+BOOST_AUTO_TEST_CASE(key_of_an_unknown_process_is_unknown)
+{
+    gateway_fixture fixture;
+    fixture.book("a", formatKeyRange({{"vm-9", 5}, duration {0}, 1}, "secret") + "/1");
+    BOOST_TEST(fixture.take<start_attempt>().empty());
+    BOOST_TEST((onlyResponse(fixture).outcome == call_outcome::unknown));
+}
+
+// Guards against a forwarded call that waits for its deadline although its home refuses
+// connections.
+BOOST_AUTO_TEST_CASE(forward_that_cannot_be_delivered_ends_at_once)
+{
+    gateway_fixture fixture;
+    fleet_digest digest;
+    digest.self.process = {"vm-1", 5};
+    digest.self.failureDomain = "b";
+    digest.self.entryAddress = "127.0.0.1:1001";
+    digest.self.peerAddress = "127.0.0.1:3001";
+    fixture.handle(peer_message_received {digest.self.process, digest});
+    BOOST_REQUIRE(fixture.tested->dump(fixture.now)["fleet"]["membership"]["members"].size() == 1U);
+    fixture.take<send_peer_message>();
+    fixture.book("a", formatKeyRange({digest.self.process, duration {0}, 1}, "secret") + "/1");
+    const std::vector<send_peer_message> sent = fixture.take<send_peer_message>();
+    BOOST_REQUIRE(sent.size() == 1U);
+    BOOST_REQUIRE(std::holds_alternative<forwarded_call>(sent[0].message));
+    fixture.handle(peer_send_failed {sent[0].peerAddress, sent[0].messageId});
+    BOOST_TEST((onlyResponse(fixture).outcome == call_outcome::unknown));
+}
+
+// Guards against a process that does not notice that it was stopped and acts on old facts.
+BOOST_AUTO_TEST_CASE(pause_is_noticed)
+{
+    gateway_fixture fixture;
+    fixture.advance(seconds(5));
+    BOOST_TEST(fixture.tested->counters().value("pauses_total") == 0U);
+    fixture.skip(seconds(5));
+    fixture.handle(timer_expired {});
+    BOOST_TEST(fixture.tested->counters().value("pauses_total") == 1U);
+}
+
 // Guards against attempts that count as in flight for ever at their worker, because their call
 // ended before them: the worker then seems loaded and loses its share.
 BOOST_AUTO_TEST_CASE(attempts_that_outlive_their_call_are_taken_off_the_worker)
