--- a/tests/process_faults.py
+++ b/tests/process_faults.py
@@ -139,9 +139,55 @@
                    f"a leaving worker got calls after 3 s: {old} {new}")
 
 
+def received(address):
+    return http.get_json(address, "/control/stats")["received"]
+
+
+def slow_worker(build):
+    """Guards against a worker that goes on getting its share after it slowed down by ten times: it
+    must lose most of it within 200 ms."""
+    cluster, service = start(build)
+    with cluster:
+        run = cluster.load(service, rate=400, seconds=6, read_share=1)
+        time.sleep(2)
+        control(service.addresses[0], "slow_factor=10")
+        time.sleep(0.2)
+        before = [received(address) for address in service.addresses]
+        time.sleep(2)
+        calls = [received(address) - old for address, old in zip(service.addresses, before)]
+        finish(cluster, run)
+        print(f"calls after 200 ms: {calls}")
+        expect(calls[0] < sum(calls) / len(calls) / 2, "the slow worker kept most of its share")
+
+
+def crashing_request(build):
+    """Guards against a request that its caller sends again and again through changing gateways and
+    that crashes each worker that runs it: at most two for each gateway."""
+    cluster, service = start(build, workers=12)
+    with cluster:
+        for address in service.addresses:
+            control(address, "crash_text=poison&restart_ms=20000")
+        # The execution logs go with the crashed workers.
+        run = cluster.load(service, rate=100, seconds=8, read_share=1, check=False)
+        time.sleep(1)
+        statuses = []
+        for attempt in range(9):
+            gateway = cluster.gateways[attempt % len(cluster.gateways)]
+            status, _, _ = http.request("POST", gateway.entry, "/orders/book/x", "poison")
+            statuses.append(status)
+            time.sleep(0.7)
+        totals = finish(cluster, run)
+        print(f"statuses of the crashing request: {statuses}")
+        crashed = sum(1 for status in statuses if status == 502)
+        expect(crashed <= 2 * len(cluster.gateways), f"{crashed} workers crashed")
+        expect(statuses[-1] == 422, "the request must be in quarantine at the end")
+        expect(totals["succeeded"] == totals["planned"], "innocent calls must succeed")
+
+
 CASES = {case.__name__: case for case in (kill_gateway, pause_gateway, cut_connections,
                                           platform_outage, rolling_replacement,
-                                          drain_half_of_the_workers)}
+                                          drain_half_of_the_workers, slow_worker,
+                                          crashing_request)}
 
 if __name__ == "__main__":
     CASES[sys.argv[2]](sys.argv[1])
