Remove dead code and an unused parameter from calls and claims

Found on reading the whole change again: a method without a caller, an assignment of the value that the stage already has, a wrapper of one line, and a parameter that no code read.

--- a/decision/calls/call_runner.cpp
+++ b/decision/calls/call_runner.cpp
@@ -111,7 +111,7 @@
     call_record &record
         = *m_calls.emplace(call, std::make_unique<call_record>(std::move(incoming))).first->second;
     m_parts.invariants.check("calls_within_bound", m_calls.size() <= m_settings.inProgressMax);
-    addTimer(record.deadline, record.call);
+    m_timers.emplace(record.deadline, record.call);
 
     const bool keyed = !record.target.rule->idempotent && !record.request->idempotencyKey.empty();
     if (keyed && !claimKey(now, record, actions))
@@ -134,7 +134,6 @@
 
 bool call_runner::claimKey(instant now, call_record &record, action_list &actions)
 {
-    record.stage = call_stage::running;
     const claim_result verdict
         = m_parts.claims.begin(now, *record.request, digestOf(*record.request), record.call);
     switch (verdict.verdict) {
@@ -272,7 +271,7 @@
     if (delay <= duration {0} || now + delay >= record.deadline)
         return;
     record.hedgeAt = now + delay;
-    addTimer(record.hedgeAt, record.call);
+    m_timers.emplace(record.hedgeAt, record.call);
 }
 
 void call_runner::hedge(instant now, call_record &record, action_list &actions)
@@ -582,11 +581,6 @@
     return checks;
 }
 
-void call_runner::addTimer(instant at, call_id call)
-{
-    m_timers.emplace(at, call);
-}
-
 call_runner::service_state &call_runner::stateOf(const call_record &record)
 {
     return m_services[record.target.service->name];
--- a/decision/calls/call_runner.h
+++ b/decision/calls/call_runner.h
@@ -138,7 +138,6 @@
     void finish(instant now, call_record &record, const shared_response &given,
                 action_list &actions);
     void respond(const call_record &record, const shared_response &response, action_list &actions);
-    void addTimer(instant at, call_id call);
     service_state &stateOf(const call_record &record);
     call_record *find(call_id call);
 
--- a/decision/claims/claim_table.h
+++ b/decision/claims/claim_table.h
@@ -76,8 +76,6 @@
     void seal() { m_sealed = true; }
     bool isSealed() const { return m_sealed; }
 
-    /// True while a claimed operation runs.
-    bool hasRunning() const { return m_running > 0; }
     std::size_t size() const { return m_claims.size(); }
 
     /// Processes whose ranges this one owns, itself included unless handed over.
--- a/decision/claims/handover_receiver.cpp
+++ b/decision/claims/handover_receiver.cpp
@@ -19,8 +19,7 @@
 
 } // namespace
 
-handover_ack handover_receiver::chunkReceived(instant now, const process_id &,
-                                              const handover_chunk &chunk)
+handover_ack handover_receiver::chunkReceived(instant now, const handover_chunk &chunk)
 {
     handover_ack ack;
     ack.from = chunk.from;
--- a/decision/claims/handover_receiver.h
+++ b/decision/claims/handover_receiver.h
@@ -24,7 +24,7 @@
     { }
 
     /// \return the acknowledgement to send back.
-    handover_ack chunkReceived(instant now, const process_id &sender, const handover_chunk &chunk);
+    handover_ack chunkReceived(instant now, const handover_chunk &chunk);
     handover_ack commitReceived(instant now, const process_id &sender,
                                 const handover_commit &commit);
 
--- a/decision/gateway.cpp
+++ b/decision/gateway.cpp
@@ -314,7 +314,7 @@
 void gateway::state::on(instant now, const process_id &from, const handover_chunk &input,
                         action_list &actions)
 {
-    sendAck(from, handoverIn.chunkReceived(now, from, input), actions);
+    sendAck(from, handoverIn.chunkReceived(now, input), actions);
 }
 
 void gateway::state::on(instant now, const process_id &from, const handover_commit &input,
--- a/tests/decision/claims/handover_test.cpp
+++ b/tests/decision/claims/handover_test.cpp
@@ -27,7 +27,7 @@
     {
         handover_ack ack;
         if (std::holds_alternative<handover_chunk>(message))
-            ack = receiver.chunkReceived(at(11), leaver.self, std::get<handover_chunk>(message));
+            ack = receiver.chunkReceived(at(11), std::get<handover_chunk>(message));
         else
             ack = receiver.commitReceived(at(11), leaver.self, std::get<handover_commit>(message));
         sender.acknowledged(at(11), successor.self, ack, actions);
@@ -79,8 +79,7 @@
     fixture.start();
     const std::vector<peer_message> chunks = fixture.takeMessages();
     BOOST_REQUIRE(chunks.size() == 3U);
-    fixture.receiver.chunkReceived(at(11), fixture.leaver.self,
-                                   std::get<handover_chunk>(chunks[0]));
+    fixture.receiver.chunkReceived(at(11), std::get<handover_chunk>(chunks[0]));
     BOOST_TEST(
         (fixture.successor.begin(at(12), fixture.leaver.key(9)).verdict == claim_verdict::forward));
     BOOST_TEST(
