--- a/decision/actions.h
+++ b/decision/actions.h
@@ -8,6 +8,7 @@
 #include "core/log_line.h"
 #include "core/time.h"
 #include "decision/peer_messages.h"
+#include "decision/routing/published.h"
 #include "decision/types.h"
 
 namespace almondnotch {
@@ -28,6 +29,9 @@
     bool idempotent = false;
     /// Most connections that this gateway may hold to the worker.
     unsigned connectionLimit = 1;
+    /// Use a new connection and close it afterwards: nothing of an earlier exchange can reach the
+    /// caller, and no idle connection can be lost under the request.
+    bool freshConnection = false;
 };
 
 /// End an attempt early; its `attempt_finished` still arrives.
@@ -51,6 +55,10 @@
     probe_id probe;
     std::string workerAddress;
     duration timeLimit {0};
+    /// Worker that is expected at the address; empty if any will do.
+    std::string workerName {};
+    /// Path of the health check; empty for the load endpoint of the product's own workers.
+    std::string target {};
 };
 
 /// Response to an `entry_query`.
@@ -91,6 +99,19 @@
     duration wait {0};
 };
 
+/// Read or watch published items. Ends with exactly one `items_read`.
+struct read_items
+{
+    read_id read;
+    item_scope scope = item_scope::configuration;
+    /// A list continues after this key; empty for its first page.
+    std::string afterKey;
+    /// A watch reports changes after this revision; 0 for a list.
+    std::uint64_t afterRevision = 0;
+    /// How long a watch waits.
+    duration wait {0};
+};
+
 /// Write a log record.
 struct write_log
 {
@@ -108,7 +129,7 @@
 
 using action
     = std::variant<start_attempt, cancel_attempt, send_response, start_probe, send_entry_response,
-                   send_peer_message, read_platform, write_log, exit_process>;
+                   send_peer_message, read_platform, read_items, write_log, exit_process>;
 
 using action_list = std::vector<action>;
 
--- a/decision/events.h
+++ b/decision/events.h
@@ -8,6 +8,7 @@
 #include "core/error.h"
 #include "core/time.h"
 #include "decision/peer_messages.h"
+#include "decision/routing/published.h"
 #include "decision/types.h"
 
 namespace almondnotch {
@@ -41,6 +42,8 @@
     bool refusedNotRun = false;
     /// Reason for logs; empty if answered.
     std::string detail;
+    /// Another worker has the address now; it did not run the call.
+    bool wrongInstance = false;
 };
 
 /// A probe of a load endpoint ended. Arrives exactly once for each `start_probe`.
@@ -49,6 +52,8 @@
     probe_id probe;
     std::optional<load_report> load;
     std::uint32_t bytes = 0;
+    /// The worker considers itself healthy and is not leaving.
+    bool healthy = true;
 };
 
 /// A caller asked which addresses to use for a service.
@@ -90,6 +95,13 @@
     result<platform_value> value;
 };
 
+/// A read of published items ended. Arrives exactly once for each `read_items`.
+struct items_read
+{
+    read_id read;
+    result<item_page> page;
+};
+
 /// The process shall leave (SIGTERM or operator), by the deadline at the latest.
 struct drain_requested
 {
@@ -102,6 +114,6 @@
 
 using event = std::variant<call_received, caller_disconnected, attempt_finished, probe_finished,
                            entry_query, peer_message_received, peer_send_failed,
-                           platform_read_finished, drain_requested, timer_expired>;
+                           platform_read_finished, items_read, drain_requested, timer_expired>;
 
 } // namespace almondnotch
--- a/decision/gateway.cpp
+++ b/decision/gateway.cpp
@@ -69,6 +69,8 @@
     void on(instant now, const peer_message_received &input, action_list &actions);
     void on(instant now, const peer_send_failed &input, action_list &actions);
     void on(instant now, const platform_read_finished &input, action_list &actions);
+    /// Published items are for gateways that route by host; this one orders none.
+    void on(instant /*now*/, const items_read & /*input*/, action_list & /*actions*/) { }
     void on(instant now, const drain_requested &input, action_list &actions);
     void on(instant now, const timer_expired &input, action_list &actions);
 
@@ -147,7 +149,8 @@
         &state::dispatchEvent<attempt_finished>, &state::dispatchEvent<probe_finished>,
         &state::dispatchEvent<entry_query>,      &state::dispatchEvent<peer_message_received>,
         &state::dispatchEvent<peer_send_failed>, &state::dispatchEvent<platform_read_finished>,
-        &state::dispatchEvent<drain_requested>,  &state::dispatchEvent<timer_expired>,
+        &state::dispatchEvent<items_read>,       &state::dispatchEvent<drain_requested>,
+        &state::dispatchEvent<timer_expired>,
     };
 
 const std::array<gateway::state::message_handler, std::variant_size_v<peer_message>>
--- a/decision/gateway.h
+++ b/decision/gateway.h
@@ -13,6 +13,7 @@
 #include "decision/balance/balancer.h"
 #include "decision/calls/call_settings.h"
 #include "decision/claims/claim_settings.h"
+#include "decision/decision_core.h"
 #include "decision/events.h"
 #include "decision/fleet/fleet.h"
 
@@ -40,31 +41,31 @@
 ///
 /// The driver hands in events with the time at which they are handled, carries out the actions in
 /// order, and hands in `timer_expired` at `nextWake()`. Not thread-safe: one task owns it.
-class gateway
+class gateway : public decision_core
 {
 public:
     static result<std::unique_ptr<gateway>> create(gateway_settings settings);
     gateway(const gateway &) = delete;
     gateway &operator=(const gateway &) = delete;
-    ~gateway();
+    ~gateway() override;
 
     /// Must be called once before the first event.
-    void start(instant now, action_list &actions);
+    void start(instant now, action_list &actions) override;
 
     /// Handles one event. `now` must not be earlier than in the call before.
-    void handle(instant now, const event &input, action_list &actions);
+    void handle(instant now, const event &input, action_list &actions) override;
 
     /// Time at which `timer_expired` is due; changes with each `handle`.
-    instant nextWake() const;
+    instant nextWake() const override;
 
     /// Every table with its bounds, counters, invariants and the configuration version.
-    nlohmann::json dump(instant now) const;
+    nlohmann::json dump(instant now) const override;
 
     /// Why a call would go where: rule, service, group and the workers' scores.
-    nlohmann::json explain(instant now, std::string_view method, std::string_view target) const;
+    nlohmann::json explain(instant now, std::string_view method, std::string_view target) const override;
 
-    const counter_set &counters() const;
-    invariant_set &invariants();
+    const counter_set &counters() const override;
+    invariant_set &invariants() override;
 
 private:
     struct state;
--- /dev/null
+++ b/decision/routing/peer_group.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "core/counters.h"
+#include "core/random_source.h"
+#include "core/time.h"
+#include "decision/actions.h"
+#include "decision/fleet/membership.h"
+#include "decision/peer_messages.h"
+
+namespace almondnotch {
+
+struct peer_group_settings
+{
+    process_id self;
+    std::string failureDomain;
+    std::string entryAddress;
+    std::string peerAddress;
+    std::vector<std::string> seeds;
+    unsigned fanout = 2;
+    duration exchangeInterval {milliseconds(500)};
+    duration suspectAfter {milliseconds(1500)};
+    duration goneAfter {seconds(4)};
+    /// Gateways assumed while the group is still being found.
+    unsigned gatewaysAssumed = 16;
+    /// Time in which a new process expects to have heard of all others.
+    duration discovery {seconds(3)};
+};
+
+/// Facts that the exchange carries for other parts.
+struct peer_facts
+{
+    std::vector<worker_drain> drains;
+    std::vector<crash_record> crashes;
+};
+
+/// The gateways that serve together: finds them through seeds, exchanges membership, leaving
+/// workers and crash records with a few random ones, and notices those that are gone.
+class peer_group
+{
+public:
+    /// \param random, counters outlive the group.
+    peer_group(peer_group_settings settings, random_source &random, counter_set &counters);
+
+    void start(instant now);
+    /// Sends the exchange that is due. `facts` are told along with it.
+    void timerExpired(instant now, const peer_facts &facts, action_list &actions);
+    /// Takes over a digest and answers it if the sender wants that.
+    void digestArrived(instant now, const fleet_digest &digest, const peer_facts &facts,
+                       action_list &actions);
+    void sendFailed(const std::string &peerAddress);
+    /// Tells all known gateways at once that this one leaves.
+    void beginLeaving(instant now, action_list &actions);
+    void pauseDetected(instant now);
+    void setSeeds(std::vector<std::string> seeds) { m_settings.seeds = std::move(seeds); }
+
+    /// Gateways that share the group's budgets: those that run or may run, this one included.
+    unsigned gatewayCount(instant now) const;
+    /// Entry addresses of gateways that serve, those of the failure domain first.
+    /// \param selfServes whether this gateway may be named.
+    std::vector<std::string> entryAddresses(const std::string &failureDomain,
+                                            bool selfServes) const;
+
+    instant nextWake() const { return m_nextExchange; }
+    nlohmann::json dump(instant now) const { return m_members.dump(now); }
+
+private:
+    fleet_digest makeDigest(instant now, const peer_facts &facts, bool replyWanted);
+    void send(instant now, const std::string &address, const peer_facts &facts, bool replyWanted,
+              action_list &actions);
+    std::vector<std::string> chooseContacts();
+
+    peer_group_settings m_settings;
+    random_source &m_random;
+    counter_set &m_counters;
+    membership m_members;
+    instant m_startedAt;
+    instant m_nextExchange;
+    std::uint64_t m_nextMessage = 1;
+};
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/routing/placement.cpp
@@ -0,0 +1,111 @@
+#include "decision/routing/placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace almondnotch {
+
+namespace {
+
+/// Age up to which a report is acted on without another probe.
+constexpr duration freshFor = milliseconds(100);
+/// Time in which a report loses most of its meaning; machines change speed about this often.
+constexpr duration reportFade = milliseconds(400);
+/// Slowdown that is assumed of a worker of which nothing is known.
+constexpr double unknownSlowdown = 2.0;
+/// Slowdown of a worker that has just started.
+constexpr double coldSlowdown = 2.0;
+/// Part of the objective that a distant worker must be faster by.
+constexpr double distancePart = 0.35;
+/// Part of the objective that a certain failure costs.
+constexpr double failurePart = 2.0;
+/// Part of the time to the objective that an acceptable worker takes at most.
+constexpr double goodPart = 0.75;
+/// Slowdown up to which a worker's machine counts as undisturbed.
+constexpr double goodSlowdown = 1.6;
+/// Equal workers are told apart by chance, within this part of their cost.
+constexpr double jitterPart = 0.1;
+
+duration scaled(duration length, double factor)
+{
+    return duration(static_cast<std::int64_t>(static_cast<double>(length.count()) * factor));
+}
+
+} // namespace
+
+scored_worker placement::score(instant now, const placement_request &request,
+                               worker_index index) const
+{
+    const pooled_worker &worker = m_pool.at(index);
+    const double slots = std::max(worker.report.slots, 1U);
+    const duration age = worker.hasReport ? now - worker.reportedAt : seconds(60);
+    const double trust = std::exp(-toSeconds(age) / toSeconds(reportFade));
+    double slowdown = trust * worker.report.slowdownPercent / 100.0 + (1 - trust) * unknownSlowdown;
+    if (now < worker.warmAt)
+        slowdown = std::max(slowdown, coldSlowdown);
+    const double reported = worker.report.running + worker.report.queued;
+    const double busy = std::max<double>(trust * reported + worker.sentSinceReport,
+                                         worker.inFlight);
+    const double waiting = std::max(0.0, busy + 1 - slots) / slots;
+    // Workers slow down as their slots fill.
+    const double crowding = 1 + 0.15 * std::min(1.0, busy / slots);
+
+    scored_worker out;
+    out.worker = index;
+    out.isNear = worker.entry.failureDomain == m_failureDomain;
+    out.isFresh = worker.hasReport && age <= freshFor;
+    out.expected = scaled(request.work, slowdown * (crowding + waiting));
+    const double failures
+        = worker.failureShare * std::exp(-toSeconds(now - worker.failureAt) / 4.0);
+    duration cost = out.expected + scaled(request.timeToObjective, failurePart * failures);
+    if (!out.isNear)
+        cost += scaled(request.timeToObjective, distancePart);
+    out.cost = scaled(cost, 1 + jitterPart * m_random.uniform());
+    return out;
+}
+
+void placement::collect(instant now, const placement_request &request, duration lastResort,
+                        std::vector<scored_worker> &out) const
+{
+    for (const worker_index index : m_pool.ofService(request.service)) {
+        const pooled_worker &worker = m_pool.at(index);
+        if (worker.isReplaced
+            || std::find(request.tried.begin(), request.tried.end(), index) != request.tried.end())
+            continue;
+        const bool isRemoved = worker.removedAt != instant::never();
+        if (lastResort == duration {0} ? isRemoved || worker.entry.leaving
+                                       : !isRemoved || worker.entry.leaving
+                                             || now - worker.removedAt > lastResort)
+            continue;
+        out.push_back(score(now, request, index));
+    }
+}
+
+std::vector<scored_worker> placement::rank(instant now, const placement_request &request,
+                                           duration lastResort) const
+{
+    std::vector<scored_worker> out;
+    collect(now, request, duration {0}, out);
+    if (out.empty() && lastResort > duration {0})
+        collect(now, request, lastResort, out);
+    // Workers that fail are left out as long as others remain.
+    const auto shunned = std::stable_partition(
+        out.begin(), out.end(), [this, now](const scored_worker &candidate) {
+            return m_pool.at(candidate.worker).shunnedUntil <= now;
+        });
+    if (shunned != out.begin())
+        out.erase(shunned, out.end());
+    std::sort(out.begin(), out.end(), [](const scored_worker &left, const scored_worker &right) {
+        return left.cost < right.cost;
+    });
+    return out;
+}
+
+bool placement::isGood(const scored_worker &candidate, const placement_request &request)
+{
+    return candidate.isFresh
+           && candidate.expected <= scaled(request.timeToObjective, goodPart)
+           && candidate.expected <= scaled(request.work, goodSlowdown);
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/routing/placement.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/random_source.h"
+#include "core/time.h"
+#include "decision/routing/worker_pool.h"
+
+namespace almondnotch {
+
+/// What a request asks of a worker.
+struct placement_request
+{
+    std::string service;
+    /// Usual time that the work takes on an idle worker.
+    duration work {0};
+    /// Time until the response loses most of its value.
+    duration timeToObjective {0};
+    duration timeToDeadline {0};
+    /// Workers that are not to be chosen again.
+    std::vector<worker_index> tried;
+};
+
+/// A worker with the time that a request is expected to take there.
+struct scored_worker
+{
+    worker_index worker {};
+    duration expected {0};
+    /// Expected time with what failures and distance cost.
+    duration cost {0};
+    bool isNear = false;
+    /// Its report is young enough to act on.
+    bool isFresh = false;
+};
+
+/// Chooses workers. Machines are shared, so that a worker may take several times as long as usual
+/// for some hundred milliseconds: a report says little after that time, and a request whose worker
+/// has none is worth a probe. Near workers go first, as bytes between failure domains cost.
+class placement
+{
+public:
+    /// \param pool, random outlive the object.
+    placement(const worker_pool &pool, random_source &random, std::string failureDomain)
+        : m_pool(pool), m_random(random), m_failureDomain(std::move(failureDomain))
+    { }
+
+    /// Usable workers, the best first.
+    /// \param lastResort how long ago a worker may have been removed if no other is left.
+    std::vector<scored_worker> rank(instant now, const placement_request &request,
+                                    duration lastResort) const;
+
+    /// True if the request may be sent without further probes.
+    static bool isGood(const scored_worker &candidate, const placement_request &request);
+
+private:
+    scored_worker score(instant now, const placement_request &request, worker_index index) const;
+    void collect(instant now, const placement_request &request, duration lastResort,
+                 std::vector<scored_worker> &out) const;
+
+    const worker_pool &m_pool;
+    random_source &m_random;
+    std::string m_failureDomain;
+};
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/routing/request_runner.cpp
@@ -0,0 +1,624 @@
+#include "decision/routing/request_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "decision/calls/call_record.h"
+
+namespace almondnotch {
+
+namespace {
+
+/// Time left below which a request is not worth a worker.
+constexpr duration timeLeftMin = milliseconds(3);
+/// How long a request waits for the probes of one round.
+constexpr duration probeWait = milliseconds(12);
+/// How long a probe may take before its worker counts as unreachable.
+constexpr duration probeTimeLimit = milliseconds(400);
+/// Workers that a request probes in its first and in its second round.
+constexpr std::size_t probesFirstRound = 1;
+constexpr std::size_t probesSecondRound = 3;
+/// Transmissions of one request, those that certainly did not run included.
+constexpr std::size_t transmissionsMax = 6;
+/// Part of the objective for which a request is held back until a worker has room.
+constexpr int holdPart = 8;
+/// Time after which a held request looks for a worker again.
+constexpr duration holdStep = milliseconds(10);
+/// Usual work of a route of which nothing is known, as a part of its objective.
+constexpr double unknownWorkPart = 0.35;
+/// Weight of the newest sample in the usual work of a route.
+constexpr double workWeight = 0.05;
+/// A hedge is sent while it can still meet the objective, but not before the first attempt is
+/// late by this factor of the usual work.
+constexpr double hedgeLateness = 1.4;
+/// Part of the retry budget that hedges leave to retries.
+constexpr double hedgeReservePart = 0.3;
+/// Part of the slack that is given out, since the number of gateways is only known roughly.
+constexpr double slackPart = 0.6;
+/// Part of a caller's remaining time after which it no longer returns.
+constexpr int retryAfterPart = 3;
+constexpr duration retryAfterMin = milliseconds(20);
+
+duration scaled(duration length, double factor)
+{
+    return duration(static_cast<std::int64_t>(static_cast<double>(length.count()) * factor));
+}
+
+bool isServerFailure(const shared_response &response)
+{
+    return response->status >= 500;
+}
+
+} // namespace
+
+request_runner::request_runner(const routing_settings &settings, request_runner_parts parts)
+    : m_settings(settings), m_parts(parts),
+      m_placement(parts.pool, parts.random, settings.peers.failureDomain)
+{ }
+
+std::optional<request_runner::ending> request_runner::admit(instant now, routed_request &record,
+                                                            route_table *table)
+{
+    if (m_requests.size() >= m_settings.bounds.inProgressMax)
+        return ending {503, "too-many-requests", "Too many requests in progress", "admit", ""};
+    if (m_refusesNew)
+        return ending {503, "gateway-leaving", "The gateway leaves", "admit", ""};
+    if (table == nullptr)
+        return ending {503, "no-configuration", "No configuration is in force yet", "admit", ""};
+    record.route = table->find(record.request->host, record.request->target);
+    if (record.route == nullptr)
+        return ending {404, "no-matching-route", "No route matches", "route",
+                       record.request->host + " " + record.request->target};
+    record.config = table->config();
+    record.service = table->nextTarget(*record.route, m_parts.random).service;
+    const duration allowed
+        = std::min(record.request->timeout.value_or(record.route->timeout), record.route->timeout);
+    record.deadline = now + allowed;
+    record.objectiveAt = now + std::min(record.route->latencyObjective, allowed);
+    if (allowed < timeLeftMin)
+        return ending {503, "no-time-left", "No time is left for the request", "admit", ""};
+    if (m_parts.quarantine.isActive()
+        && m_parts.quarantine.isQuarantined(now, digestOf(*record.request)))
+        return ending {503, "request-quarantined", "The request crashed workers", "admit", ""};
+    return std::nullopt;
+}
+
+void request_runner::callReceived(instant now, const call_received &input, route_table *table,
+                                  action_list &actions)
+{
+    std::unique_ptr<routed_request> owned = std::make_unique<routed_request>();
+    routed_request &record = *owned;
+    record.call = input.call;
+    record.request = input.request;
+    record.arrivedAt = now;
+    record.deadline = now + input.request->timeout.value_or(seconds(1));
+    const std::optional<ending> refused = admit(now, record, table);
+    m_parts.counters.add("requests_total");
+    if (!refused)
+        m_budgets[record.service].requestArrived(
+            m_settings.budgets.retryShare,
+            std::max(1.0, slackPart * m_settings.budgets.retrySlack / m_gateways));
+    m_requests.emplace(input.call, std::move(owned));
+    if (refused) {
+        finishWith(now, record, *refused, actions);
+        return;
+    }
+    record.isPlacing = true;
+    place(now, record, actions);
+}
+
+placement_request request_runner::wanted(instant now, const routed_request &record)
+{
+    placement_request out;
+    out.service = record.service;
+    out.work = workOf(*record.route);
+    out.timeToObjective = std::max(record.objectiveAt - now, duration {0});
+    out.timeToDeadline = record.deadline - now;
+    out.tried = record.triedWorkers();
+    return out;
+}
+
+void request_runner::place(instant now, routed_request &record, action_list &actions)
+{
+    record.probesUntil = instant::never();
+    record.placeAgainAt = instant::never();
+    record.awaited.clear();
+    const placement_request request = wanted(now, record);
+    const std::vector<scored_worker> ranked = m_placement.rank(now, request, m_lastResort);
+    if (ranked.empty()) {
+        noPlace(now, record, "no worker of the service is usable", actions);
+        return;
+    }
+    const auto first
+        = std::find_if(ranked.begin(), ranked.end(), [&request](const scored_worker &candidate) {
+              return placement::isGood(candidate, request);
+          });
+    const bool isNearest = first != ranked.end() && (first->isNear || record.probeRounds > 0);
+    if (isNearest) {
+        launch(now, record, *first, actions);
+        return;
+    }
+    if (probe(now, record, ranked, actions)) {
+        schedule(record);
+        return;
+    }
+    const scored_worker &best = first != ranked.end() ? *first : ranked.front();
+    if (record.isHedge && first == ranked.end()) {
+        record.isPlacing = false;
+        schedule(record);
+        return;
+    }
+    if (best.expected > request.timeToDeadline) {
+        noPlace(now, record, "no worker can answer in time", actions);
+        return;
+    }
+    launch(now, record, best, actions);
+}
+
+bool request_runner::probe(instant now, routed_request &record,
+                           const std::vector<scored_worker> &ranked, action_list &actions)
+{
+    if (record.probeRounds >= 2 || record.deadline - now <= probeWait + timeLeftMin)
+        return false;
+    std::size_t left = record.probeRounds == 0 ? probesFirstRound : probesSecondRound;
+    ++record.probeRounds;
+    const auto spec = record.config->services.find(record.service);
+    const std::string path
+        = spec == record.config->services.end() ? "/" : spec->second.healthPath;
+    for (const scored_worker &candidate : ranked) {
+        if (left == 0)
+            break;
+        if (candidate.isFresh)
+            continue;
+        if (!m_probeOf.contains(candidate.worker)) {
+            if (m_probes.size() >= m_settings.bounds.probesMax)
+                break;
+            startProbe(candidate.worker, path, actions);
+        }
+        record.awaited.insert(candidate.worker);
+        --left;
+    }
+    if (record.awaited.empty())
+        return false;
+    record.probesUntil = now + probeWait;
+    return true;
+}
+
+void request_runner::startProbe(worker_index worker, const std::string &healthPath,
+                                action_list &actions)
+{
+    const probe_id id {m_nextProbe++};
+    m_probes.emplace(id, worker);
+    m_probeOf[worker] = id;
+    const published_worker &entry = m_parts.pool.at(worker).entry;
+    m_parts.counters.add("probes_total");
+    actions.push_back(
+        almondnotch::start_probe {id, entry.address, probeTimeLimit, entry.name, healthPath});
+}
+
+void request_runner::noPlace(instant now, routed_request &record, std::string_view reason,
+                             action_list &actions)
+{
+    if (record.isHedge || record.runningAttempts() > 0) {
+        record.isPlacing = false;
+        record.isHedge = false;
+        schedule(record);
+        return;
+    }
+    if (record.failure) {
+        finish(now, record, record.failure, actions);
+        return;
+    }
+    const duration hold = record.route->latencyObjective / holdPart;
+    if (!record.mayHaveRun() && now + holdStep < record.arrivedAt + hold
+        && now + holdStep < record.deadline) {
+        record.placeAgainAt = now + holdStep;
+        record.probeRounds = 0;
+        schedule(record);
+        return;
+    }
+    finishWith(now, record,
+               {record.mayHaveRun() ? 502 : 503, "no-worker-available", "No worker is available",
+                "place", std::string(reason)},
+               actions);
+}
+
+unsigned request_runner::connectionShare(const routed_request &record) const
+{
+    const auto spec = record.config->services.find(record.service);
+    const unsigned whole
+        = spec == record.config->services.end() ? 1 : spec->second.connectionsMax;
+    return std::max(1U, whole / std::max(1U, m_gateways));
+}
+
+void request_runner::launch(instant now, routed_request &record, const scored_worker &chosen,
+                            action_list &actions)
+{
+    const pooled_worker &worker = m_parts.pool.at(chosen.worker);
+    const attempt_id id {m_nextAttempt++};
+    m_parts.invariants.check("at_most_once_sent_once",
+                             record.isIdempotent() || !record.mayHaveRun(),
+                             record.request->requestId);
+    record.isPlacing = false;
+    record.isHedge = false;
+    record.probeRounds = 0;
+    record.attempts.push_back({id, chosen.worker, now,
+                               chosen.isFresh ? worker.report.slowdownPercent : 0, std::nullopt,
+                               false});
+    m_attempts.emplace(id, std::pair(record.call, chosen.worker));
+    m_parts.pool.attemptStarted(chosen.worker);
+    start_attempt order;
+    order.attempt = id;
+    order.request = record.request;
+    order.workerAddress = worker.entry.address;
+    order.workerName = worker.entry.name;
+    order.timeLimit = record.deadline - now;
+    order.attemptNumber = static_cast<unsigned>(record.attempts.size()) - 1;
+    order.idempotent = record.isIdempotent();
+    order.connectionLimit = connectionShare(record);
+    order.freshConnection = !record.isIdempotent();
+    m_parts.counters.add("attempts_total");
+    actions.push_back(std::move(order));
+    planHedge(now, record, chosen);
+    schedule(record);
+}
+
+void request_runner::planHedge(instant now, routed_request &record, const scored_worker &chosen)
+{
+    record.hedgeAt = instant::never();
+    if (!record.isIdempotent() || record.spentAttempts() >= record.route->attemptsMax)
+        return;
+    static_cast<void>(chosen);
+    const duration work = workOf(*record.route);
+    const instant latest = record.objectiveAt - scaled(work, 1.3) - milliseconds(5);
+    record.hedgeAt = std::max(now + scaled(work, hedgeLateness), latest);
+    // Past the objective a second try no longer earns more than the first.
+    if (record.hedgeAt >= record.objectiveAt)
+        record.hedgeAt = instant::never();
+}
+
+void request_runner::attemptFinished(instant now, const attempt_finished &input,
+                                     action_list &actions)
+{
+    const auto found = m_attempts.find(input.attempt);
+    if (found == m_attempts.end()) {
+        m_parts.invariants.check("attempt_ends_once", false);
+        return;
+    }
+    const std::pair<call_id, worker_index> ended = found->second;
+    m_attempts.erase(found);
+    routed_request *record = find(ended.first);
+    observe(now, record, ended.second, input, actions);
+    if (record == nullptr)
+        return;
+    const auto attempt
+        = std::find_if(record->attempts.begin(), record->attempts.end(),
+                       [&input](const routed_attempt &row) { return row.attempt == input.attempt; });
+    attempt->end = input.end;
+    attempt->refusedNotRun = input.refusedNotRun;
+    const bool isAnswer = input.end == attempt_end::answered && !input.refusedNotRun;
+    if (isAnswer && !isServerFailure(input.response)) {
+        learnWork(now, *record, *attempt);
+        finish(now, *record, input.response, actions);
+        return;
+    }
+    if (isAnswer)
+        record->failure = input.response;
+    attemptFailed(now, *record, input, actions);
+}
+
+/// Tells the pool and the quarantine what the end of an attempt shows about its worker.
+void request_runner::observe(instant now, const routed_request *record, worker_index worker,
+                             const attempt_finished &input, action_list &actions)
+{
+    m_parts.pool.attemptFinished(now, worker, input);
+    const std::string &name = m_parts.pool.at(worker).entry.name;
+    if (input.end == attempt_end::answered)
+        m_parts.quarantine.workerAnswered(name);
+    else if (input.end == attempt_end::not_sent)
+        m_parts.quarantine.workerUnreachable(now, name);
+    if (input.end != attempt_end::broken || record == nullptr)
+        return;
+    m_parts.quarantine.connectionBroke(now, digestOf(*record->request), name);
+    checkWorker(now, *record, worker, actions);
+}
+
+/// Probes a worker whose connection broke, to tell a crash from a lost connection.
+void request_runner::checkWorker(instant now, const routed_request &record, worker_index worker,
+                                 action_list &actions)
+{
+    static_cast<void>(now);
+    if (m_probeOf.contains(worker) || m_probes.size() >= m_settings.bounds.probesMax)
+        return;
+    const auto spec = record.config->services.find(record.service);
+    if (spec != record.config->services.end())
+        startProbe(worker, spec->second.healthPath, actions);
+}
+
+bool request_runner::mayRetry(instant now, const routed_request &record,
+                              const attempt_finished &input)
+{
+    if (record.deadline - now < timeLeftMin || record.attempts.size() >= transmissionsMax)
+        return false;
+    if (input.end == attempt_end::not_sent)
+        return true;
+    const bool didNotRun = input.end == attempt_end::answered && input.refusedNotRun;
+    if (!didNotRun && !record.isIdempotent())
+        return false;
+    if (record.spentAttempts() >= record.route->attemptsMax)
+        return false;
+    if (m_parts.quarantine.isActive()
+        && m_parts.quarantine.isQuarantined(now, digestOf(*record.request)))
+        return false;
+    if (m_budgets[record.service].take()) {
+        m_parts.counters.add("retries_total");
+        return true;
+    }
+    m_parts.counters.add("retries_denied_total");
+    return false;
+}
+
+void request_runner::attemptFailed(instant now, routed_request &record,
+                                   const attempt_finished &input, action_list &actions)
+{
+    if (mayRetry(now, record, input)) {
+        if (record.runningAttempts() == 0) {
+            record.isPlacing = true;
+            record.isHedge = false;
+            record.probeRounds = 0;
+            record.hedgeAt = instant::never();
+            place(now, record, actions);
+        }
+        return;
+    }
+    if (record.runningAttempts() > 0 || record.isPlacing)
+        return;
+    if (record.failure) {
+        finish(now, record, record.failure, actions);
+        return;
+    }
+    if (!record.mayHaveRun()) {
+        finishWith(now, record,
+                   {503, "worker-refused", "The worker refused the request", "await response",
+                    input.detail},
+                   actions);
+        return;
+    }
+    const bool isLate = input.end == attempt_end::timed_out || now >= record.deadline;
+    finishWith(now, record,
+               {isLate ? 504 : 502, isLate ? "deadline-passed" : "response-incomplete",
+                isLate ? "Deadline passed" : "The worker gave no whole response",
+                "await response", input.detail},
+               actions);
+}
+
+void request_runner::learnWork(instant now, const routed_request &record,
+                               const routed_attempt &attempt)
+{
+    const double slowdown = std::max(attempt.slowdownPercent, 100U) / 100.0;
+    // A machine that changed its speed meanwhile tells little about the work.
+    if (attempt.slowdownPercent == 0 || slowdown > 2)
+        return;
+    const duration sample = scaled(now - attempt.startedAt, 1 / slowdown);
+    route_history &history = m_routes[record.route->name];
+    const duration known = workOf(*record.route);
+    const duration bounded = std::min(sample, known * 3);
+    history.work = scaled(known, 1 - workWeight) + scaled(bounded, workWeight);
+}
+
+duration request_runner::workOf(const host_route &route)
+{
+    route_history &history = m_routes[route.name];
+    if (history.work == duration {0})
+        history.work = scaled(route.latencyObjective, unknownWorkPart);
+    return std::max<duration>(history.work, milliseconds(1));
+}
+
+void request_runner::probeFinished(instant now, const probe_finished &input, action_list &actions)
+{
+    const auto found = m_probes.find(input.probe);
+    if (found == m_probes.end()) {
+        m_parts.invariants.check("probe_ends_once", false);
+        return;
+    }
+    const worker_index worker = found->second;
+    m_probes.erase(found);
+    m_probeOf.erase(worker);
+    m_parts.pool.probeFinished(now, worker, input);
+    const std::string name = m_parts.pool.at(worker).entry.name;
+    if (input.load)
+        m_parts.quarantine.workerAnswered(name);
+    else
+        m_parts.quarantine.workerUnreachable(now, name);
+    std::vector<routed_request *> waiting;
+    for (const std::pair<const call_id, std::unique_ptr<routed_request>> &entry : m_requests) {
+        if (entry.second->isPlacing && entry.second->awaited.contains(worker))
+            waiting.push_back(entry.second.get());
+    }
+    for (routed_request *record : waiting) {
+        record->awaited.erase(worker);
+        const placement_request request = wanted(now, *record);
+        const std::vector<scored_worker> ranked = m_placement.rank(now, request, m_lastResort);
+        const bool hasGood
+            = std::any_of(ranked.begin(), ranked.end(), [&](const scored_worker &candidate) {
+                  return candidate.worker == worker && placement::isGood(candidate, request);
+              });
+        if (hasGood || record->awaited.empty())
+            place(now, *record, actions);
+    }
+}
+
+void request_runner::callerDisconnected(instant now, const caller_disconnected &input,
+                                        action_list &actions)
+{
+    routed_request *record = find(input.call);
+    if (record == nullptr)
+        return;
+    static_cast<void>(now);
+    m_parts.counters.add("callers_disconnected_total");
+    for (const routed_attempt &attempt : record->attempts) {
+        if (!attempt.end)
+            actions.push_back(cancel_attempt {attempt.attempt});
+    }
+    m_requests.erase(input.call);
+}
+
+void request_runner::timerExpired(instant now, action_list &actions)
+{
+    while (!m_timers.empty() && m_timers.begin()->first <= now) {
+        const call_id call = m_timers.begin()->second;
+        m_timers.erase(m_timers.begin());
+        routed_request *record = find(call);
+        if (record == nullptr || record->nextDue() > now)
+            continue;
+        if (now >= record->deadline) {
+            finishWith(now, *record,
+                       {record->mayHaveRun() ? 504 : 503, "deadline-passed", "Deadline passed",
+                        "await response", ""},
+                       actions);
+        } else if (record->isPlacing) {
+            place(now, *record, actions);
+        } else if (now >= record->hedgeAt) {
+            record->hedgeAt = instant::never();
+            const double capacity
+                = std::max(1.0, slackPart * m_settings.budgets.retrySlack / m_gateways);
+            if (record->runningAttempts() > 0
+                && m_budgets[record->service].take(hedgeReservePart * capacity)) {
+                m_parts.counters.add("hedges_total");
+                record->isPlacing = true;
+                record->isHedge = true;
+                record->probeRounds = 0;
+                place(now, *record, actions);
+            } else {
+                schedule(*record);
+            }
+        } else {
+            schedule(*record);
+        }
+    }
+}
+
+void request_runner::endAll(instant now, action_list &actions)
+{
+    while (!m_requests.empty()) {
+        routed_request &record = *m_requests.begin()->second;
+        finishWith(now, record,
+                   {record.mayHaveRun() ? 502 : 503, "gateway-leaving",
+                    "The gateway left before the request ended", "leave", ""},
+                   actions);
+    }
+}
+
+void request_runner::finishWith(instant now, routed_request &record, const ending &cause,
+                                action_list &actions)
+{
+    m_parts.counters.add("requests_ended_total{reason=\"" + std::string(cause.type) + "\"}");
+    problem details;
+    details.status = cause.status;
+    details.type = std::string(cause.type);
+    details.title = std::string(cause.title);
+    details.outcome = record.mayHaveRun() ? call_outcome::unknown : call_outcome::not_run;
+    details.step = std::string(cause.step);
+    details.detail = cause.detail;
+    details.requestId = record.request->requestId;
+    if (cause.status == 503) {
+        m_parts.invariants.check("not_run_was_not_sent", !record.mayHaveRun(),
+                                 record.request->requestId);
+        const duration longest = std::max((record.deadline - now) / retryAfterPart, retryAfterMin);
+        const duration usual
+            = record.route == nullptr ? retryAfterMin : workOf(*record.route) / 2;
+        details.retryAfter = std::clamp(usual, retryAfterMin, longest);
+    }
+    finish(now, record, makeProblemResponse(details), actions);
+}
+
+void request_runner::finish(instant now, routed_request &record, const shared_response &given,
+                            action_list &actions)
+{
+    // The copy outlives the record that `given` may belong to.
+    // NOLINTNEXTLINE(performance-unnecessary-copy-initialization)
+    const shared_response response = given;
+    for (const routed_attempt &attempt : record.attempts) {
+        if (!attempt.end)
+            actions.push_back(cancel_attempt {attempt.attempt});
+    }
+    m_parts.counters.add("responses_total{class=\"" + std::to_string(response->status / 100)
+                         + "xx\"}");
+    logEnd(now, record, response, actions);
+    actions.push_back(send_response {record.call, response, m_isLeaving});
+    m_requests.erase(record.call); // `record` ends here.
+}
+
+void request_runner::logEnd(instant now, const routed_request &record,
+                            const shared_response &response, action_list &actions)
+{
+    if (response->status < 500)
+        return;
+    std::string tried;
+    for (const routed_attempt &attempt : record.attempts) {
+        const pooled_worker &worker = m_parts.pool.at(attempt.worker);
+        tried += (tried.empty() ? "" : " ") + worker.entry.name + ":"
+                 + std::string(attempt.end ? toString(*attempt.end) : "running") + ":"
+                 + std::to_string(toMilliseconds(now - attempt.startedAt)) + "ms:"
+                 + std::to_string(attempt.slowdownPercent) + "%";
+    }
+    actions.push_back(
+        write_log {log_level::warning,
+                   "request",
+                   "The request failed.",
+                   {{"request_id", record.request->requestId},
+                    {"status", std::to_string(response->status)},
+                    {"service", record.service},
+                    {"age_ms", std::to_string(toMilliseconds(now - record.arrivedAt))},
+                    {"time_left_ms", std::to_string(toMilliseconds(record.deadline - now))},
+                    {"attempts", tried}}});
+}
+
+void request_runner::schedule(routed_request &record)
+{
+    m_timers.emplace(record.nextDue(), record.call);
+}
+
+routed_request *request_runner::find(call_id call)
+{
+    const auto found = m_requests.find(call);
+    return found == m_requests.end() ? nullptr : found->second.get();
+}
+
+instant request_runner::nextWake() const
+{
+    return m_timers.empty() ? instant::never() : m_timers.begin()->first;
+}
+
+nlohmann::json request_runner::dump(instant now) const
+{
+    /// Rows of requests that a dump shows.
+    constexpr std::size_t rowsMax = 100;
+    nlohmann::json rows = nlohmann::json::array();
+    for (const std::pair<const call_id, std::unique_ptr<routed_request>> &entry : m_requests) {
+        if (rows.size() >= rowsMax)
+            break;
+        const routed_request &record = *entry.second;
+        rows.push_back({{"request_id", record.request->requestId},
+                        {"service", record.service},
+                        {"placing", record.isPlacing},
+                        {"attempts", record.attempts.size()},
+                        {"age_ms", toMilliseconds(now - record.arrivedAt)},
+                        {"time_left_ms", toMilliseconds(record.deadline - now)}});
+    }
+    nlohmann::json routes = nlohmann::json::object();
+    for (const std::pair<const std::string, route_history> &entry : m_routes)
+        routes[entry.first] = {{"work_ms", toMilliseconds(entry.second.work)}};
+    nlohmann::json budgets = nlohmann::json::object();
+    for (const std::pair<const std::string, retry_budget> &entry : m_budgets)
+        budgets[entry.first] = {{"retry_tokens", entry.second.tokens()}};
+    return {{"in_progress", m_requests.size()},
+            {"attempts_in_flight", m_attempts.size()},
+            {"probes_in_flight", m_probes.size()},
+            {"gateways", m_gateways},
+            {"requests", rows},
+            {"routes", routes},
+            {"budgets", budgets}};
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/routing/request_runner.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "core/counters.h"
+#include "core/invariants.h"
+#include "core/random_source.h"
+#include "core/time.h"
+#include "decision/actions.h"
+#include "decision/calls/quarantine_table.h"
+#include "decision/events.h"
+#include "decision/routing/placement.h"
+#include "decision/routing/retry_budget.h"
+#include "decision/routing/route_table.h"
+#include "decision/routing/routed_request.h"
+#include "decision/routing/routing_settings.h"
+#include "decision/routing/worker_pool.h"
+
+namespace almondnotch {
+
+/// The parts that the runner uses; all outlive it.
+struct request_runner_parts
+{
+    worker_pool &pool;
+    quarantine_table &quarantine;
+    random_source &random;
+    invariant_set &invariants;
+    counter_set &counters;
+};
+
+/// Runs requests: finds the route, a worker, retries and hedges within the budgets, and sends
+/// exactly one response for each request.
+class request_runner
+{
+public:
+    request_runner(const routing_settings &settings, request_runner_parts parts);
+
+    /// \param table null while no configuration is known.
+    void callReceived(instant now, const call_received &input, route_table *table,
+                      action_list &actions);
+    void callerDisconnected(instant now, const caller_disconnected &input, action_list &actions);
+    void attemptFinished(instant now, const attempt_finished &input, action_list &actions);
+    void probeFinished(instant now, const probe_finished &input, action_list &actions);
+    void timerExpired(instant now, action_list &actions);
+    /// Ends all requests, as at the end of the time to leave.
+    void endAll(instant now, action_list &actions);
+
+    /// From now on connections are closed after their response.
+    void beginLeaving() { m_isLeaving = true; }
+    /// From now on new requests are refused.
+    void refuseNew() { m_refusesNew = true; }
+    void setGatewayCount(unsigned count) { m_gateways = count; }
+    /// How long ago a worker may have disappeared from the store to be used if no other is left.
+    void setLastResort(duration window) { m_lastResort = window; }
+
+    std::size_t inProgress() const { return m_requests.size(); }
+    instant nextWake() const;
+    nlohmann::json dump(instant now) const;
+
+private:
+    /// Why a request ends without a worker's response.
+    struct ending
+    {
+        int status = 500;
+        std::string_view type;
+        std::string_view title;
+        std::string_view step;
+        std::string detail;
+    };
+    /// What is remembered of a route's requests.
+    struct route_history
+    {
+        duration work {0};
+    };
+
+    std::optional<ending> admit(instant now, routed_request &record, route_table *table);
+    void place(instant now, routed_request &record, action_list &actions);
+    bool probe(instant now, routed_request &record, const std::vector<scored_worker> &ranked,
+               action_list &actions);
+    void startProbe(worker_index worker, const std::string &healthPath, action_list &actions);
+    void checkWorker(instant now, const routed_request &record, worker_index worker,
+                     action_list &actions);
+    void launch(instant now, routed_request &record, const scored_worker &chosen,
+                action_list &actions);
+    void noPlace(instant now, routed_request &record, std::string_view reason,
+                 action_list &actions);
+    void planHedge(instant now, routed_request &record, const scored_worker &chosen);
+    bool mayRetry(instant now, const routed_request &record, const attempt_finished &input);
+    void attemptFailed(instant now, routed_request &record, const attempt_finished &input,
+                       action_list &actions);
+    void learnWork(instant now, const routed_request &record, const routed_attempt &attempt);
+    void observe(instant now, const routed_request *record, worker_index worker,
+                 const attempt_finished &input, action_list &actions);
+    placement_request wanted(instant now, const routed_request &record);
+    duration workOf(const host_route &route);
+    unsigned connectionShare(const routed_request &record) const;
+    void finishWith(instant now, routed_request &record, const ending &cause,
+                    action_list &actions);
+    void finish(instant now, routed_request &record, const shared_response &response,
+                action_list &actions);
+    void logEnd(instant now, const routed_request &record, const shared_response &response,
+                action_list &actions);
+    void schedule(routed_request &record);
+    routed_request *find(call_id call);
+
+    const routing_settings &m_settings;
+    request_runner_parts m_parts;
+    placement m_placement;
+    bool m_isLeaving = false;
+    bool m_refusesNew = false;
+    unsigned m_gateways = 1;
+    duration m_lastResort {0};
+    std::unordered_map<call_id, std::unique_ptr<routed_request>> m_requests;
+    /// Attempts under way; one may outlive its request.
+    std::unordered_map<attempt_id, std::pair<call_id, worker_index>> m_attempts;
+    std::map<probe_id, worker_index> m_probes;
+    std::map<worker_index, probe_id> m_probeOf;
+    /// When requests are due; an entry may be stale and is then skipped.
+    std::set<std::pair<instant, call_id>> m_timers;
+    std::map<std::string, route_history, std::less<>> m_routes;
+    std::map<std::string, retry_budget, std::less<>> m_budgets;
+    std::uint64_t m_nextAttempt = 1;
+    std::uint64_t m_nextProbe = 1;
+};
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/routing/route_gateway.cpp
@@ -0,0 +1,429 @@
+#include "decision/routing/route_gateway.h"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <utility>
+
+#include "core/random_source.h"
+#include "decision/calls/quarantine_table.h"
+#include "decision/routing/item_reader.h"
+#include "decision/routing/peer_group.h"
+#include "decision/routing/request_runner.h"
+#include "decision/routing/route_table.h"
+#include "decision/routing/worker_pool.h"
+
+namespace almondnotch {
+
+namespace {
+
+/// How often tables are swept for entries whose lifetime is over.
+constexpr duration sweepInterval = milliseconds(500);
+/// Time between two watches of the workers that both report changes.
+constexpr duration workerPacing = milliseconds(300);
+/// How long ago a worker may have disappeared from the store to be used if no other is left.
+constexpr duration lastResortUsual = milliseconds(1200);
+/// The same while the store comes back after an outage, when entries that lapsed are written anew.
+constexpr duration lastResortAfterOutage = milliseconds(2500);
+/// Time after the store's return for which the longer window holds.
+constexpr duration outageMemory = seconds(3);
+/// Leaving workers are told to other gateways for this time.
+constexpr duration drainsTold = seconds(3);
+/// Parts of the time to leave: a leaving gateway serves callers that still know its address for
+/// the first, refuses new requests from the second on, and has ended all by the third.
+constexpr double serveOnPart = 0.4;
+constexpr double refusePart = 0.6;
+constexpr double endPart = 0.85;
+
+/// Where the process is in its life.
+enum class life_stage { serving, leaving, finished };
+
+std::string_view toString(life_stage stage)
+{
+    static constexpr std::array<std::string_view, 3> names {"serving", "leaving", "finished"};
+    return names.at(static_cast<std::size_t>(stage));
+}
+
+item_reader_settings readerSettings(item_scope scope, duration watch)
+{
+    item_reader_settings out;
+    out.scope = scope;
+    out.watch = watch;
+    if (scope == item_scope::workers)
+        out.pacing = workerPacing;
+    return out;
+}
+
+duration part(duration whole, double share)
+{
+    return duration(static_cast<std::int64_t>(static_cast<double>(whole.count()) * share));
+}
+
+} // namespace
+
+/// The parts of the gateway and the rules that connect them.
+struct route_gateway::state
+{
+    explicit state(routing_settings given);
+
+    void handle(instant now, const event &input, action_list &actions);
+    instant nextWake() const;
+    bool isReady() const;
+
+    void on(instant now, const call_received &input, action_list &actions);
+    void on(instant now, const caller_disconnected &input, action_list &actions);
+    void on(instant now, const attempt_finished &input, action_list &actions);
+    void on(instant now, const probe_finished &input, action_list &actions);
+    void on(instant now, const peer_message_received &input, action_list &actions);
+    void on(instant now, const peer_send_failed &input, action_list &actions);
+    void on(instant now, const items_read &input, action_list &actions);
+    void on(instant now, const drain_requested &input, action_list &actions);
+    void on(instant now, const timer_expired &input, action_list &actions);
+    /// Events of gateways that own idempotency keys; none is ordered here.
+    template <typename Other>
+    void on(instant /*now*/, const Other & /*input*/, action_list & /*actions*/)
+    {
+        invariants.check("event_was_ordered", false);
+    }
+
+    void detectPause(instant now);
+    void takeConfig(const reader_news &news, action_list &actions);
+    void takeWorkers(instant now, const reader_news &news, action_list &actions);
+    void logUnusable(const published_item &item, action_list &actions);
+    peer_facts facts(instant now) const;
+    void continueLeaving(instant now, action_list &actions);
+
+    routing_settings settings;
+    counter_set counters;
+    invariant_set invariants;
+    random_source random;
+    worker_pool pool;
+    quarantine_table quarantine;
+    request_runner runner;
+    peer_group peers;
+    item_reader configReader;
+    item_reader workerReader;
+    std::unique_ptr<route_table> table;
+    std::uint64_t nextRead = 1;
+    instant nextSweep;
+    /// Value of `nextWake` after the last input; shows a pause if the next input is much later.
+    instant expectedWake = instant::never();
+    life_stage stage = life_stage::serving;
+    instant leavingSince;
+    bool hasJoined = false;
+};
+
+route_gateway::state::state(routing_settings given)
+    : settings(std::move(given)), random(settings.seed), pool(counters),
+      quarantine(settings.bounds.quarantine, settings.bounds.crashRecordsMax, counters),
+      runner(settings, {pool, quarantine, random, invariants, counters}),
+      peers(settings.peers, random, counters),
+      configReader(readerSettings(item_scope::configuration, settings.watch), random, counters),
+      workerReader(readerSettings(item_scope::workers, settings.watch), random, counters)
+{ }
+
+void route_gateway::state::handle(instant now, const event &input, action_list &actions)
+{
+    if (stage == life_stage::finished)
+        return;
+    detectPause(now);
+    // Deadlines go before new work, so that nothing is sent for a request whose time is over.
+    if (!std::holds_alternative<attempt_finished>(input))
+        runner.timerExpired(now, actions);
+    std::visit([&](const auto &typed) { on(now, typed, actions); }, input);
+    if (stage == life_stage::leaving)
+        continueLeaving(now, actions);
+    expectedWake = nextWake();
+}
+
+void route_gateway::state::detectPause(instant now)
+{
+    if (expectedWake == instant::never() || now - expectedWake <= settings.pauseThreshold)
+        return;
+    counters.add("pauses_total");
+    pool.forgetReports();
+    peers.pauseDetected(now);
+    configReader.restart(now);
+    workerReader.restart(now);
+}
+
+instant route_gateway::state::nextWake() const
+{
+    if (stage == life_stage::finished)
+        return instant::never();
+    instant wake = std::min({runner.nextWake(), configReader.nextWake(), workerReader.nextWake(),
+                             nextSweep});
+    if (hasJoined)
+        wake = std::min(wake, peers.nextWake());
+    return wake;
+}
+
+bool route_gateway::state::isReady() const
+{
+    return stage == life_stage::serving && table != nullptr && workerReader.isComplete();
+}
+
+void route_gateway::state::on(instant now, const call_received &input, action_list &actions)
+{
+    runner.callReceived(now, input, table.get(), actions);
+}
+
+void route_gateway::state::on(instant now, const caller_disconnected &input, action_list &actions)
+{
+    runner.callerDisconnected(now, input, actions);
+}
+
+void route_gateway::state::on(instant now, const attempt_finished &input, action_list &actions)
+{
+    runner.attemptFinished(now, input, actions);
+}
+
+void route_gateway::state::on(instant now, const probe_finished &input, action_list &actions)
+{
+    runner.probeFinished(now, input, actions);
+}
+
+peer_facts route_gateway::state::facts(instant now) const
+{
+    peer_facts out;
+    for (const std::pair<std::string, duration> &leaver : pool.recentLeavers(now, drainsTold))
+        out.drains.push_back({leaver.first, leaver.second});
+    out.crashes = quarantine.records(now, digestFactsMax);
+    return out;
+}
+
+void route_gateway::state::on(instant now, const peer_message_received &input,
+                              action_list &actions)
+{
+    const fleet_digest *digest = std::get_if<fleet_digest>(&input.message);
+    if (digest == nullptr) {
+        counters.add("peer_messages_ignored_total");
+        return;
+    }
+    for (const worker_drain &drain : digest->drains)
+        pool.learnLeaving(now, drain.worker, drain.age);
+    for (const crash_record &crash : digest->crashes)
+        quarantine.learn(now, crash);
+    peers.digestArrived(now, *digest, facts(now), actions);
+    runner.setGatewayCount(peers.gatewayCount(now));
+}
+
+void route_gateway::state::on(instant /*now*/, const peer_send_failed &input,
+                              action_list & /*actions*/)
+{
+    peers.sendFailed(input.peerAddress);
+}
+
+void route_gateway::state::on(instant now, const items_read &input, action_list &actions)
+{
+    std::vector<reader_news> news;
+    const bool wasFailing = configReader.failuresInARow() + workerReader.failuresInARow() > 0;
+    if (configReader.finished(now, input, news)) {
+        for (const reader_news &told : news)
+            takeConfig(told, actions);
+    } else if (workerReader.finished(now, input, news)) {
+        for (const reader_news &told : news)
+            takeWorkers(now, told, actions);
+    }
+    const bool isFailing = configReader.failuresInARow() + workerReader.failuresInARow() > 0;
+    if (isFailing != wasFailing) {
+        std::vector<header_field> fields;
+        if (!input.page)
+            fields.push_back({"cause", toString(input.page.error())});
+        actions.push_back(write_log {isFailing ? log_level::warning : log_level::info, "store",
+                                     isFailing ? "The store does not answer."
+                                               : "The store answers again.",
+                                     std::move(fields)});
+    }
+    configReader.timerExpired(now, nextRead, actions);
+    workerReader.timerExpired(now, nextRead, actions);
+    if (!hasJoined && isReady()) {
+        hasJoined = true;
+        peers.start(now);
+        peers.timerExpired(now, facts(now), actions);
+        actions.push_back(write_log {log_level::info, "gateway", "The gateway is ready.", {}});
+    }
+    runner.setGatewayCount(peers.gatewayCount(now));
+}
+
+void route_gateway::state::takeConfig(const reader_news &news, action_list &actions)
+{
+    for (const published_item &item : news.items) {
+        if (!item.config) {
+            logUnusable(item, actions);
+            continue;
+        }
+        // A store that was rolled back, or a late answer, must not undo a change.
+        if (table != nullptr && item.config->version <= table->config()->version)
+            continue;
+        table = std::make_unique<route_table>(item.config);
+        counters.set("configuration_version", static_cast<double>(item.config->version));
+        actions.push_back(
+            write_log {log_level::info,
+                       "config",
+                       "A configuration is in force.",
+                       {{"version", std::to_string(item.config->version)},
+                        {"routes", std::to_string(item.config->routes.size())}}});
+    }
+}
+
+void route_gateway::state::takeWorkers(instant now, const reader_news &news, action_list &actions)
+{
+    for (const published_item &item : news.items)
+        logUnusable(item, actions);
+    if (news.isWhole) {
+        pool.applyWhole(now, news.items);
+    } else {
+        for (const published_item &item : news.items)
+            pool.apply(now, item);
+    }
+    counters.set("workers_known", static_cast<double>(pool.size()));
+    const bool hadOutage
+        = workerReader.hasFailed() && now - workerReader.lastFailure() < outageMemory;
+    runner.setLastResort(hadOutage ? lastResortAfterOutage : lastResortUsual);
+}
+
+void route_gateway::state::logUnusable(const published_item &item, action_list &actions)
+{
+    if (item.fault.empty())
+        return;
+    counters.add("store_items_unusable_total");
+    actions.push_back(write_log {log_level::warning,
+                                 "store",
+                                 "An item cannot be used.",
+                                 {{"name", item.name}, {"fault", item.fault}}});
+}
+
+void route_gateway::state::on(instant now, const drain_requested & /*input*/, action_list &actions)
+{
+    if (stage != life_stage::serving)
+        return;
+    stage = life_stage::leaving;
+    leavingSince = now;
+    runner.beginLeaving();
+    peers.beginLeaving(now, actions);
+    nextSweep = now;
+}
+
+void route_gateway::state::continueLeaving(instant now, action_list &actions)
+{
+    const duration age = now - leavingSince;
+    if (age >= part(settings.grace, refusePart))
+        runner.refuseNew();
+    const bool isDone = age >= part(settings.grace, serveOnPart) && runner.inProgress() == 0;
+    if (!isDone && age < part(settings.grace, endPart))
+        return;
+    runner.endAll(now, actions);
+    stage = life_stage::finished;
+    actions.push_back(exit_process {isDone ? "drained" : "the time to leave is over"});
+}
+
+void route_gateway::state::on(instant now, const timer_expired & /*input*/, action_list &actions)
+{
+    configReader.timerExpired(now, nextRead, actions);
+    workerReader.timerExpired(now, nextRead, actions);
+    if (hasJoined)
+        peers.timerExpired(now, facts(now), actions);
+    if (now >= nextSweep) {
+        nextSweep = now + (stage == life_stage::leaving ? milliseconds(100) : sweepInterval);
+        pool.sweep(now);
+        quarantine.expire(now);
+        runner.setGatewayCount(peers.gatewayCount(now));
+    }
+}
+
+route_gateway::route_gateway(std::unique_ptr<state> data) : m_state(std::move(data)) { }
+
+route_gateway::~route_gateway() = default;
+
+result<std::unique_ptr<decision_core>> route_gateway::create(routing_settings settings)
+{
+    if (settings.peers.self.vm.empty())
+        return fail(error_code::invalid_settings, "create gateway", "",
+                    "the name of the VM is empty");
+    return std::unique_ptr<decision_core>(
+        new route_gateway(std::make_unique<state>(std::move(settings))));
+}
+
+void route_gateway::start(instant now, action_list &actions)
+{
+    m_state->nextSweep = now + sweepInterval;
+    m_state->configReader.start(now, m_state->nextRead, actions);
+    m_state->workerReader.start(now, m_state->nextRead, actions);
+    m_state->expectedWake = m_state->nextWake();
+}
+
+void route_gateway::handle(instant now, const event &input, action_list &actions)
+{
+    m_state->handle(now, input, actions);
+}
+
+instant route_gateway::nextWake() const
+{
+    return m_state->nextWake();
+}
+
+bool route_gateway::isReady(instant /*now*/) const
+{
+    return m_state->isReady();
+}
+
+entry_addresses route_gateway::chooseEntry(instant /*now*/, const entry_question &question)
+{
+    m_state->counters.add("entry_queries_total");
+    return {m_state->peers.entryAddresses(question.failureDomain, m_state->isReady()),
+            m_state->settings.entryKeep};
+}
+
+nlohmann::json route_gateway::dump(instant now) const
+{
+    const state &all = *m_state;
+    return {{"process", toString(all.settings.peers.self)},
+            {"interface_version", decisionInterfaceVersion},
+            {"stage", toString(all.stage)},
+            {"config_version", all.table == nullptr ? 0 : all.table->config()->version},
+            {"store",
+             {{"config_revision", all.configReader.revision()},
+              {"config_failures", all.configReader.failuresInARow()},
+              {"workers_revision", all.workerReader.revision()},
+              {"workers_failures", all.workerReader.failuresInARow()}}},
+            {"requests", all.runner.dump(now)},
+            {"workers", all.pool.dump(now)},
+            {"quarantine", all.quarantine.dump(now)},
+            {"peers", all.peers.dump(now)},
+            {"invariants", all.invariants.dump()},
+            {"counters", all.counters.dump()}};
+}
+
+nlohmann::json route_gateway::explain(instant /*now*/, std::string_view /*method*/,
+                                      std::string_view target) const
+{
+    if (m_state->table == nullptr)
+        return {{"refusal", "no configuration is in force yet"}};
+    // "//host/path" names the host as well, as in a URL without a scheme.
+    const std::string_view rest = target.starts_with("//") ? target.substr(2) : target;
+    const std::size_t slash = std::min(rest.find('/'), rest.size());
+    const host_route *route
+        = m_state->table->find(rest.substr(0, slash), rest.substr(slash));
+    if (route == nullptr)
+        return {{"refusal", "no route matches; expected //HOST/PATH"}};
+    nlohmann::json targets = nlohmann::json::array();
+    for (const route_target &one : route->targets)
+        targets.push_back({{"service", one.service}, {"weight", one.weight}});
+    return {{"config_version", m_state->table->config()->version},
+            {"route", route->name},
+            {"priority", route->priority},
+            {"targets", targets}};
+}
+
+const counter_set &route_gateway::counters() const
+{
+    return m_state->counters;
+}
+
+invariant_set &route_gateway::invariants()
+{
+    return m_state->invariants;
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/routing/routed_request.cpp
@@ -0,0 +1,40 @@
+#include "decision/routing/routed_request.h"
+
+#include <algorithm>
+
+namespace almondnotch {
+
+bool routed_request::mayHaveRun() const
+{
+    return spentAttempts() > 0;
+}
+
+unsigned routed_request::runningAttempts() const
+{
+    return static_cast<unsigned>(
+        std::count_if(attempts.begin(), attempts.end(),
+                      [](const routed_attempt &attempt) { return !attempt.end; }));
+}
+
+unsigned routed_request::spentAttempts() const
+{
+    return static_cast<unsigned>(
+        std::count_if(attempts.begin(), attempts.end(),
+                      [](const routed_attempt &attempt) { return attempt.mayHaveRun(); }));
+}
+
+std::vector<worker_index> routed_request::triedWorkers() const
+{
+    std::vector<worker_index> out;
+    out.reserve(attempts.size());
+    for (const routed_attempt &attempt : attempts)
+        out.push_back(attempt.worker);
+    return out;
+}
+
+instant routed_request::nextDue() const
+{
+    return std::min({deadline, probesUntil, placeAgainAt, hedgeAt});
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/decision/routing/worker_pool.cpp
@@ -0,0 +1,276 @@
+#include "decision/routing/worker_pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace almondnotch {
+
+namespace {
+
+/// Weight of the newest outcome in the share of failures.
+constexpr double outcomeWeight = 0.3;
+/// Time in which the share of failures falls to 1/e without new outcomes.
+constexpr duration failureFade = seconds(4);
+/// Failures in a row after which a worker is left out for a time.
+constexpr unsigned failuresBeforeShun = 2;
+/// First and longest time for which a failing worker is left out.
+constexpr duration shunFirst = milliseconds(400);
+constexpr duration shunLongest = seconds(3);
+/// A removed worker is kept this long, for attempts under way and for a return of its entry.
+constexpr duration removedKept = seconds(20);
+
+} // namespace
+
+void worker_pool::apply(instant now, const published_item &item)
+{
+    if (!item.removed && !item.worker)
+        m_counters.add("worker_entries_unusable_total");
+    if (item.worker)
+        add(now, *item.worker);
+    else
+        remove(now, item.name);
+}
+
+void worker_pool::applyWhole(instant now, const std::vector<published_item> &items)
+{
+    std::set<std::string, std::less<>> listed;
+    for (const published_item &item : items) {
+        apply(now, item);
+        if (item.worker)
+            listed.insert(item.name);
+    }
+    std::vector<std::string> missing;
+    for (const std::pair<const std::string, worker_index> &entry : m_byName) {
+        if (!listed.contains(entry.first))
+            missing.push_back(entry.first);
+    }
+    for (const std::string &name : missing)
+        remove(now, name);
+}
+
+void worker_pool::add(instant now, const published_worker &entry)
+{
+    const auto found = m_byName.find(entry.name);
+    if (found != m_byName.end()) {
+        pooled_worker &known = mutableAt(found->second);
+        const bool isSameRun = known.entry.startedUnixMs == entry.startedUnixMs
+                               && known.entry.address == entry.address
+                               && known.entry.service == entry.service;
+        if (isSameRun) {
+            if (entry.leaving && !known.entry.leaving)
+                m_leavingSince[entry.name] = now;
+            known.entry = entry;
+            known.removedAt = instant::never();
+            return;
+        }
+        // Attempts under way keep the old record; it is dropped when they have ended.
+        known.removedAt = now;
+        std::vector<worker_index> &old = m_byService[known.entry.service];
+        old.erase(std::remove(old.begin(), old.end(), found->second), old.end());
+        m_byName.erase(found);
+    }
+    worker_index index {static_cast<std::uint32_t>(m_workers.size())};
+    if (m_free.empty()) {
+        m_workers.emplace_back();
+    } else {
+        index = m_free.back();
+        m_free.pop_back();
+    }
+    pooled_worker fresh;
+    fresh.entry = entry;
+    fresh.warmAt = now + entry.warmUpLeft;
+    fresh.report.slots = entry.slots;
+    mutableAt(index) = fresh;
+    m_byName.emplace(entry.name, index);
+    m_byService[entry.service].push_back(index);
+    if (entry.leaving)
+        m_leavingSince.emplace(entry.name, now);
+    else
+        m_leavingSince.erase(entry.name);
+}
+
+void worker_pool::remove(instant now, const std::string &name)
+{
+    const auto found = m_byName.find(name);
+    if (found == m_byName.end())
+        return;
+    pooled_worker &worker = mutableAt(found->second);
+    if (worker.removedAt != instant::never())
+        return;
+    worker.removedAt = now;
+    m_leavingSince.emplace(name, now);
+}
+
+void worker_pool::learnLeaving(instant now, const std::string &name, duration age)
+{
+    const auto found = m_byName.find(name);
+    if (found == m_byName.end())
+        return;
+    pooled_worker &worker = mutableAt(found->second);
+    if (worker.entry.leaving || worker.removedAt != instant::never())
+        return;
+    worker.entry.leaving = true;
+    m_leavingSince.emplace(name, now - age);
+    m_counters.add("worker_drains_learned_total");
+}
+
+std::vector<std::pair<std::string, duration>> worker_pool::recentLeavers(instant now,
+                                                                         duration window) const
+{
+    std::vector<std::pair<std::string, duration>> out;
+    for (const std::pair<const std::string, instant> &entry : m_leavingSince) {
+        const duration age = now - entry.second;
+        if (age <= window)
+            out.emplace_back(entry.first, age);
+    }
+    return out;
+}
+
+void worker_pool::attemptStarted(worker_index worker)
+{
+    pooled_worker &target = mutableAt(worker);
+    ++target.inFlight;
+    ++target.sentSinceReport;
+}
+
+void worker_pool::takeReport(instant now, pooled_worker &worker, const load_report &report)
+{
+    worker.report = report;
+    if (worker.report.slots == 0)
+        worker.report.slots = std::max(worker.entry.slots, 1U);
+    worker.reportedAt = now;
+    worker.hasReport = true;
+    worker.sentSinceReport = 0;
+}
+
+void worker_pool::noteSuccess(instant now, pooled_worker &worker)
+{
+    static_cast<void>(now);
+    worker.failuresInARow = 0;
+    worker.failureShare *= 1 - outcomeWeight;
+    worker.shunTime = duration {0};
+}
+
+void worker_pool::noteFailure(instant now, pooled_worker &worker, bool isSevere)
+{
+    const double age = toSeconds(now - worker.failureAt) / toSeconds(failureFade);
+    const double faded = worker.failureShare * std::exp(-age);
+    worker.failureShare = faded + outcomeWeight * (1 - faded);
+    worker.failureAt = now;
+    ++worker.failuresInARow;
+    if (!isSevere && worker.failuresInARow < failuresBeforeShun)
+        return;
+    worker.shunTime = worker.shunTime == duration {0}
+                          ? shunFirst
+                          : std::min<duration>(worker.shunTime * 2, shunLongest);
+    worker.shunnedUntil = now + worker.shunTime;
+    m_counters.add("workers_shunned_total");
+}
+
+void worker_pool::attemptFinished(instant now, worker_index index, const attempt_finished &input)
+{
+    pooled_worker &worker = mutableAt(index);
+    worker.inFlight -= std::min(worker.inFlight, 1U);
+    worker.sentSinceReport = std::min(worker.sentSinceReport, worker.inFlight);
+    if (input.load)
+        takeReport(now, worker, *input.load);
+    if (input.wrongInstance) {
+        worker.isReplaced = true;
+        return;
+    }
+    switch (input.end) {
+    case attempt_end::answered:
+        if (input.response && input.response->status >= 500)
+            noteFailure(now, worker, false);
+        else
+            noteSuccess(now, worker);
+        return;
+    case attempt_end::not_sent:
+        noteFailure(now, worker, true);
+        return;
+    case attempt_end::broken:
+    case attempt_end::timed_out:
+        noteFailure(now, worker, false);
+        return;
+    case attempt_end::cancelled:
+        return;
+    }
+}
+
+void worker_pool::probeFinished(instant now, worker_index index, const probe_finished &input)
+{
+    pooled_worker &worker = mutableAt(index);
+    if (!input.load) {
+        noteFailure(now, worker, true);
+        return;
+    }
+    takeReport(now, worker, *input.load);
+    worker.sentSinceReport = 0;
+}
+
+void worker_pool::forgetReports()
+{
+    for (pooled_worker &worker : m_workers)
+        worker.hasReport = false;
+}
+
+void worker_pool::sweep(instant now)
+{
+    for (std::size_t i = 0; i < m_workers.size(); ++i) {
+        pooled_worker &worker = m_workers[i];
+        if (worker.entry.name.empty() || worker.removedAt == instant::never()
+            || now - worker.removedAt < removedKept || worker.inFlight > 0)
+            continue;
+        const worker_index index {static_cast<std::uint32_t>(i)};
+        const auto named = m_byName.find(worker.entry.name);
+        if (named != m_byName.end() && named->second == index)
+            m_byName.erase(named);
+        std::vector<worker_index> &members = m_byService[worker.entry.service];
+        members.erase(std::remove(members.begin(), members.end(), index), members.end());
+        worker = pooled_worker {};
+        m_free.push_back(index);
+    }
+    std::erase_if(m_leavingSince, [now](const std::pair<const std::string, instant> &entry) {
+        return now - entry.second > removedKept;
+    });
+}
+
+const std::vector<worker_index> &worker_pool::ofService(std::string_view service) const
+{
+    static const std::vector<worker_index> none;
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? none : found->second;
+}
+
+std::optional<worker_index> worker_pool::find(std::string_view name) const
+{
+    const auto found = m_byName.find(name);
+    return found == m_byName.end() ? std::nullopt : std::optional<worker_index>(found->second);
+}
+
+nlohmann::json worker_pool::dump(instant now) const
+{
+    nlohmann::json rows = nlohmann::json::array();
+    for (const std::pair<const std::string, worker_index> &named : m_byName) {
+        const pooled_worker &worker = at(named.second);
+        rows.push_back(
+            {{"name", worker.entry.name},
+             {"service", worker.entry.service},
+             {"address", worker.entry.address},
+             {"failure_domain", worker.entry.failureDomain},
+             {"leaving", worker.entry.leaving},
+             {"removed", worker.removedAt != instant::never()},
+             {"running", worker.report.running},
+             {"queued", worker.report.queued},
+             {"slots", worker.report.slots},
+             {"slowdown_percent", worker.report.slowdownPercent},
+             {"report_age_ms", worker.hasReport ? toMilliseconds(now - worker.reportedAt) : -1},
+             {"in_flight", worker.inFlight},
+             {"failure_share", worker.failureShare},
+             {"shunned_ms", std::max<std::int64_t>(0, toMilliseconds(worker.shunnedUntil - now))}});
+    }
+    return rows;
+}
+
+} // namespace almondnotch
--- a/decision/types.cpp
+++ b/decision/types.cpp
@@ -39,6 +39,20 @@
     return "broken";
 }
 
+namespace {
+
+/// Seconds with at most three decimals, without trailing zeros.
+std::string toSecondsText(duration length)
+{
+    const std::int64_t ms = toMilliseconds(length);
+    std::string text = std::to_string(ms / 1000);
+    std::string decimals = std::to_string(1000 + ms % 1000).substr(1);
+    decimals.erase(decimals.find_last_not_of('0') + 1);
+    return decimals.empty() ? text : text + "." + decimals;
+}
+
+} // namespace
+
 shared_response makeProblemResponse(const problem &cause)
 {
     const nlohmann::json document = {
@@ -55,7 +69,7 @@
     response->status = cause.status;
     response->headers.push_back({"Content-Type", "application/problem+json"});
     if (cause.retryAfter)
-        response->headers.push_back({"Retry-After", std::to_string(cause.retryAfter->count())});
+        response->headers.push_back({"Retry-After", toSecondsText(*cause.retryAfter)});
     // Invalid UTF-8 in a caller's path must not make the error response fail.
     response->body = document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     response->outcome = cause.outcome;
--- a/decision/types.h
+++ b/decision/types.h
@@ -77,6 +77,8 @@
     unsigned attempt = 0;
     /// Identifies the call in the logs of all hops.
     std::string requestId;
+    /// Host that the caller asked for, without the port; empty where routes have no host.
+    std::string host;
 
     bool operator==(const call_request &) const = default;
 };
@@ -122,6 +124,8 @@
     /// Calls that the worker executes at once.
     unsigned slots = 0;
     worker_state state = worker_state::ready;
+    /// How long work takes on the worker's machine now, in percent of the usual time.
+    unsigned slowdownPercent = 100;
 
     bool operator==(const load_report &) const = default;
 };
@@ -155,7 +159,7 @@
     std::string detail;
     std::string requestId;
     /// Value of `Retry-After`; nothing if a retry makes no sense.
-    std::optional<seconds> retryAfter;
+    std::optional<duration> retryAfter;
 };
 
 /// The response that carries a problem.
--- a/main/daemon/daemon_declarations.cpp
+++ b/main/daemon/daemon_declarations.cpp
@@ -111,6 +111,34 @@
     };
 }
 
+std::vector<setting_declaration> routingDeclarations()
+{
+    setting_declaration retryShare;
+    retryShare.name = "routing.retry_share";
+    retryShare.defaultValue = 0.2;
+    retryShare.minimum = 0;
+    retryShare.maximum = 1;
+    retryShare.doc = "Retries and hedges of a service by all gateways together, as a share of its "
+                     "requests. The gateways stay well below it.";
+    return {
+        text("routing.configuration", "parts",
+             "How the platform publishes the configuration: \"parts\" for a manifest and its "
+             "parts, \"items\" for routes and workers as items of a store. The other settings "
+             "of this table hold for items."),
+        text("routing.directory_addresses", "",
+             "Addresses that answer which entry addresses to use and whether the gateway is "
+             "ready, as ip:port, separated by commas."),
+        text("routing.grace", "6s",
+             "Time from SIGTERM to the end of the process, as a number with the unit ms or s."),
+        text("routing.entry_keep", "4s",
+             "How long callers may use an answer to which addresses to use."),
+        retryShare,
+        integer("routing.retry_slack", 50, 0, 1000000, "retries",
+                "Retries and hedges of a service by all gateways together in ten seconds, beyond "
+                "their share."),
+    };
+}
+
 std::vector<setting_declaration> callDeclarations()
 {
     return {
@@ -160,7 +188,7 @@
 {
     std::vector<setting_declaration> all = processDeclarations();
     for (const std::vector<setting_declaration> &part :
-         {fleetDeclarations(), callDeclarations(), transportDeclarations})
+         {fleetDeclarations(), routingDeclarations(), callDeclarations(), transportDeclarations})
         all.insert(all.end(), part.begin(), part.end());
     // A transport may declare settings of a table that others declare too. The reference lists
     // each table once, in the order of its first setting.
--- a/main/daemon/daemon_settings.cpp
+++ b/main/daemon/daemon_settings.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "core/digest.h"
+#include "core/duration_text.h"
 #include "core/random_source.h"
 #include "servers/http_daemon/socket_address.h"
 
@@ -55,6 +56,7 @@
         checkAddress("platform.address");
         checkSeeds();
         checkKeys();
+        checkRouting();
         checkOperator();
         const result<log_level> level = parseLogLevel(value("log.level"));
         if (!level)
@@ -107,6 +109,22 @@
         }
     }
 
+    void checkRouting()
+    {
+        const std::string kind = value("routing.configuration");
+        if (kind != "parts" && kind != "items")
+            add("routing.configuration", "expected parts or items, found \"" + kind + "\"");
+        for (const std::string &address : splitList(value("routing.directory_addresses"))) {
+            if (!isReachable(address))
+                add("routing.directory_addresses",
+                    "expected numeric addresses with ports, found \"" + address + "\"");
+        }
+        for (const char *const name : {"routing.grace", "routing.entry_keep"}) {
+            if (!parseDuration(value(name)))
+                add(name, "expected a number with the unit ms or s, found \"" + value(name) + "\"");
+        }
+    }
+
     void checkKeys()
     {
         std::set<std::string> ids;
@@ -217,6 +235,36 @@
     reader.readMilliseconds("balancer.ejection_time_ms", target.balancerPart.ejectionTime);
 }
 
+void readRouting(const settings &values, const gateway_settings &common, daemon_settings &target)
+{
+    /// Part of the retries that the gateways use: the rest covers requests that are counted in
+    /// another window than their retries.
+    constexpr double retrySharePart = 0.6;
+    const setting_reader reader(values);
+    target.publishesItems = values.text("routing.configuration") == "items";
+    target.directory.addresses = splitList(values.text("routing.directory_addresses"));
+    routing_settings &routing = target.routing;
+    routing.grace = parseDuration(values.text("routing.grace")).value_or(routing.grace);
+    routing.entryKeep = parseDuration(values.text("routing.entry_keep")).value_or(routing.entryKeep);
+    routing.budgets.retryShare = retrySharePart * values.real("routing.retry_share");
+    reader.read("routing.retry_slack", routing.budgets.retrySlack);
+    routing.pauseThreshold = common.pauseThreshold;
+    routing.bounds.inProgressMax = common.calls.inProgressMax;
+    routing.bounds.quarantine = common.calls.quarantineTime;
+    routing.bounds.crashRecordsMax = common.calls.crashRecordsMax;
+    const fleet_settings &fleetPart = common.fleetPart;
+    routing.watch = fleetPart.watch;
+    routing.peers.failureDomain = fleetPart.failureDomain;
+    routing.peers.entryAddress = fleetPart.entryAddress;
+    routing.peers.peerAddress = fleetPart.peerAddress;
+    routing.peers.seeds = fleetPart.seedPeers;
+    routing.peers.fanout = fleetPart.fanout;
+    routing.peers.exchangeInterval = fleetPart.exchangeInterval;
+    routing.peers.suspectAfter = fleetPart.suspectAfter;
+    routing.peers.goneAfter = fleetPart.goneAfter;
+    routing.peers.gatewaysAssumed = fleetPart.gatewaysAssumed;
+}
+
 void readEntry(const settings &values, entry_settings &target)
 {
     const setting_reader reader(values);
@@ -251,6 +299,7 @@
     readFleet(result.values, result.decisions);
     readCalls(result.values, result.decisions);
     readEntry(result.values, result.entry);
+    readRouting(result.values, result.decisions, result);
     result.operators
         = {result.values.text("operator.address"), result.values.text("operator.token")};
     for (const std::string &item : splitList(result.values.text("peer.keys"))) {
@@ -273,6 +322,8 @@
 
     random_source seeds(target.seed != 0 ? target.seed : mixBits(randomBits));
     target.decisions.seed = seeds.next();
+    target.routing.peers.self = self;
+    target.routing.seed = seeds.next() ^ mixBits(std::hash<std::string> {}(self.vm));
     // Gateways that are given the same seed must not make the same choices.
     target.decisions.balancerPart.gatewaySeed
         = seeds.next() ^ mixBits(std::hash<std::string> {}(self.vm));
--- a/main/daemon/daemon_settings.h
+++ b/main/daemon/daemon_settings.h
@@ -10,6 +10,8 @@
 #include "core/log_line.h"
 #include "core/settings.h"
 #include "decision/gateway.h"
+#include "decision/routing/routing_settings.h"
+#include "servers/directory_port/directory_port.h"
 #include "servers/http_entry/entry_settings.h"
 #include "servers/operator_endpoint/operator_endpoint.h"
 
@@ -29,6 +31,11 @@
 {
     /// Start number and seeds are still unset; `identify` fills them in.
     gateway_settings decisions;
+    /// True if routes and workers are published as items: `routing` then holds in place of
+    /// `decisions`.
+    bool publishesItems = false;
+    routing_settings routing;
+    directory_settings directory;
     entry_settings entry;
     operator_settings operators;
     /// The first signs, all are accepted.
--- a/main/daemon/gateway_process.cpp
+++ b/main/daemon/gateway_process.cpp
@@ -6,7 +6,13 @@
 
 #include "core/log_line.h"
 #include "core/version.h"
+#include "decision/routing/route_gateway.h"
+#include "platform/callers.h"
+#include "platform/directory.h"
+#include "platform/store.h"
+#include "platform/workers.h"
 #include "servers/decision_task/register_services.h"
+#include "servers/directory_port/register_services.h"
 #include "servers/event_loop/register_services.h"
 #include "servers/http_entry/register_services.h"
 #include "servers/operator_endpoint/register_services.h"
@@ -43,6 +49,21 @@
     return peers;
 }
 
+/// Makes the decisions for the way in which the platform publishes the configuration.
+decision_task::core_factory coreFactory(const daemon_settings &settings)
+{
+    if (settings.publishesItems)
+        return [routing = settings.routing](std::int64_t /*unixMsAtOrigin*/) {
+            return route_gateway::create(routing);
+        };
+    return [decisions = settings.decisions](
+               std::int64_t unixMsAtOrigin) -> result<std::unique_ptr<decision_core>> {
+        gateway_settings timed = decisions;
+        timed.unixMsAtOrigin = unixMsAtOrigin;
+        return gateway::create(std::move(timed));
+    };
+}
+
 /// The error of a registration, if it failed.
 template <typename T>
 result<void> withoutValue(const result<T> &registered)
@@ -60,17 +81,24 @@
     if (!loop)
         return tl::unexpected(loop.error());
     m_loop = *loop;
+    const bool hasItems = settings.publishesItems;
     result<void> registered = withoutValue(
-        registerWorkerTransport(m_kernel, readWorkerTransportSettings(settings.values)));
+        registerWorkerTransport(m_kernel, readWorkerTransportSettings(settings.values),
+                                hasItems ? platform::workers() : nativeWorkerDialect()));
     if (registered)
         registered = withoutValue(
-            registerPlatformClient(m_kernel, readPlatformClientSettings(settings.values)));
+            registerPlatformClient(m_kernel, readPlatformClientSettings(settings.values),
+                                   hasItems ? &platform::store() : nullptr));
     if (registered)
         registered = withoutValue(registerPeerLink(m_kernel, peerSettings(settings)));
     if (registered)
-        registered = registerDecisionTask(m_kernel, settings.decisions);
+        registered = registerDecisionTask(m_kernel, coreFactory(settings));
     if (registered)
-        registered = withoutValue(registerHttpEntry(m_kernel, settings.entry));
+        registered = withoutValue(
+            registerHttpEntry(m_kernel, settings.entry,
+                              hasItems ? platform::callers() : nativeCallerDialect()));
+    if (registered && hasItems)
+        registered = registerDirectoryPort(m_kernel, settings.directory, platform::directory());
     if (registered)
         registered = withoutValue(registerOperatorEndpoint(m_kernel, settings.operators));
     return registered;
@@ -92,6 +120,10 @@
         return tl::unexpected(decision.error());
     m_decision = *decision;
     m_onTerminate = std::make_unique<signal_watcher>(*m_loop, SIGTERM, [this] { terminate(); });
+    // The settings that may change while the process runs are read again at the next start.
+    m_onHangUp = std::make_unique<signal_watcher>(*m_loop, SIGHUP, [] {
+        log_line(log_level::info, logPrefix, "settings changed; they hold from the next start");
+    });
     m_onInterrupt = std::make_unique<signal_watcher>(*m_loop, SIGINT,
                                                      [this] { exitNow(exitCodeInterrupted); });
     log_line(log_level::info, logPrefix, "started")
@@ -108,6 +140,7 @@
     m_loop->run();
     m_onTerminate.reset();
     m_onInterrupt.reset();
+    m_onHangUp.reset();
     m_kernel.stop();
     log_line(log_level::info, logPrefix, "stopped").field("code", m_exitCode);
     return m_exitCode;
--- a/main/daemon/gateway_process.h
+++ b/main/daemon/gateway_process.h
@@ -36,6 +36,7 @@
     event_sink *m_decision = nullptr;
     std::unique_ptr<signal_watcher> m_onTerminate;
     std::unique_ptr<signal_watcher> m_onInterrupt;
+    std::unique_ptr<signal_watcher> m_onHangUp;
     bool m_isDraining = false;
     int m_exitCode = 0;
 };
--- a/servers/curl_loop/connection_table.cpp
+++ b/servers/curl_loop/connection_table.cpp
@@ -1,11 +1,38 @@
 #include "servers/curl_loop/connection_table.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 namespace almondnotch {
 
+namespace {
+
+/// A connection whose peer is cut off is given up about this long after the last sign of it: one
+/// second of silence, and two probes a second apart.
+constexpr int keepAliveIdleSeconds = 1;
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveProbes = 2;
+/// Sent bytes that stay unacknowledged this long end the connection, milliseconds.
+constexpr int userTimeoutMs = 2000;
+
+/// Makes a connection that went silent fail. Without these options it would hang for minutes.
+void detectSilence(int descriptor)
+{
+    const int on = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &keepAliveIdleSeconds,
+               sizeof keepAliveIdleSeconds);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveIntervalSeconds,
+               sizeof keepAliveIntervalSeconds);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof keepAliveProbes);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
+}
+
+} // namespace
+
 void connection_table::install(CURL *transfer, opened_socket &opened)
 {
     opened.table = this;
@@ -43,6 +70,7 @@
         = socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
     if (descriptor == CURL_SOCKET_BAD)
         return CURL_SOCKET_BAD;
+    detectSilence(descriptor);
     self->descriptor = descriptor;
     ++self->table->m_openSockets;
     ++self->table->m_openedTotal;
--- a/servers/curl_loop/http_exchange.cpp
+++ b/servers/curl_loop/http_exchange.cpp
@@ -100,6 +100,12 @@
     return {};
 }
 
+void http_exchange::useOwnConnection()
+{
+    curl_easy_setopt(m_handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(m_handle, CURLOPT_FORBID_REUSE, 1L);
+}
+
 void http_exchange::prepareFreshConnection(duration timeLeft)
 {
     m_staleConnection = false;
--- a/servers/curl_loop/http_exchange.h
+++ b/servers/curl_loop/http_exchange.h
@@ -64,6 +64,10 @@
     /// The transfer was given up, since its reused connection was closed or had bytes to read.
     bool staleConnection() const { return m_staleConnection; }
 
+    /// Keeps the prepared request off connections that were used before, and closes its connection
+    /// afterwards.
+    void useOwnConnection();
+
     /// Sets the handle up for another try on a new connection, after `staleConnection`.
     void prepareFreshConnection(duration timeLeft);
 
--- a/servers/curl_loop/response_reader.cpp
+++ b/servers/curl_loop/response_reader.cpp
@@ -110,7 +110,7 @@
     }
     if (bodyless)
         return true;
-    if (!m_contentLength && !m_chunked) {
+    if (!m_contentLength && !m_chunked && !m_allowsUnframed) {
         m_badlyFramed = true;
         return giveUp("the response has neither Content-Length nor chunked framing");
     }
--- a/servers/curl_loop/response_reader.h
+++ b/servers/curl_loop/response_reader.h
@@ -24,6 +24,9 @@
         : m_bodyBytesMax(bodyBytesMax), m_headRequest(headRequest)
     { }
 
+    /// Lets a response without a length end with an orderly close of its connection.
+    void allowUnframed() { m_allowsUnframed = true; }
+
     /// Takes a status line, header line or the empty line, with its line end.
     /// \return false if the response must be given up; `failure` then gives the reason.
     bool addHeaderLine(std::string_view line);
@@ -54,6 +57,7 @@
 
     std::size_t m_bodyBytesMax;
     bool m_headRequest;
+    bool m_allowsUnframed = false;
     int m_status = 0;
     bool m_headerEnded = false;
     std::size_t m_headerBytes = 0;
--- a/servers/decision_task/decision_task.cpp
+++ b/servers/decision_task/decision_task.cpp
@@ -31,7 +31,15 @@
 
 } // namespace
 
-decision_task::decision_task(gateway_settings settings) : m_settings(std::move(settings)) { }
+decision_task::decision_task(core_factory makeCore) : m_makeCore(std::move(makeCore)) { }
+
+decision_task::decision_task(const gateway_settings &settings)
+    : m_makeCore([settings](std::int64_t unixMsAtOrigin) -> result<std::unique_ptr<decision_core>> {
+          gateway_settings timed = settings;
+          timed.unixMsAtOrigin = unixMsAtOrigin;
+          return gateway::create(std::move(timed));
+      })
+{ }
 
 result<void> decision_task::start(kernel &owner)
 {
@@ -44,12 +52,11 @@
     if (!found)
         return found;
 
-    m_settings.unixMsAtOrigin = m_loop->unixMsAtOrigin();
-    result<std::unique_ptr<gateway>> created = gateway::create(m_settings);
+    result<std::unique_ptr<decision_core>> created = m_makeCore(m_loop->unixMsAtOrigin());
     if (!created)
         return tl::unexpected(created.error());
-    m_gateway = std::move(*created);
-    m_gateway->invariants().setFailureHandler([](std::string_view name, const std::string &detail) {
+    m_core = std::move(*created);
+    m_core->invariants().setFailureHandler([](std::string_view name, const std::string &detail) {
         log_line(log_level::error, logPrefix, "invariant failed")
             .field("name", name)
             .field("detail", detail);
@@ -58,7 +65,7 @@
 
     action_list actions;
     m_handling = true;
-    m_gateway->start(m_loop->now(), actions);
+    m_core->start(m_loop->now(), actions);
     carryOut(actions);
     m_handling = false;
     handleQueued();
@@ -69,12 +76,12 @@
 {
     m_timer.reset();
     m_queue.clear();
-    m_gateway.reset();
+    m_core.reset();
 }
 
 void decision_task::deliver(event input)
 {
-    if (m_gateway == nullptr)
+    if (m_core == nullptr)
         return;
     m_queue.push_back(std::move(input));
     if (!m_handling)
@@ -89,7 +96,7 @@
         const event input = std::move(m_queue.front());
         m_queue.pop_front();
         actions.clear();
-        m_gateway->handle(m_loop->now(), input, actions);
+        m_core->handle(m_loop->now(), input, actions);
         carryOut(actions);
     }
     m_handling = false;
@@ -106,7 +113,7 @@
 {
     m_timerDue = instant::never();
     // libev's timers may be early by the granularity of its clock.
-    const duration left = m_gateway->nextWake() - m_loop->now();
+    const duration left = m_core->nextWake() - m_loop->now();
     if (left.count() > 0)
         setTimer();
     else
@@ -115,7 +122,7 @@
 
 void decision_task::setTimer()
 {
-    const instant due = m_gateway->nextWake();
+    const instant due = m_core->nextWake();
     // Most events leave the next timer as it is; libev need not move it then.
     if (due == m_timerDue)
         return;
@@ -128,18 +135,28 @@
 
 nlohmann::json decision_task::dump() const
 {
-    return m_gateway == nullptr ? nlohmann::json::object() : m_gateway->dump(m_loop->now());
+    return m_core == nullptr ? nlohmann::json::object() : m_core->dump(m_loop->now());
 }
 
 nlohmann::json decision_task::explain(std::string_view method, std::string_view target) const
 {
-    return m_gateway == nullptr ? nlohmann::json::object()
-                                : m_gateway->explain(m_loop->now(), method, target);
+    return m_core == nullptr ? nlohmann::json::object()
+                                : m_core->explain(m_loop->now(), method, target);
 }
 
 const counter_set &decision_task::counters() const
 {
-    return m_gateway == nullptr ? m_emptyCounters : m_gateway->counters();
+    return m_core == nullptr ? m_emptyCounters : m_core->counters();
+}
+
+bool decision_task::isReady() const
+{
+    return m_core != nullptr && m_core->isReady(m_loop->now());
+}
+
+entry_addresses decision_task::chooseEntry(const entry_question &question)
+{
+    return m_core == nullptr ? entry_addresses {} : m_core->chooseEntry(m_loop->now(), question);
 }
 
 void decision_task::perform(const start_attempt &order)
@@ -177,6 +194,11 @@
     m_platform->readPlatform(order);
 }
 
+void decision_task::perform(const read_items &order)
+{
+    m_platform->readItems(order);
+}
+
 void decision_task::perform(const write_log &order)
 {
     if (!isLogged(order.level))
--- a/servers/decision_task/decision_task.h
+++ b/servers/decision_task/decision_task.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string_view>
 
@@ -16,12 +17,18 @@
 
 namespace almondnotch {
 
-/// Service "decision": drives the `gateway` with events and time, and carries out its actions in
+/// Service "decision": drives the decisions of a gateway with events and time, and carries out its actions in
 /// order on the ports. All functions are called on the loop's thread.
-class decision_task : public event_sink, public decision_inspection
+class decision_task : public event_sink, public decision_inspection, public entry_directory
 {
 public:
-    explicit decision_task(gateway_settings settings);
+    /// Makes the decisions' state machine. \param unixMsAtOrigin wall clock at the origin of the
+    /// monotonic clock, milliseconds since 1970.
+    using core_factory
+        = std::function<result<std::unique_ptr<decision_core>>(std::int64_t unixMsAtOrigin)>;
+
+    explicit decision_task(core_factory makeCore);
+    explicit decision_task(const gateway_settings &settings);
 
     /// Finds the ports "worker_transport", "platform_client", "peer_link" and "http_entry", creates
     /// the gateway and lets it take its first actions.
@@ -34,6 +41,8 @@
     nlohmann::json dump() const override;
     nlohmann::json explain(std::string_view method, std::string_view target) const override;
     const counter_set &counters() const override;
+    bool isReady() const override;
+    entry_addresses chooseEntry(const entry_question &question) override;
 
 private:
     void handleQueued();
@@ -48,17 +57,18 @@
     void perform(const send_entry_response &order);
     void perform(const send_peer_message &order);
     void perform(const read_platform &order);
+    void perform(const read_items &order);
     void perform(const write_log &order);
     void perform(const exit_process &order);
 
-    gateway_settings m_settings;
+    core_factory m_makeCore;
     counter_set m_emptyCounters;
     event_loop *m_loop = nullptr;
     worker_port *m_workers = nullptr;
     platform_port *m_platform = nullptr;
     peer_port *m_peers = nullptr;
     entry_port *m_entry = nullptr;
-    std::unique_ptr<gateway> m_gateway;
+    std::unique_ptr<decision_core> m_core;
     std::unique_ptr<timer_watcher> m_timer;
     instant m_timerDue = instant::never();
     /// Holds only what ports deliver from within a call that carries out an action, since events
--- a/servers/decision_task/register_services.cpp
+++ b/servers/decision_task/register_services.cpp
@@ -7,10 +7,10 @@
 
 namespace almondnotch {
 
-result<void> registerDecisionTask(kernel &owner, gateway_settings settings)
+result<void> registerDecisionTask(kernel &owner, decision_task::core_factory makeCore)
 {
     return owner.add("decision", start_level::decisions,
-                     std::make_unique<decision_task>(std::move(settings)));
+                     std::make_unique<decision_task>(std::move(makeCore)));
 }
 
 } // namespace almondnotch
--- a/servers/decision_task/register_services.h
+++ b/servers/decision_task/register_services.h
@@ -2,11 +2,11 @@
 
 #include "core/error.h"
 #include "core/kernel.h"
-#include "decision/gateway.h"
+#include "servers/decision_task/decision_task.h"
 
 namespace almondnotch {
 
 /// Adds the service "decision".
-result<void> registerDecisionTask(kernel &owner, gateway_settings settings);
+result<void> registerDecisionTask(kernel &owner, decision_task::core_factory makeCore);
 
 } // namespace almondnotch
--- /dev/null
+++ b/servers/directory_port/directory_port.cpp
@@ -0,0 +1,141 @@
+#include "servers/directory_port/directory_port.h"
+
+#include <utility>
+
+#include "core/log_line.h"
+
+namespace almondnotch {
+
+namespace {
+
+const char *const logPrefix = "directory";
+
+std::string parameter(MHD_Connection *connection, const char *name)
+{
+    const char *value = MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, name);
+    return value == nullptr ? std::string() : std::string(value);
+}
+
+} // namespace
+
+directory_port::directory_port(directory_settings settings, const directory_dialect &dialect)
+    : m_settings(std::move(settings)), m_dialect(dialect)
+{ }
+
+directory_port::~directory_port()
+{
+    stop();
+}
+
+result<void> directory_port::start(kernel &owner)
+{
+    const result<event_loop *> loop = owner.find<event_loop>("loop");
+    if (!loop)
+        return tl::unexpected(loop.error());
+    const result<entry_directory *> directory = owner.find<entry_directory>("decision");
+    if (!directory)
+        return tl::unexpected(directory.error());
+    m_directory = *directory;
+    for (const std::string &address : m_settings.addresses) {
+        http_daemon_options options;
+        options.address = address;
+        options.connectionsMax = m_settings.connectionsMax;
+        options.idleTimeout = m_settings.idleTimeout;
+        options.connectionMemory = std::size_t {8} * 1024;
+        result<std::unique_ptr<http_daemon>> daemon = http_daemon::create(**loop, options, *this);
+        if (!daemon)
+            return tl::unexpected(daemon.error());
+        m_daemons.push_back(std::move(*daemon));
+    }
+    return {};
+}
+
+void directory_port::stop()
+{
+    m_daemons.clear();
+}
+
+void *directory_port::beginRequest(MHD_Connection * /*connection*/, const char *target)
+{
+    std::unique_ptr<request_state> state = std::make_unique<request_state>();
+    state->target = target;
+    return state.release();
+}
+
+MHD_Result directory_port::handleRequest(MHD_Connection *connection, void *request,
+                                         const char *method, const char * /*version*/,
+                                         const char * /*data*/, std::size_t *size)
+{
+    request_state &state = *static_cast<request_state *>(request);
+    if (!state.hasHead) {
+        state.hasHead = true;
+        return MHD_YES;
+    }
+    if (*size > 0) {
+        *size = 0;
+        return MHD_YES;
+    }
+    if (std::string_view(method) != "GET")
+        return answer(connection, MHD_HTTP_METHOD_NOT_ALLOWED, "{}");
+    switch (m_dialect.classify(state.target.substr(0, state.target.find('?')))) {
+    case directory_call::readiness:
+        return answerReadiness(connection);
+    case directory_call::entry:
+        return answerEntry(connection);
+    case directory_call::unknown:
+        break;
+    }
+    return answer(connection, MHD_HTTP_NOT_FOUND, "{}");
+}
+
+MHD_Result directory_port::answerReadiness(MHD_Connection *connection)
+{
+    return answer(connection,
+                  m_directory->isReady() ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE, "{}");
+}
+
+MHD_Result directory_port::answerEntry(MHD_Connection *connection)
+{
+    m_counters.add("directory_queries_total");
+    const entry_question question {parameter(connection, m_dialect.hostParameter()),
+                                   parameter(connection, m_dialect.regionParameter()),
+                                   parameter(connection, m_dialect.failureDomainParameter())};
+    const entry_addresses found = m_directory->chooseEntry(question);
+    if (found.addresses.empty())
+        return answer(connection, MHD_HTTP_SERVICE_UNAVAILABLE, "{}");
+    return answer(connection, MHD_HTTP_OK, m_dialect.encode(found));
+}
+
+MHD_Result directory_port::answer(MHD_Connection *connection, unsigned status,
+                                  const std::string &body)
+{
+    MHD_Response *response = MHD_create_response_from_buffer(
+        body.size(), const_cast<char *>(body.data()), MHD_RESPMEM_MUST_COPY);
+    if (response == nullptr)
+        return MHD_NO;
+    MHD_add_response_header(response, "Content-Type", "application/json");
+    const MHD_Result queued = MHD_queue_response(connection, status, response);
+    MHD_destroy_response(response);
+    return queued;
+}
+
+void directory_port::endRequest(void *request)
+{
+    const std::unique_ptr<request_state> state(static_cast<request_state *>(request));
+}
+
+void *directory_port::openConnection(MHD_Connection * /*connection*/)
+{
+    return nullptr;
+}
+
+void directory_port::closeConnection(void * /*connectionState*/) { }
+
+void directory_port::reportLibraryError(std::string_view message)
+{
+    m_counters.add("directory_http_errors_total");
+    log_line(log_level::debug, logPrefix, "libmicrohttpd reported an error")
+        .field("message", message);
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/directory_port/directory_port.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/counters.h"
+#include "core/kernel.h"
+#include "servers/directory_port/directory_dialect.h"
+#include "servers/event_loop/event_loop.h"
+#include "servers/http_daemon/http_daemon.h"
+#include "servers/ports.h"
+
+namespace almondnotch {
+
+struct directory_settings
+{
+    /// Addresses to listen on, as "ip:port"; each answers all calls.
+    std::vector<std::string> addresses;
+    /// Connections of each address.
+    unsigned connectionsMax = 1000;
+    seconds idleTimeout {20};
+};
+
+/// Service "directory_port": tells callers which entry addresses to use, and whoever asks whether
+/// the gateway is ready.
+class directory_port : public service, private http_request_handler
+{
+public:
+    /// \param dialect outlives the service.
+    directory_port(directory_settings settings, const directory_dialect &dialect);
+    ~directory_port() override;
+
+    /// Listens. Finds "loop" and "decision".
+    result<void> start(kernel &owner) override;
+    void stop() override;
+
+    const counter_set &counters() const { return m_counters; }
+
+private:
+    struct request_state
+    {
+        std::string target;
+        bool hasHead = false;
+    };
+
+    void *beginRequest(MHD_Connection *connection, const char *target) override;
+    MHD_Result handleRequest(MHD_Connection *connection, void *request, const char *method,
+                             const char *version, const char *data, std::size_t *size) override;
+    void endRequest(void *request) override;
+    void *openConnection(MHD_Connection *connection) override;
+    void closeConnection(void *connectionState) override;
+    void reportLibraryError(std::string_view message) override;
+
+    MHD_Result answerReadiness(MHD_Connection *connection);
+    MHD_Result answerEntry(MHD_Connection *connection);
+    static MHD_Result answer(MHD_Connection *connection, unsigned status, const std::string &body);
+
+    directory_settings m_settings;
+    const directory_dialect &m_dialect;
+    counter_set m_counters;
+    entry_directory *m_directory = nullptr;
+    std::vector<std::unique_ptr<http_daemon>> m_daemons;
+};
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/directory_port/register_services.cpp
@@ -0,0 +1,15 @@
+#include "servers/directory_port/register_services.h"
+
+#include <memory>
+#include <utility>
+
+namespace almondnotch {
+
+result<void> registerDirectoryPort(kernel &owner, directory_settings settings,
+                                   const directory_dialect &dialect)
+{
+    return owner.add("directory_port", start_level::listeners,
+                     std::make_unique<directory_port>(std::move(settings), dialect));
+}
+
+} // namespace almondnotch
--- /dev/null
+++ b/servers/directory_port/register_services.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "core/error.h"
+#include "core/kernel.h"
+#include "servers/directory_port/directory_port.h"
+
+namespace almondnotch {
+
+/// Adds the service "directory_port". \param dialect outlives the service.
+result<void> registerDirectoryPort(kernel &owner, directory_settings settings,
+                                   const directory_dialect &dialect);
+
+} // namespace almondnotch
--- a/servers/http_entry/http_entry.cpp
+++ b/servers/http_entry/http_entry.cpp
@@ -19,7 +19,6 @@
 namespace {
 
 const char *const logPrefix = "entry";
-const char *const wellKnownPrefix = "/.well-known/almondnotch/";
 constexpr std::size_t serviceNameBytesMax = 256;
 
 /// Bodies up to this multiple of the bound are read and discarded, so that the caller reads the
@@ -51,8 +50,8 @@
 
 } // namespace
 
-http_entry::http_entry(entry_settings settings)
-    : m_settings(std::move(settings)), m_random(m_settings.seed)
+http_entry::http_entry(entry_settings settings, const caller_dialect &dialect)
+    : m_settings(std::move(settings)), m_dialect(dialect), m_random(m_settings.seed)
 { }
 
 http_entry::~http_entry()
@@ -154,7 +153,7 @@
     head.version = version;
     head.target = exchange.target;
     MHD_get_connection_values_n(exchange.connection, MHD_HEADER_KIND, &collectField, &head.fields);
-    exchange.requestId = chooseRequestId(head.fields, makeRequestId());
+    exchange.requestId = m_dialect.chooseId(head.fields, makeRequestId());
 
     const MHD_ConnectionInfo *headSize
         = MHD_get_connection_info(exchange.connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
@@ -164,7 +163,7 @@
                               + " bytes, found " + std::to_string(headSize->header_size)});
     } else {
         tl::expected<call_request, request_refusal> parsed
-            = parseRequestHead(head, exchange.requestId);
+            = m_dialect.parseHead(head, exchange.requestId);
         if (parsed)
             exchange.request = std::make_shared<call_request>(std::move(*parsed));
         else
@@ -251,8 +250,9 @@
         return answer(exchange, makeProblemResponse(*exchange.refusal));
     const std::string_view target = exchange.request->target;
     const std::string_view path = target.substr(0, target.find('?'));
-    if (path.starts_with(wellKnownPrefix))
-        return answerWellKnown(exchange, path.substr(std::string_view(wellKnownPrefix).size()));
+    const std::string_view own = m_dialect.ownPathPrefix();
+    if (!own.empty() && path.starts_with(own))
+        return answerWellKnown(exchange, path.substr(own.size()));
 
     m_counters.add("entry_calls_total");
     const MHD_Result suspended = suspend(exchange, false);
@@ -430,7 +430,7 @@
     m_counters.add("entry_responses_total{class=\""
                    + std::to_string(exchange.response->status / 100) + "xx\"}");
     response_options options;
-    options.requestId = exchange.requestId;
+    options.ownFields = m_dialect.ownFields(*exchange.response, exchange.requestId);
     options.isHead = isHead;
     options.closeConnection = exchange.closeConnection;
     MHD_Response *response = makeLibraryResponse(exchange.response, options);
--- a/servers/http_entry/http_entry.h
+++ b/servers/http_entry/http_entry.h
@@ -15,6 +15,7 @@
 #include "servers/event_loop/event_loop.h"
 #include "servers/event_loop/timer_watcher.h"
 #include "servers/http_daemon/http_daemon.h"
+#include "servers/http_entry/caller_dialect.h"
 #include "servers/http_entry/caller_exchange.h"
 #include "servers/http_entry/entry_settings.h"
 #include "servers/http_entry/request_head.h"
@@ -31,7 +32,9 @@
 class http_entry : public entry_port, private http_request_handler
 {
 public:
-    explicit http_entry(entry_settings settings);
+    /// \param dialect outlives the service.
+    explicit http_entry(entry_settings settings,
+                        const caller_dialect &dialect = nativeCallerDialect());
     ~http_entry() override;
 
     /// Listens. Finds "loop" and "decision".
@@ -90,6 +93,7 @@
     static connection_state &stateOf(MHD_Connection *connection);
 
     entry_settings m_settings;
+    const caller_dialect &m_dialect;
     random_source m_random;
     counter_set m_counters;
     event_loop *m_loop = nullptr;
--- a/servers/http_entry/register_services.cpp
+++ b/servers/http_entry/register_services.cpp
@@ -5,9 +5,10 @@
 
 namespace almondnotch {
 
-result<http_entry *> registerHttpEntry(kernel &owner, entry_settings settings)
+result<http_entry *> registerHttpEntry(kernel &owner, entry_settings settings,
+                               const caller_dialect &dialect)
 {
-    std::unique_ptr<http_entry> part = std::make_unique<http_entry>(std::move(settings));
+    std::unique_ptr<http_entry> part = std::make_unique<http_entry>(std::move(settings), dialect);
     http_entry *borrowed = part.get();
     const result<void> added = owner.add("http_entry", start_level::listeners, std::move(part));
     if (!added)
--- a/servers/http_entry/register_services.h
+++ b/servers/http_entry/register_services.h
@@ -8,7 +8,9 @@
 namespace almondnotch {
 
 /// Adds the service "http_entry".
+/// \param dialect outlives the service.
 /// \return the service, which the kernel owns.
-result<http_entry *> registerHttpEntry(kernel &owner, entry_settings settings);
+result<http_entry *> registerHttpEntry(kernel &owner, entry_settings settings,
+                               const caller_dialect &dialect = nativeCallerDialect());
 
 } // namespace almondnotch
--- a/servers/http_entry/response_writer.cpp
+++ b/servers/http_entry/response_writer.cpp
@@ -115,8 +115,8 @@
         return nullptr;
     for (const header_field &field : removeConnectionFields(response->headers))
         addField(created, field.name, field.value);
-    addField(created, "Almondnotch-Request-Id", options.requestId);
-    addField(created, "Almondnotch-Outcome", std::string(toString(response->outcome)));
+    for (const header_field &field : options.ownFields)
+        addField(created, field.name, field.value);
     if (options.closeConnection)
         addField(created, "Connection", "close");
     return created;
--- a/servers/http_entry/response_writer.h
+++ b/servers/http_entry/response_writer.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <microhttpd.h>
 
@@ -14,7 +15,8 @@
 /// What a response depends on besides its content.
 struct response_options
 {
-    std::string requestId;
+    /// Fields that the gateway adds.
+    std::vector<header_field> ownFields;
     /// The request's method was HEAD.
     bool isHead = false;
     bool closeConnection = false;
--- a/servers/platform_client/platform_client.cpp
+++ b/servers/platform_client/platform_client.cpp
@@ -59,8 +59,8 @@
 
 } // namespace
 
-platform_client::platform_client(platform_client_settings bounds)
-    : m_bounds(std::move(bounds)), m_handles(idleHandlesMax)
+platform_client::platform_client(platform_client_settings bounds, const store_dialect *items)
+    : m_bounds(std::move(bounds)), m_items(items), m_handles(idleHandlesMax)
 { }
 
 platform_client::~platform_client()
@@ -103,12 +103,40 @@
     m_counters.add(order.afterVersion > 0 ? "platform_watches_total" : "platform_reads_total");
     std::unique_ptr<read> added = std::make_unique<read>();
     added->order = order;
+    added->target = targetOf(order);
+    added->timeLimit
+        = order.afterVersion > 0 ? order.wait + m_bounds.watchGrace : m_bounds.readTimeLimit;
+    if (order.key == platform_key::part && !isSha256(order.partSha256)) {
+        defer({order,
+               {error_code::invalid_argument, readStep, m_bounds.address,
+                "expected 64 hexadecimal digits as the name of a part"}});
+        return;
+    }
+    begin(std::move(added));
+}
+
+void platform_client::readItems(const read_items &order)
+{
+    m_counters.add(order.afterRevision > 0 ? "platform_watches_total" : "platform_reads_total");
+    std::unique_ptr<read> added = std::make_unique<read>();
+    added->order = order;
+    added->timeLimit
+        = order.afterRevision > 0 ? order.wait + m_bounds.watchGrace : m_bounds.readTimeLimit;
+    if (m_items == nullptr) {
+        defer({order,
+               {error_code::invalid_argument, readStep, m_bounds.address,
+                "the platform publishes no items"}});
+        return;
+    }
+    added->target = m_items->target(order);
+    begin(std::move(added));
+}
+
+void platform_client::begin(std::unique_ptr<read> added)
+{
     const result<void> sent = send(*added);
     if (!sent) {
-        m_counters.add("platform_requests_failed_total");
-        m_deferred.push_back({order.read, sent.error()});
-        if (!m_deferredTimer->isActive())
-            m_deferredTimer->start(duration(0));
+        defer({added->order, sent.error()});
         return;
     }
     const http_exchange *key = added->exchange.get();
@@ -116,26 +144,28 @@
     updateGauges();
 }
 
+void platform_client::defer(refused_read refused)
+{
+    m_counters.add("platform_requests_failed_total");
+    m_deferred.push_back(std::move(refused));
+    if (!m_deferredTimer->isActive())
+        m_deferredTimer->start(duration(0));
+}
+
 result<void> platform_client::send(read &started)
 {
-    const read_platform &order = started.order;
     if (m_reads.size() >= m_bounds.readsMax) {
         m_counters.add("platform_reads_rejected_total");
         return fail(error_code::out_of_bounds, readStep, m_bounds.address,
                     "expected at most " + std::to_string(m_bounds.readsMax) + " reads in progress");
     }
-    if (order.key == platform_key::part && !isSha256(order.partSha256))
-        return fail(error_code::invalid_argument, readStep, m_bounds.address,
-                    "expected 64 hexadecimal digits as the name of a part");
-    const duration timeLimit
-        = order.afterVersion > 0 ? order.wait + m_bounds.watchGrace : m_bounds.readTimeLimit;
-    started.deadline = m_loop->now() + timeLimit;
+    started.deadline = m_loop->now() + started.timeLimit;
     started.exchange
         = std::make_unique<http_exchange>(m_bounds.address, m_bounds.valueBytesMax, false, true);
     started.exchange->headers().suppress("Accept");
     const result<void> prepared
-        = started.exchange->prepare(m_handles, m_connections, targetOf(order),
-                                    {timeLimit, m_bounds.connectTimeout, reuseAgeMax});
+        = started.exchange->prepare(m_handles, m_connections, started.target,
+                                    {started.timeLimit, m_bounds.connectTimeout, reuseAgeMax});
     if (!prepared)
         return prepared;
     return m_curl->add(started.exchange->handle());
@@ -161,41 +191,64 @@
     m_reads.erase(found);
     m_counters.add("platform_bytes_sent_total", ended->exchange->bytesSent());
     m_counters.add("platform_bytes_received_total", ended->exchange->bytesReceived());
-    result<platform_value> value = interpret(*ended, code);
+    updateGauges();
+    response_reader &reader = ended->exchange->reader();
+    const result<void> whole = checkTransfer(*ended, code);
+    if (!whole) {
+        m_counters.add("platform_requests_failed_total");
+        reportFailure(ended->order, whole.error());
+        return;
+    }
+    if (const read_items *items = std::get_if<read_items>(&ended->order)) {
+        result<item_page> page = m_items->decode(*items, reader);
+        if (!page)
+            m_counters.add("platform_requests_failed_total");
+        m_decision->deliver(items_read {items->read, std::move(page)});
+        return;
+    }
+    const read_platform &order = std::get<read_platform>(ended->order);
+    result<platform_value> value = interpret(order, reader);
     if (!value)
         m_counters.add("platform_requests_failed_total");
-    updateGauges();
-    report(ended->order.read, std::move(value));
+    m_decision->deliver(platform_read_finished {order.read, std::move(value)});
 }
 
-void platform_client::report(read_id id, result<platform_value> value)
+void platform_client::reportFailure(const std::variant<read_platform, read_items> &order,
+                                    const error &cause)
 {
-    platform_read_finished outcome {id, std::move(value)};
-    m_decision->deliver(std::move(outcome));
+    if (const read_items *items = std::get_if<read_items>(&order))
+        m_decision->deliver(items_read {items->read, tl::unexpected(cause)});
+    else
+        m_decision->deliver(platform_read_finished {std::get<read_platform>(order).read,
+                                                    tl::unexpected(cause)});
 }
 
-result<platform_value> platform_client::interpret(read &ended, CURLcode code)
+result<void> platform_client::checkTransfer(read &ended, CURLcode code)
 {
     response_reader &reader = ended.exchange->reader();
-    if (code != CURLE_OK || !reader.complete()) {
-        if (reader.tooLarge()) {
-            m_counters.add("platform_values_too_large_total");
-            return fail(error_code::out_of_bounds, readStep, m_bounds.address, reader.failure());
-        }
-        const std::string cause
-            = reader.failure().empty() ? curl_easy_strerror(code) : reader.failure();
-        return fail(code == CURLE_OPERATION_TIMEDOUT ? error_code::timed_out
-                                                     : error_code::unavailable,
-                    readStep, m_bounds.address, cause);
+    if (code == CURLE_OK && reader.complete())
+        return {};
+    if (reader.tooLarge()) {
+        m_counters.add("platform_values_too_large_total");
+        return fail(error_code::out_of_bounds, readStep, m_bounds.address, reader.failure());
     }
+    const std::string cause
+        = reader.failure().empty() ? curl_easy_strerror(code) : reader.failure();
+    return fail(code == CURLE_OPERATION_TIMEDOUT ? error_code::timed_out : error_code::unavailable,
+                readStep, m_bounds.address, cause);
+}
+
+result<platform_value> platform_client::interpret(const read_platform &order,
+                                                  response_reader &reader)
+{
     switch (reader.status()) {
     case 200:
-        return interpretValue(ended);
+        return interpretValue(order, reader);
     case 304:
-        if (ended.order.afterVersion == 0)
+        if (order.afterVersion == 0)
             return fail(error_code::invalid_message, readStep, m_bounds.address,
                         "expected a value, found status 304 although no version was given");
-        return platform_value {ended.order.afterVersion, false, {}};
+        return platform_value {order.afterVersion, false, {}};
     case 404:
         return platform_value {0, true, {}};
     default:
@@ -204,14 +257,14 @@
     }
 }
 
-result<platform_value> platform_client::interpretValue(read &ended)
+result<platform_value> platform_client::interpretValue(const read_platform &order,
+                                                       response_reader &reader)
 {
-    response_reader &reader = ended.exchange->reader();
     platform_value value;
     value.changed = true;
     value.text = reader.takeBody();
     std::optional<std::uint64_t> version;
-    if (ended.order.key == platform_key::vm_list) {
+    if (order.key == platform_key::vm_list) {
         // The list carries its version itself; the decision package reads the rest.
         const nlohmann::json document = nlohmann::json::parse(value.text, nullptr, false);
         const auto found = document.is_object() ? document.find("version") : document.end();
@@ -237,7 +290,7 @@
     std::vector<refused_read> due;
     due.swap(m_deferred);
     for (const refused_read &refused : due)
-        report(refused.id, tl::unexpected(refused.cause));
+        reportFailure(refused.order, refused.cause);
 }
 
 void platform_client::updateGauges()
--- a/servers/platform_client/platform_client.h
+++ b/servers/platform_client/platform_client.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <variant>
 #include <vector>
 
 #include "core/counters.h"
@@ -13,6 +14,7 @@
 #include "servers/event_loop/event_loop.h"
 #include "servers/event_loop/timer_watcher.h"
 #include "servers/platform_client/platform_client_settings.h"
+#include "servers/platform_client/store_dialect.h"
 #include "servers/ports.h"
 
 namespace almondnotch {
@@ -24,7 +26,9 @@
 class platform_client : public platform_port
 {
 public:
-    explicit platform_client(platform_client_settings bounds);
+    /// \param items how items are read; null if the platform publishes none. Outlives the service.
+    explicit platform_client(platform_client_settings bounds,
+                             const store_dialect *items = nullptr);
     ~platform_client() override;
 
     result<void> start(kernel &owner) override;
@@ -32,12 +36,15 @@
     void stop() override;
 
     void readPlatform(const read_platform &order) override;
+    void readItems(const read_items &order) override;
     const counter_set &counters() const override { return m_counters; }
 
 private:
     struct read
     {
-        read_platform order;
+        std::variant<read_platform, read_items> order;
+        std::string target;
+        duration timeLimit {0};
         instant deadline;
         bool retriedFresh = false;
         std::unique_ptr<http_exchange> exchange;
@@ -46,19 +53,24 @@
     /// A read that could not be started; reported in the next round of the loop.
     struct refused_read
     {
-        read_id id {};
+        std::variant<read_platform, read_items> order;
         error cause;
     };
 
+    void begin(std::unique_ptr<read> added);
     result<void> send(read &started);
     void transferEnded(CURL *transfer, CURLcode code);
-    result<platform_value> interpret(read &ended, CURLcode code);
-    result<platform_value> interpretValue(read &ended);
-    void report(read_id id, result<platform_value> value);
+    /// An error if the transfer did not end with a whole response.
+    result<void> checkTransfer(read &ended, CURLcode code);
+    result<platform_value> interpret(const read_platform &order, response_reader &reader);
+    result<platform_value> interpretValue(const read_platform &order, response_reader &reader);
+    void reportFailure(const std::variant<read_platform, read_items> &order, const error &cause);
+    void defer(refused_read refused);
     void deliverDeferred();
     void updateGauges();
 
     platform_client_settings m_bounds;
+    const store_dialect *m_items;
     event_loop *m_loop = nullptr;
     event_sink *m_decision = nullptr;
     counter_set m_counters;
--- a/servers/ports.h
+++ b/servers/ports.h
@@ -8,6 +8,7 @@
 #include "core/counters.h"
 #include "core/kernel.h"
 #include "decision/actions.h"
+#include "decision/decision_core.h"
 #include "decision/events.h"
 
 namespace almondnotch {
@@ -45,6 +46,8 @@
 public:
     /// Ends with exactly one `platform_read_finished`, never before this function returns.
     virtual void readPlatform(const read_platform &order) = 0;
+    /// Ends with exactly one `items_read`, never before this function returns.
+    virtual void readItems(const read_items &order) = 0;
     virtual const counter_set &counters() const = 0;
 };
 
@@ -84,4 +87,18 @@
     virtual const counter_set &counters() const = 0;
 };
 
+/// Implemented by the service "decision" for the directory port.
+class entry_directory
+{
+public:
+    entry_directory() = default;
+    entry_directory(const entry_directory &) = delete;
+    entry_directory &operator=(const entry_directory &) = delete;
+    virtual ~entry_directory() = default;
+
+    /// True while the process can serve callers.
+    virtual bool isReady() const = 0;
+    virtual entry_addresses chooseEntry(const entry_question &question) = 0;
+};
+
 } // namespace almondnotch
--- a/servers/worker_transport/worker_request.cpp
+++ b/servers/worker_transport/worker_request.cpp
@@ -10,13 +10,11 @@
 
 namespace {
 
-const char *const loadTarget = "/almondnotch/load";
-
 /// Headers that the transport or libcurl sets itself, or that concern the caller's connection.
 bool isReplaced(std::string_view name)
 {
-    return isHopByHop(name) || isOwnHeader(name) || equalIgnoringCase(name, "Content-Length")
-           || equalIgnoringCase(name, "Idempotency-Key") || equalIgnoringCase(name, "Expect");
+    return isHopByHop(name) || equalIgnoringCase(name, "Content-Length")
+           || equalIgnoringCase(name, "Expect");
 }
 
 /// True if the text cannot end its header line early.
@@ -35,16 +33,15 @@
 
 } // namespace
 
-result<void> prepareAttempt(http_exchange &exchange, easy_pool &pool, connection_table &connections,
-                            const worker_transport_settings &bounds, const start_attempt &order,
-                            duration timeLeft)
+result<void> prepareAttempt(http_exchange &exchange, const request_parts &parts,
+                            const start_attempt &order, duration timeLeft)
 {
     const call_request &request = *order.request;
     header_list &headers = exchange.headers();
     bool typed = false;
     bool accepting = false;
     for (const header_field &field : request.headers) {
-        if (isReplaced(field.name))
+        if (isReplaced(field.name) || parts.dialect.isWithheld(field.name))
             continue;
         if (!isHeaderName(field.name) || !isOneLine(field.value))
             return fail(error_code::invalid_argument, "send attempt", order.workerAddress,
@@ -53,35 +50,39 @@
         accepting = accepting || equalIgnoringCase(field.name, "Accept");
         headers.add(field.name, field.value);
     }
-    if (!isOneLine(request.idempotencyKey) || !isOneLine(request.requestId))
-        return fail(error_code::invalid_argument, "send attempt", order.workerAddress,
-                    "the idempotency key or request id contains a line break");
-    headers.add("Almondnotch-Deadline-Ms", std::to_string(toMilliseconds(timeLeft)));
-    headers.add("Almondnotch-Depth", std::to_string(request.depth + 1));
-    headers.add("Almondnotch-Attempt", std::to_string(order.attemptNumber));
-    headers.add("Almondnotch-Request-Id", request.requestId);
-    if (!request.idempotencyKey.empty())
-        headers.add("Idempotency-Key", request.idempotencyKey);
+    for (const header_field &field : parts.dialect.attemptFields(order, timeLeft)) {
+        if (!isOneLine(field.value))
+            return fail(error_code::invalid_argument, "send attempt", order.workerAddress,
+                        field.name + " contains a line break");
+        headers.add(field.name, field.value);
+    }
     // libcurl would add these with values that the caller did not send.
     if (!typed)
         headers.suppress("Content-Type");
     if (!accepting)
         headers.suppress("Accept");
     headers.suppress("Expect");
-    const exchange_times times {timeLeft, bounds.connectTimeout,
-                                order.idempotent ? bounds.reuseAgeMax : bounds.unsafeReuseAgeMax};
-    const result<void> prepared = exchange.prepare(pool, connections, request.target, times);
+    const exchange_times times {timeLeft, parts.bounds.connectTimeout,
+                                order.idempotent ? parts.bounds.reuseAgeMax
+                                                 : parts.bounds.unsafeReuseAgeMax};
+    const result<void> prepared
+        = exchange.prepare(parts.pool, parts.connections, request.target, times);
     if (!prepared)
         return prepared;
+    if (order.freshConnection)
+        exchange.useOwnConnection();
     return exchange.setMethod(request.method, request.body);
 }
 
-result<void> prepareProbe(http_exchange &exchange, easy_pool &pool, connection_table &connections,
-                          const worker_transport_settings &bounds, duration timeLeft)
+result<void> prepareProbe(http_exchange &exchange, const request_parts &parts,
+                          const start_probe &order)
 {
+    for (const header_field &field : parts.dialect.probeFields(order))
+        exchange.headers().add(field.name, field.value);
     exchange.headers().suppress("Accept");
-    return exchange.prepare(pool, connections, loadTarget,
-                            {timeLeft, bounds.connectTimeout, bounds.reuseAgeMax});
+    return exchange.prepare(
+        parts.pool, parts.connections, parts.dialect.probeTarget(order),
+        {order.timeLimit, parts.bounds.connectTimeout, parts.bounds.reuseAgeMax});
 }
 
 } // namespace almondnotch
--- a/servers/worker_transport/worker_transport.cpp
+++ b/servers/worker_transport/worker_transport.cpp
@@ -2,9 +2,7 @@
 
 #include <algorithm>
 
-#include "servers/worker_transport/load_parser.h"
 #include "servers/worker_transport/worker_request.h"
-#include "servers/worker_transport/worker_response.h"
 
 namespace almondnotch {
 
@@ -20,8 +18,8 @@
 
 } // namespace
 
-worker_transport::worker_transport(worker_transport_settings bounds)
-    : m_bounds(bounds), m_handles(bounds.idleHandlesMax)
+worker_transport::worker_transport(worker_transport_settings bounds, const worker_dialect &dialect)
+    : m_bounds(bounds), m_dialect(dialect), m_handles(bounds.idleHandlesMax)
 { }
 
 worker_transport::~worker_transport()
@@ -139,8 +137,11 @@
         started.exchange = std::make_unique<http_exchange>(address, m_bounds.responseBytesMax,
                                                            started.order.request->method == "HEAD",
                                                            started.order.idempotent);
-        result<void> sent = prepareAttempt(*started.exchange, m_handles, m_connections, m_bounds,
-                                           started.order, timeLeft);
+        if (m_dialect.allowsUnframed())
+            started.exchange->reader().allowUnframed();
+        result<void> sent
+            = prepareAttempt(*started.exchange, {m_handles, m_connections, m_bounds, m_dialect},
+                             started.order, timeLeft);
         if (sent)
             sent = m_curl->add(started.exchange->handle());
         if (!sent)
@@ -221,7 +222,7 @@
 {
     m_counters.add("worker_probes_total");
     std::unique_ptr<probe> started = std::make_unique<probe>();
-    started->id = order.probe;
+    started->order = order;
     started->deadline = m_loop->now() + order.timeLimit;
     started->exchange
         = std::make_unique<http_exchange>(order.workerAddress, m_bounds.probeBytesMax, false, true);
@@ -230,8 +231,8 @@
         || m_probes.contains(order.probe))
         sent = fail(error_code::out_of_bounds, "probe", order.workerAddress, "too many exchanges");
     if (sent)
-        sent
-            = prepareProbe(*started->exchange, m_handles, m_connections, m_bounds, order.timeLimit);
+        sent = prepareProbe(*started->exchange,
+                            {m_handles, m_connections, m_bounds, m_dialect}, order);
     if (sent) {
         const auto worker = m_workers.find(order.workerAddress);
         // All permitted connections are in use, so this one is in excess and is not kept.
@@ -293,11 +294,9 @@
     outcome.attempt = id;
     if (code == CURLE_OK && reader.complete()) {
         outcome.end = attempt_end::answered;
-        outcome.load = readLoad(reader);
-        outcome.refusedNotRun = isRefusedNotRun(reader);
-        if (isLoadMalformed(reader))
+        if (m_dialect.isLoadMalformed(reader))
             m_counters.add("worker_load_headers_malformed_total");
-        outcome.response = std::make_shared<const call_response>(takeCallResponse(reader));
+        m_dialect.interpret(reader, ended->order, outcome);
     } else if (exchange.transmissions() == 0) {
         outcome.end = attempt_end::not_sent;
     } else if (code == CURLE_OPERATION_TIMEDOUT) {
@@ -305,7 +304,7 @@
     } else {
         outcome.end = attempt_end::broken;
     }
-    if (outcome.end != attempt_end::answered) {
+    if (outcome.end != attempt_end::answered && outcome.detail.empty()) {
         outcome.detail = exchange.repeatRefused() ? "the connection was lost before a response and "
                                                     "the request must not be sent twice"
                          : !reader.failure().empty() ? reader.failure()
@@ -340,9 +339,9 @@
     const std::uint64_t bytes = exchange.bytesSent() + exchange.bytesReceived();
     outcome.bytes = static_cast<std::uint32_t>(bytes);
     m_counters.add("worker_probe_bytes_total", bytes);
-    if (code == CURLE_OK && exchange.reader().complete() && exchange.reader().status() == 200) {
-        outcome.load = parseLoadDocument(exchange.reader().takeBody());
-        if (!outcome.load)
+    if (code == CURLE_OK && exchange.reader().complete()) {
+        m_dialect.interpretProbe(exchange.reader(), ended->order, outcome);
+        if (!outcome.load && exchange.reader().status() == 200)
             m_counters.add("worker_load_documents_malformed_total");
     }
     if (!outcome.load)
--- a/servers/worker_transport/worker_transport.h
+++ b/servers/worker_transport/worker_transport.h
@@ -16,6 +16,7 @@
 #include "servers/event_loop/event_loop.h"
 #include "servers/event_loop/timer_watcher.h"
 #include "servers/ports.h"
+#include "servers/worker_transport/worker_dialect.h"
 #include "servers/worker_transport/worker_transport_settings.h"
 
 namespace almondnotch {
@@ -34,7 +35,9 @@
 class worker_transport : public worker_port
 {
 public:
-    explicit worker_transport(worker_transport_settings bounds);
+    /// \param dialect outlives the service.
+    explicit worker_transport(worker_transport_settings bounds,
+                              const worker_dialect &dialect = nativeWorkerDialect());
     ~worker_transport() override;
 
     result<void> start(kernel &owner) override;
@@ -58,7 +61,7 @@
     };
     struct probe
     {
-        probe_id id {};
+        start_probe order;
         instant deadline;
         bool retriedFresh = false;
         std::unique_ptr<http_exchange> exchange;
@@ -88,6 +91,7 @@
     void updateGauges();
 
     worker_transport_settings m_bounds;
+    const worker_dialect &m_dialect;
     event_loop *m_loop = nullptr;
     event_sink *m_decision = nullptr;
     counter_set m_counters;
--- a/tests/servers/fake_ports.h
+++ b/tests/servers/fake_ports.h
@@ -52,6 +52,7 @@
 public:
     using fake_port::fake_port;
     void readPlatform(const read_platform &order) override { m_recorder.record(order); }
+    void readItems(const read_items &order) override { m_recorder.record(order); }
 };
 
 class fake_peers : public fake_port<peer_port>
