List the store's items anew after a watch was cut

Cause: libcurl repeated a watch whose connection the store had cut.

Ruled out: a lost 410 response and a watch that skips revisions; the log of each read showed one watch that spanned the cut.

Change: store reads are sent once, and a failed watch is followed by a list.

--- a/decision/routing/item_reader.cpp
+++ b/decision/routing/item_reader.cpp
@@ -49,6 +49,10 @@
     m_underWay = false;
     if (!input.page) {
         failed(now);
+        // A store that drops its history cuts its watches: a watch that resumes in that moment
+        // would wait for the next change and miss those that were dropped.
+        if (!m_isListing)
+            restart(m_nextRead);
         return true;
     }
     m_failures = 0;
--- a/servers/platform_client/platform_client.cpp
+++ b/servers/platform_client/platform_client.cpp
@@ -160,8 +160,9 @@
                     "expected at most " + std::to_string(m_bounds.readsMax) + " reads in progress");
     }
     started.deadline = m_loop->now() + started.timeLimit;
+    // libcurl must not repeat a read by itself: the decisions have to know that a watch was cut.
     started.exchange
-        = std::make_unique<http_exchange>(m_bounds.address, m_bounds.valueBytesMax, false, true);
+        = std::make_unique<http_exchange>(m_bounds.address, m_bounds.valueBytesMax, false, false);
     started.exchange->headers().suppress("Accept");
     const result<void> prepared
         = started.exchange->prepare(m_handles, m_connections, started.target,
@@ -232,8 +233,9 @@
         m_counters.add("platform_values_too_large_total");
         return fail(error_code::out_of_bounds, readStep, m_bounds.address, reader.failure());
     }
-    const std::string cause
-        = reader.failure().empty() ? curl_easy_strerror(code) : reader.failure();
+    std::string cause = reader.failure().empty() ? curl_easy_strerror(code) : reader.failure();
+    if (ended.exchange->repeatRefused())
+        cause = "the connection was lost before a response";
     return fail(code == CURLE_OPERATION_TIMEDOUT ? error_code::timed_out : error_code::unavailable,
                 readStep, m_bounds.address, cause);
 }
