Choose workers by a report that is made right before a request is sent

A trial that logged each run showed that a run keeps the speed that its machine has when it starts: 7 times the usual work at 700%, however soon the machine recovers. Reports up to 100 ms old were acted on, in which one in fifteen machines turns slow.

Lost hedges: budgets were not used up.

Change: reports are acted on for 20 ms; a request probes one near worker, then other near ones, then two distant ones; while all are slow or full it is held as long as its objective can still be met. Hedges that find no worker are tried again.

--- a/decision/routing/placement.cpp
+++ b/decision/routing/placement.cpp
@@ -8,21 +8,21 @@
 namespace {
 
 /// Age up to which a report is acted on without another probe.
-constexpr duration freshFor = milliseconds(100);
-/// Time in which a report loses most of its meaning; machines change speed about this often.
+constexpr duration freshFor = milliseconds(20);
+/// Time in which a report loses most of its meaning.
 constexpr duration reportFade = milliseconds(400);
 /// Slowdown that is assumed of a worker of which nothing is known.
 constexpr double unknownSlowdown = 2.0;
 /// Slowdown of a worker that has just started.
 constexpr double coldSlowdown = 2.0;
-/// Part of the objective that a distant worker must be faster by.
-constexpr double distancePart = 0.35;
-/// Part of the objective that a certain failure costs.
-constexpr double failurePart = 2.0;
-/// Part of the time to the objective that an acceptable worker takes at most.
-constexpr double goodPart = 0.75;
-/// Slowdown up to which a worker's machine counts as undisturbed.
-constexpr double goodSlowdown = 1.6;
+/// Slowdown up to which a machine counts as undisturbed.
+constexpr double usualSlowdown = 1.6;
+/// Slowdown of a worker whose slots are all in use, beside the wait for a slot.
+constexpr double crowding = 0.15;
+/// What the bytes between failure domains cost, as a share of a request's value.
+constexpr double distanceShare = 0.2;
+/// Share of its value that a request loses if it misses its objective.
+constexpr double lateShare = 0.9;
 /// Equal workers are told apart by chance, within this part of their cost.
 constexpr double jitterPart = 0.1;
 
@@ -40,27 +40,31 @@
     const double slots = std::max(worker.report.slots, 1U);
     const duration age = worker.hasReport ? now - worker.reportedAt : seconds(60);
     const double trust = std::exp(-toSeconds(age) / toSeconds(reportFade));
-    double slowdown = trust * worker.report.slowdownPercent / 100.0 + (1 - trust) * unknownSlowdown;
+    scored_worker out;
+    out.worker = index;
+    out.isNear = worker.entry.failureDomain == m_failureDomain;
+    out.isFresh = worker.hasReport && age <= freshFor;
+
+    double slowdown = worker.report.slowdownPercent / 100.0;
+    if (!out.isFresh)
+        slowdown = trust * slowdown + (1 - trust) * unknownSlowdown;
+    out.isUndisturbed = slowdown <= usualSlowdown;
     if (now < worker.warmAt)
         slowdown = std::max(slowdown, coldSlowdown);
     const double reported = worker.report.running + worker.report.queued;
     const double busy = std::max<double>(trust * reported + worker.sentSinceReport,
                                          worker.inFlight);
     const double waiting = std::max(0.0, busy + 1 - slots) / slots;
-    // Workers slow down as their slots fill.
-    const double crowding = 1 + 0.15 * std::min(1.0, busy / slots);
+    out.hasRoom = busy + 1 <= slots;
+    out.expected = scaled(request.work,
+                          slowdown * (1 + crowding * std::min(1.0, busy / slots) + waiting));
 
-    scored_worker out;
-    out.worker = index;
-    out.isNear = worker.entry.failureDomain == m_failureDomain;
-    out.isFresh = worker.hasReport && age <= freshFor;
-    out.expected = scaled(request.work, slowdown * (crowding + waiting));
     const double failures
         = worker.failureShare * std::exp(-toSeconds(now - worker.failureAt) / 4.0);
-    duration cost = out.expected + scaled(request.timeToObjective, failurePart * failures);
-    if (!out.isNear)
-        cost += scaled(request.timeToObjective, distancePart);
-    out.cost = scaled(cost, 1 + jitterPart * m_random.uniform());
+    const double risk = failures + (out.isNear ? 0.0 : distanceShare)
+                        + (out.expected > request.timeToObjective ? lateShare : 0.0);
+    out.cost = scaled(out.expected + scaled(request.objective, risk),
+                      1 + jitterPart * m_random.uniform());
     return out;
 }
 
@@ -101,11 +105,4 @@
     return out;
 }
 
-bool placement::isGood(const scored_worker &candidate, const placement_request &request)
-{
-    return candidate.isFresh
-           && candidate.expected <= scaled(request.timeToObjective, goodPart)
-           && candidate.expected <= scaled(request.work, goodSlowdown);
-}
-
 } // namespace almondnotch
--- a/decision/routing/placement.h
+++ b/decision/routing/placement.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/random_source.h"
@@ -16,7 +16,9 @@
     std::string service;
     /// Usual time that the work takes on an idle worker.
     duration work {0};
-    /// Time until the response loses most of its value.
+    /// Response time up to which a response has its full value.
+    duration objective {0};
+    /// Time left of the objective and until the deadline.
     duration timeToObjective {0};
     duration timeToDeadline {0};
     /// Workers that are not to be chosen again.
@@ -33,11 +35,21 @@
     bool isNear = false;
     /// Its report is young enough to act on.
     bool isFresh = false;
+    /// A slot is free for the request.
+    bool hasRoom = false;
+    /// Its machine runs at about its usual speed.
+    bool isUndisturbed = false;
+
+    /// The request may be sent there without looking further.
+    bool isGood() const { return isFresh && hasRoom && isUndisturbed; }
 };
 
-/// Chooses workers. Machines are shared, so that a worker may take several times as long as usual
-/// for some hundred milliseconds: a report says little after that time, and a request whose worker
-/// has none is worth a probe. Near workers go first, as bytes between failure domains cost.
+/// Chooses workers.
+///
+/// Machines are shared, so that a machine may be several times slower than usual for some hundred
+/// milliseconds. A request runs at the speed that the machine has when it starts: a report says
+/// little after some ten milliseconds, and a probe right before the request is sent is worth its
+/// cost. Near workers go first, as bytes between failure domains cost.
 class placement
 {
 public:
@@ -51,9 +63,6 @@
     std::vector<scored_worker> rank(instant now, const placement_request &request,
                                     duration lastResort) const;
 
-    /// True if the request may be sent without further probes.
-    static bool isGood(const scored_worker &candidate, const placement_request &request);
-
 private:
     scored_worker score(instant now, const placement_request &request, worker_index index) const;
     void collect(instant now, const placement_request &request, duration lastResort,
--- a/decision/routing/request_runner.cpp
+++ b/decision/routing/request_runner.cpp
@@ -1,6 +1,7 @@
 #include "decision/routing/request_runner.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "decision/calls/call_record.h"
@@ -15,15 +16,27 @@
 constexpr duration probeWait = milliseconds(12);
 /// How long a probe may take before its worker counts as unreachable.
 constexpr duration probeTimeLimit = milliseconds(400);
-/// Workers that a request probes in its first and in its second round.
-constexpr std::size_t probesFirstRound = 1;
-constexpr std::size_t probesSecondRound = 3;
+/// Workers that a request probes together before it is sent.
+struct probe_round
+{
+    std::size_t workersMax;
+    /// In the gateway's failure domain or outside it.
+    bool isNear;
+};
+
+/// One near worker is undisturbed most of the time. Distant ones are asked last, as the bytes
+/// between failure domains cost more than the probe.
+constexpr std::array<probe_round, 3> probeRounds {{{1, true}, {3, true}, {2, false}}};
+/// Rounds after which a distant worker may be taken.
+constexpr std::size_t nearRounds = 2;
 /// Transmissions of one request, those that certainly did not run included.
 constexpr std::size_t transmissionsMax = 6;
 /// Part of the objective for which a request is held back until a worker has room.
 constexpr int holdPart = 8;
 /// Time after which a held request looks for a worker again.
-constexpr duration holdStep = milliseconds(10);
+constexpr duration holdStep = milliseconds(20);
+/// A request is held as long as this multiple of its usual work fits before its objective.
+constexpr double holdReserve = 1.35;
 /// Usual work of a route of which nothing is known, as a part of its objective.
 constexpr double unknownWorkPart = 0.35;
 /// Weight of the newest sample in the usual work of a route.
@@ -31,10 +44,14 @@
 /// A hedge is sent while it can still meet the objective, but not before the first attempt is
 /// late by this factor of the usual work.
 constexpr double hedgeLateness = 1.4;
+/// Time after which a hedge that was not possible is tried again.
+constexpr duration hedgeStep = milliseconds(30);
 /// Part of the retry budget that hedges leave to retries.
-constexpr double hedgeReservePart = 0.3;
+constexpr double hedgeReservePart = 0.2;
+/// The same for requests that have missed their objective.
+constexpr double lateReservePart = 0.5;
 /// Part of the slack that is given out, since the number of gateways is only known roughly.
-constexpr double slackPart = 0.6;
+constexpr double slackPart = 0.8;
 /// Part of a caller's remaining time after which it no longer returns.
 constexpr int retryAfterPart = 3;
 constexpr duration retryAfterMin = milliseconds(20);
@@ -112,6 +129,7 @@
     placement_request out;
     out.service = record.service;
     out.work = workOf(*record.route);
+    out.objective = record.route->latencyObjective;
     out.timeToObjective = std::max(record.objectiveAt - now, duration {0});
     out.timeToDeadline = record.deadline - now;
     out.tried = record.triedWorkers();
@@ -129,12 +147,10 @@
         noPlace(now, record, "no worker of the service is usable", actions);
         return;
     }
-    const auto first
-        = std::find_if(ranked.begin(), ranked.end(), [&request](const scored_worker &candidate) {
-              return placement::isGood(candidate, request);
-          });
-    const bool isNearest = first != ranked.end() && (first->isNear || record.probeRounds > 0);
-    if (isNearest) {
+    const auto first = std::find_if(ranked.begin(), ranked.end(),
+                                    [](const scored_worker &one) { return one.isGood(); });
+    const bool hasGood = first != ranked.end();
+    if (hasGood && (first->isNear || record.probeRounds >= nearRounds)) {
         launch(now, record, *first, actions);
         return;
     }
@@ -142,12 +158,18 @@
         schedule(record);
         return;
     }
-    const scored_worker &best = first != ranked.end() ? *first : ranked.front();
-    if (record.isHedge && first == ranked.end()) {
+    const scored_worker &best = hasGood ? *first : ranked.front();
+    if (!hasGood && record.isHedge) {
         record.isPlacing = false;
         schedule(record);
         return;
     }
+    if (!hasGood && mayHold(now, record, best)) {
+        record.placeAgainAt = now + holdStep;
+        record.probeRounds = 0;
+        schedule(record);
+        return;
+    }
     if (best.expected > request.timeToDeadline) {
         noPlace(now, record, "no worker can answer in time", actions);
         return;
@@ -155,33 +177,45 @@
     launch(now, record, best, actions);
 }
 
+/// True if a request gains by waiting: its objective can still be met later, and the workers are
+/// slow or full now.
+bool request_runner::mayHold(instant now, const routed_request &record,
+                             const scored_worker &best)
+{
+    const duration work = workOf(*record.route);
+    if (best.isFresh && best.hasRoom && now + best.expected <= record.objectiveAt)
+        return false;
+    const instant latest = record.objectiveAt - scaled(work, holdReserve);
+    return now + holdStep < latest;
+}
+
 bool request_runner::probe(instant now, routed_request &record,
                            const std::vector<scored_worker> &ranked, action_list &actions)
 {
-    if (record.probeRounds >= 2 || record.deadline - now <= probeWait + timeLeftMin)
-        return false;
-    std::size_t left = record.probeRounds == 0 ? probesFirstRound : probesSecondRound;
-    ++record.probeRounds;
     const auto spec = record.config->services.find(record.service);
     const std::string path
         = spec == record.config->services.end() ? "/" : spec->second.healthPath;
-    for (const scored_worker &candidate : ranked) {
-        if (left == 0)
-            break;
-        if (candidate.isFresh)
-            continue;
-        if (!m_probeOf.contains(candidate.worker)) {
-            if (m_probes.size() >= m_settings.bounds.probesMax)
+    while (record.probeRounds < probeRounds.size()
+           && record.deadline - now > probeWait + timeLeftMin) {
+        const probe_round &round = probeRounds.at(record.probeRounds);
+        ++record.probeRounds;
+        std::size_t left = round.workersMax;
+        for (const scored_worker &candidate : ranked) {
+            if (left == 0 || m_probes.size() >= m_settings.bounds.probesMax)
                 break;
-            startProbe(candidate.worker, path, actions);
+            if (candidate.isFresh || candidate.isNear != round.isNear)
+                continue;
+            if (!m_probeOf.contains(candidate.worker))
+                startProbe(candidate.worker, path, actions);
+            record.awaited.insert(candidate.worker);
+            --left;
+        }
+        if (!record.awaited.empty()) {
+            record.probesUntil = now + probeWait;
+            return true;
         }
-        record.awaited.insert(candidate.worker);
-        --left;
     }
-    if (record.awaited.empty())
-        return false;
-    record.probesUntil = now + probeWait;
-    return true;
+    return false;
 }
 
 void request_runner::startProbe(worker_index worker, const std::string &healthPath,
@@ -239,6 +273,10 @@
     m_parts.invariants.check("at_most_once_sent_once",
                              record.isIdempotent() || !record.mayHaveRun(),
                              record.request->requestId);
+    if (record.isHedge) {
+        m_budgets[record.service].take();
+        m_parts.counters.add("hedges_total");
+    }
     record.isPlacing = false;
     record.isHedge = false;
     record.probeRounds = 0;
@@ -272,9 +310,6 @@
     const duration work = workOf(*record.route);
     const instant latest = record.objectiveAt - scaled(work, 1.3) - milliseconds(5);
     record.hedgeAt = std::max(now + scaled(work, hedgeLateness), latest);
-    // Past the objective a second try no longer earns more than the first.
-    if (record.hedgeAt >= record.objectiveAt)
-        record.hedgeAt = instant::never();
 }
 
 void request_runner::attemptFinished(instant now, const attempt_finished &input,
@@ -435,13 +470,18 @@
         if (entry.second->isPlacing && entry.second->awaited.contains(worker))
             waiting.push_back(entry.second.get());
     }
+    std::sort(waiting.begin(), waiting.end(),
+              [](const routed_request *left, const routed_request *right) {
+                  return std::pair(left->route->priority, left->deadline)
+                         < std::pair(right->route->priority, right->deadline);
+              });
     for (routed_request *record : waiting) {
         record->awaited.erase(worker);
-        const placement_request request = wanted(now, *record);
-        const std::vector<scored_worker> ranked = m_placement.rank(now, request, m_lastResort);
+        const std::vector<scored_worker> ranked
+            = m_placement.rank(now, wanted(now, *record), m_lastResort);
         const bool hasGood
-            = std::any_of(ranked.begin(), ranked.end(), [&](const scored_worker &candidate) {
-                  return candidate.worker == worker && placement::isGood(candidate, request);
+            = std::any_of(ranked.begin(), ranked.end(), [worker](const scored_worker &one) {
+                  return one.worker == worker && one.isGood();
               });
         if (hasGood || record->awaited.empty())
             place(now, *record, actions);
@@ -479,25 +519,32 @@
         } else if (record->isPlacing) {
             place(now, *record, actions);
         } else if (now >= record->hedgeAt) {
-            record->hedgeAt = instant::never();
-            const double capacity
-                = std::max(1.0, slackPart * m_settings.budgets.retrySlack / m_gateways);
-            if (record->runningAttempts() > 0
-                && m_budgets[record->service].take(hedgeReservePart * capacity)) {
-                m_parts.counters.add("hedges_total");
-                record->isPlacing = true;
-                record->isHedge = true;
-                record->probeRounds = 0;
-                place(now, *record, actions);
-            } else {
-                schedule(*record);
-            }
+            tryHedge(now, *record, actions);
         } else {
             schedule(*record);
         }
     }
 }
 
+void request_runner::tryHedge(instant now, routed_request &record, action_list &actions)
+{
+    record.hedgeAt = now + hedgeStep;
+    if (record.hedgeAt + workOf(*record.route) > record.deadline)
+        record.hedgeAt = instant::never();
+    const double capacity = std::max(1.0, slackPart * m_settings.budgets.retrySlack / m_gateways);
+    const double reserve = now < record.objectiveAt ? hedgeReservePart : lateReservePart;
+    if (record.runningAttempts() == 0 || !m_budgets[record.service].has(1 + reserve * capacity)) {
+        schedule(record);
+        return;
+    }
+    record.isPlacing = true;
+    record.isHedge = true;
+    // Later tries act on what other requests have learned.
+    record.probeRounds = record.hasTriedHedge ? probeRounds.size() : 0;
+    record.hasTriedHedge = true;
+    place(now, record, actions);
+}
+
 void request_runner::endAll(instant now, action_list &actions)
 {
     while (!m_requests.empty()) {
@@ -571,7 +618,15 @@
                     {"service", record.service},
                     {"age_ms", std::to_string(toMilliseconds(now - record.arrivedAt))},
                     {"time_left_ms", std::to_string(toMilliseconds(record.deadline - now))},
-                    {"attempts", tried}}});
+                    {"attempts", tried},
+                    {"attempts_max", record.route == nullptr
+                                         ? std::string("0")
+                                         : std::to_string(record.route->attemptsMax)},
+                    {"retry_tokens",
+                     std::to_string(static_cast<int>(m_budgets[record.service].tokens()))},
+                    {"work_ms", record.route == nullptr
+                                    ? std::string("0")
+                                    : std::to_string(toMilliseconds(workOf(*record.route)))}}});
 }
 
 void request_runner::schedule(routed_request &record)
--- a/decision/routing/request_runner.h
+++ b/decision/routing/request_runner.h
@@ -85,6 +85,7 @@
 
     std::optional<ending> admit(instant now, routed_request &record, route_table *table);
     void place(instant now, routed_request &record, action_list &actions);
+    bool mayHold(instant now, const routed_request &record, const scored_worker &best);
     bool probe(instant now, routed_request &record, const std::vector<scored_worker> &ranked,
                action_list &actions);
     void startProbe(worker_index worker, const std::string &healthPath, action_list &actions);
@@ -94,6 +95,7 @@
                 action_list &actions);
     void noPlace(instant now, routed_request &record, std::string_view reason,
                  action_list &actions);
+    void tryHedge(instant now, routed_request &record, action_list &actions);
     void planHedge(instant now, routed_request &record, const scored_worker &chosen);
     bool mayRetry(instant now, const routed_request &record, const attempt_finished &input);
     void attemptFailed(instant now, routed_request &record, const attempt_finished &input,
--- a/decision/routing/retry_budget.h
+++ b/decision/routing/retry_budget.h
@@ -23,10 +23,12 @@
         m_tokens = std::min(m_tokens + share, capacity);
     }
 
-    /// Takes one token, if at least `reserve` remain.
-    bool take(double reserve = 0)
+    bool has(double tokens) const { return m_tokens >= tokens; }
+
+    /// Takes one token, if there is one.
+    bool take()
     {
-        if (m_tokens < 1 + reserve)
+        if (m_tokens < 1)
             return false;
         m_tokens -= 1;
         return true;
--- a/decision/routing/routed_request.h
+++ b/decision/routing/routed_request.h
@@ -54,6 +54,7 @@
     /// When a worker is looked for again, since none had room.
     instant placeAgainAt = instant::never();
     instant hedgeAt = instant::never();
+    bool hasTriedHedge = false;
     /// A worker's failure that is passed on if no other worker does better.
     shared_response failure;
 
--- a/main/daemon/daemon_settings.cpp
+++ b/main/daemon/daemon_settings.cpp
@@ -239,7 +239,7 @@
 {
     /// Part of the retries that the gateways use: the rest covers requests that are counted in
     /// another window than their retries.
-    constexpr double retrySharePart = 0.6;
+    constexpr double retrySharePart = 0.8;
     const setting_reader reader(values);
     target.publishesItems = values.text("routing.configuration") == "items";
     target.directory.addresses = splitList(values.text("routing.directory_addresses"));
