--- a/core/duration_text.cpp
+++ b/core/duration_text.cpp
@@ -16,8 +16,8 @@
 std::optional<duration> parseDuration(std::string_view text)
 {
     double number = 0;
-    const std::from_chars_result parsed = std::from_chars(text.data(), text.data() + text.size(),
-                                                          number, std::chars_format::fixed);
+    const std::from_chars_result parsed
+        = std::from_chars(text.data(), text.data() + text.size(), number, std::chars_format::fixed);
     if (parsed.ec != std::errc() || !std::isfinite(number) || number < 0)
         return std::nullopt;
     const std::string_view unit = text.substr(static_cast<std::size_t>(parsed.ptr - text.data()));
--- a/decision/gateway.h
+++ b/decision/gateway.h
@@ -62,7 +62,8 @@
     nlohmann::json dump(instant now) const override;
 
     /// Why a call would go where: rule, service, group and the workers' scores.
-    nlohmann::json explain(instant now, std::string_view method, std::string_view target) const override;
+    nlohmann::json explain(instant now, std::string_view method,
+                           std::string_view target) const override;
 
     const counter_set &counters() const override;
     invariant_set &invariants() override;
--- a/decision/routing/item_reader.cpp
+++ b/decision/routing/item_reader.cpp
@@ -107,8 +107,8 @@
     m_lastFailure = now;
     const unsigned doublings = std::min(m_failures, backoffDoublingsMax);
     ++m_failures;
-    const duration pause = std::min<duration>(m_settings.retryFirst * (1U << doublings),
-                                              m_settings.retryLongest);
+    const duration pause
+        = std::min<duration>(m_settings.retryFirst * (1U << doublings), m_settings.retryLongest);
     m_nextRead = now
                  + duration(static_cast<std::int64_t>(static_cast<double>(pause.count())
                                                       * (0.75 + 0.5 * m_random.uniform())));
--- a/decision/routing/peer_group.cpp
+++ b/decision/routing/peer_group.cpp
@@ -97,11 +97,10 @@
     m_members.expire(now);
     for (const std::string &address : chooseContacts())
         send(now, address, facts, true, actions);
-    m_nextExchange
-        = now
-          + duration(static_cast<std::int64_t>(
-              static_cast<double>(m_settings.exchangeInterval.count())
-              * (0.8 + 0.4 * m_random.uniform())));
+    m_nextExchange = now
+                     + duration(static_cast<std::int64_t>(
+                         static_cast<double>(m_settings.exchangeInterval.count())
+                         * (0.8 + 0.4 * m_random.uniform())));
 }
 
 void peer_group::digestArrived(instant now, const fleet_digest &digest, const peer_facts &facts,
--- a/decision/routing/placement.cpp
+++ b/decision/routing/placement.cpp
@@ -52,12 +52,12 @@
     if (now < worker.warmAt)
         slowdown = std::max(slowdown, coldSlowdown);
     const double reported = worker.report.running + worker.report.queued;
-    const double busy = std::max<double>(trust * reported + worker.sentSinceReport,
-                                         worker.inFlight);
+    const double busy
+        = std::max<double>(trust * reported + worker.sentSinceReport, worker.inFlight);
     const double waiting = std::max(0.0, busy + 1 - slots) / slots;
     out.hasRoom = busy + 1 <= slots;
-    out.expected = scaled(request.work,
-                          slowdown * (1 + crowding * std::min(1.0, busy / slots) + waiting));
+    out.expected
+        = scaled(request.work, slowdown * (1 + crowding * std::min(1.0, busy / slots) + waiting));
 
     const double failures
         = worker.failureShare * std::exp(-toSeconds(now - worker.failureAt) / 4.0);
@@ -77,9 +77,9 @@
             || std::find(request.tried.begin(), request.tried.end(), index) != request.tried.end())
             continue;
         const bool isRemoved = worker.removedAt != instant::never();
-        if (lastResort == duration {0} ? isRemoved || worker.entry.leaving
-                                       : !isRemoved || worker.entry.leaving
-                                             || now - worker.removedAt > lastResort)
+        if (lastResort == duration {0}
+                ? isRemoved || worker.entry.leaving
+                : !isRemoved || worker.entry.leaving || now - worker.removedAt > lastResort)
             continue;
         out.push_back(score(now, request, index));
     }
--- a/decision/routing/request_runner.cpp
+++ b/decision/routing/request_runner.cpp
@@ -179,8 +179,7 @@
 
 /// True if a request gains by waiting: its objective can still be met later, and the workers are
 /// slow or full now.
-bool request_runner::mayHold(instant now, const routed_request &record,
-                             const scored_worker &best)
+bool request_runner::mayHold(instant now, const routed_request &record, const scored_worker &best)
 {
     const duration work = workOf(*record.route);
     if (best.isFresh && best.hasRoom && now + best.expected <= record.objectiveAt)
@@ -193,8 +192,7 @@
                            const std::vector<scored_worker> &ranked, action_list &actions)
 {
     const auto spec = record.config->services.find(record.service);
-    const std::string path
-        = spec == record.config->services.end() ? "/" : spec->second.healthPath;
+    const std::string path = spec == record.config->services.end() ? "/" : spec->second.healthPath;
     while (record.probeRounds < probeRounds.size()
            && record.deadline - now > probeWait + timeLeftMin) {
         const probe_round &round = probeRounds.at(record.probeRounds);
@@ -260,8 +258,7 @@
 unsigned request_runner::connectionShare(const routed_request &record) const
 {
     const auto spec = record.config->services.find(record.service);
-    const unsigned whole
-        = spec == record.config->services.end() ? 1 : spec->second.connectionsMax;
+    const unsigned whole = spec == record.config->services.end() ? 1 : spec->second.connectionsMax;
     return std::max(1U, whole / std::max(1U, m_gateways));
 }
 
@@ -326,9 +323,9 @@
     observe(now, record, ended.second, input, actions);
     if (record == nullptr)
         return;
-    const auto attempt
-        = std::find_if(record->attempts.begin(), record->attempts.end(),
-                       [&input](const routed_attempt &row) { return row.attempt == input.attempt; });
+    const auto attempt = std::find_if(
+        record->attempts.begin(), record->attempts.end(),
+        [&input](const routed_attempt &row) { return row.attempt == input.attempt; });
     attempt->end = input.end;
     attempt->refusedNotRun = input.refusedNotRun;
     const bool isAnswer = input.end == attempt_end::answered && !input.refusedNotRun;
@@ -422,8 +419,8 @@
     const bool isLate = input.end == attempt_end::timed_out || now >= record.deadline;
     finishWith(now, record,
                {isLate ? 504 : 502, isLate ? "deadline-passed" : "response-incomplete",
-                isLate ? "Deadline passed" : "The worker gave no whole response",
-                "await response", input.detail},
+                isLate ? "Deadline passed" : "The worker gave no whole response", "await response",
+                input.detail},
                actions);
 }
 
@@ -572,8 +569,7 @@
         m_parts.invariants.check("not_run_was_not_sent", !record.mayHaveRun(),
                                  record.request->requestId);
         const duration longest = std::max((record.deadline - now) / retryAfterPart, retryAfterMin);
-        const duration usual
-            = record.route == nullptr ? retryAfterMin : workOf(*record.route) / 2;
+        const duration usual = record.route == nullptr ? retryAfterMin : workOf(*record.route) / 2;
         details.retryAfter = std::clamp(usual, retryAfterMin, longest);
     }
     finish(now, record, makeProblemResponse(details), actions);
@@ -606,27 +602,25 @@
         const pooled_worker &worker = m_parts.pool.at(attempt.worker);
         tried += (tried.empty() ? "" : " ") + worker.entry.name + ":"
                  + std::string(attempt.end ? toString(*attempt.end) : "running") + ":"
-                 + std::to_string(toMilliseconds(now - attempt.startedAt)) + "ms:"
-                 + std::to_string(attempt.slowdownPercent) + "%";
+                 + std::to_string(toMilliseconds(now - attempt.startedAt))
+                 + "ms:" + std::to_string(attempt.slowdownPercent) + "%";
     }
-    actions.push_back(
-        write_log {log_level::warning,
-                   "request",
-                   "The request failed.",
-                   {{"request_id", record.request->requestId},
-                    {"status", std::to_string(response->status)},
-                    {"service", record.service},
-                    {"age_ms", std::to_string(toMilliseconds(now - record.arrivedAt))},
-                    {"time_left_ms", std::to_string(toMilliseconds(record.deadline - now))},
-                    {"attempts", tried},
-                    {"attempts_max", record.route == nullptr
-                                         ? std::string("0")
-                                         : std::to_string(record.route->attemptsMax)},
-                    {"retry_tokens",
-                     std::to_string(static_cast<int>(m_budgets[record.service].tokens()))},
-                    {"work_ms", record.route == nullptr
-                                    ? std::string("0")
-                                    : std::to_string(toMilliseconds(workOf(*record.route)))}}});
+    actions.push_back(write_log {
+        log_level::warning,
+        "request",
+        "The request failed.",
+        {{"request_id", record.request->requestId},
+         {"status", std::to_string(response->status)},
+         {"service", record.service},
+         {"age_ms", std::to_string(toMilliseconds(now - record.arrivedAt))},
+         {"time_left_ms", std::to_string(toMilliseconds(record.deadline - now))},
+         {"attempts", tried},
+         {"attempts_max",
+          record.route == nullptr ? std::string("0") : std::to_string(record.route->attemptsMax)},
+         {"retry_tokens", std::to_string(static_cast<int>(m_budgets[record.service].tokens()))},
+         {"work_ms", record.route == nullptr
+                         ? std::string("0")
+                         : std::to_string(toMilliseconds(workOf(*record.route)))}}});
 }
 
 void request_runner::schedule(routed_request &record)
--- a/decision/routing/request_runner.h
+++ b/decision/routing/request_runner.h
@@ -106,8 +106,7 @@
     placement_request wanted(instant now, const routed_request &record);
     duration workOf(const host_route &route);
     unsigned connectionShare(const routed_request &record) const;
-    void finishWith(instant now, routed_request &record, const ending &cause,
-                    action_list &actions);
+    void finishWith(instant now, routed_request &record, const ending &cause, action_list &actions);
     void finish(instant now, routed_request &record, const shared_response &response,
                 action_list &actions);
     void logEnd(instant now, const routed_request &record, const shared_response &response,
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -151,8 +151,8 @@
 {
     if (stage == life_stage::finished)
         return instant::never();
-    instant wake = std::min({runner.nextWake(), configReader.nextWake(), workerReader.nextWake(),
-                             nextSweep});
+    instant wake = std::min(
+        {runner.nextWake(), configReader.nextWake(), workerReader.nextWake(), nextSweep});
     if (hasJoined)
         wake = std::min(wake, peers.nextWake());
     return wake;
@@ -192,8 +192,7 @@
     return out;
 }
 
-void route_gateway::state::on(instant now, const peer_message_received &input,
-                              action_list &actions)
+void route_gateway::state::on(instant now, const peer_message_received &input, action_list &actions)
 {
     const fleet_digest *digest = std::get_if<fleet_digest>(&input.message);
     if (digest == nullptr) {
@@ -230,10 +229,10 @@
         std::vector<header_field> fields;
         if (!input.page)
             fields.push_back({"cause", toString(input.page.error())});
-        actions.push_back(write_log {isFailing ? log_level::warning : log_level::info, "store",
-                                     isFailing ? "The store does not answer."
-                                               : "The store answers again.",
-                                     std::move(fields)});
+        actions.push_back(
+            write_log {isFailing ? log_level::warning : log_level::info, "store",
+                       isFailing ? "The store does not answer." : "The store answers again.",
+                       std::move(fields)});
     }
     configReader.timerExpired(now, nextRead, actions);
     workerReader.timerExpired(now, nextRead, actions);
@@ -258,12 +257,11 @@
             continue;
         table = std::make_unique<route_table>(item.config);
         counters.set("configuration_version", static_cast<double>(item.config->version));
-        actions.push_back(
-            write_log {log_level::info,
-                       "config",
-                       "A configuration is in force.",
-                       {{"version", std::to_string(item.config->version)},
-                        {"routes", std::to_string(item.config->routes.size())}}});
+        actions.push_back(write_log {log_level::info,
+                                     "config",
+                                     "A configuration is in force.",
+                                     {{"version", std::to_string(item.config->version)},
+                                      {"routes", std::to_string(item.config->routes.size())}}});
     }
 }
 
@@ -403,8 +401,7 @@
     // "//host/path" names the host as well, as in a URL without a scheme.
     const std::string_view rest = target.starts_with("//") ? target.substr(2) : target;
     const std::size_t slash = std::min(rest.find('/'), rest.size());
-    const host_route *route
-        = m_state->table->find(rest.substr(0, slash), rest.substr(slash));
+    const host_route *route = m_state->table->find(rest.substr(0, slash), rest.substr(slash));
     if (route == nullptr)
         return {{"refusal", "no route matches; expected //HOST/PATH"}};
     nlohmann::json targets = nlohmann::json::array();
--- a/main/daemon/daemon_settings.cpp
+++ b/main/daemon/daemon_settings.cpp
@@ -245,7 +245,8 @@
     target.directory.addresses = splitList(values.text("routing.directory_addresses"));
     routing_settings &routing = target.routing;
     routing.grace = parseDuration(values.text("routing.grace")).value_or(routing.grace);
-    routing.entryKeep = parseDuration(values.text("routing.entry_keep")).value_or(routing.entryKeep);
+    routing.entryKeep
+        = parseDuration(values.text("routing.entry_keep")).value_or(routing.entryKeep);
     routing.budgets.retryShare = retrySharePart * values.real("routing.retry_share");
     reader.read("routing.retry_slack", routing.budgets.retrySlack);
     routing.pauseThreshold = common.pauseThreshold;
--- a/main/daemon/gateway_process.cpp
+++ b/main/daemon/gateway_process.cpp
@@ -56,12 +56,7 @@
         return [routing = settings.routing](std::int64_t /*unixMsAtOrigin*/) {
             return route_gateway::create(routing);
         };
-    return [decisions = settings.decisions](
-               std::int64_t unixMsAtOrigin) -> result<std::unique_ptr<decision_core>> {
-        gateway_settings timed = decisions;
-        timed.unixMsAtOrigin = unixMsAtOrigin;
-        return gateway::create(std::move(timed));
-    };
+    return gatewayFactory(settings.decisions);
 }
 
 /// The error of a registration, if it failed.
@@ -94,9 +89,8 @@
     if (registered)
         registered = registerDecisionTask(m_kernel, coreFactory(settings));
     if (registered)
-        registered = withoutValue(
-            registerHttpEntry(m_kernel, settings.entry,
-                              hasItems ? platform::callers() : nativeCallerDialect()));
+        registered = withoutValue(registerHttpEntry(
+            m_kernel, settings.entry, hasItems ? platform::callers() : nativeCallerDialect()));
     if (registered && hasItems)
         registered = registerDirectoryPort(m_kernel, settings.directory, platform::directory());
     if (registered)
--- a/servers/decision_task/decision_task.cpp
+++ b/servers/decision_task/decision_task.cpp
@@ -33,13 +33,14 @@
 
 decision_task::decision_task(core_factory makeCore) : m_makeCore(std::move(makeCore)) { }
 
-decision_task::decision_task(const gateway_settings &settings)
-    : m_makeCore([settings](std::int64_t unixMsAtOrigin) -> result<std::unique_ptr<decision_core>> {
-          gateway_settings timed = settings;
-          timed.unixMsAtOrigin = unixMsAtOrigin;
-          return gateway::create(std::move(timed));
-      })
-{ }
+decision_task::core_factory gatewayFactory(const gateway_settings &settings)
+{
+    return [settings](std::int64_t unixMsAtOrigin) -> result<std::unique_ptr<decision_core>> {
+        gateway_settings timed = settings;
+        timed.unixMsAtOrigin = unixMsAtOrigin;
+        return gateway::create(std::move(timed));
+    };
+}
 
 result<void> decision_task::start(kernel &owner)
 {
@@ -141,7 +142,7 @@
 nlohmann::json decision_task::explain(std::string_view method, std::string_view target) const
 {
     return m_core == nullptr ? nlohmann::json::object()
-                                : m_core->explain(m_loop->now(), method, target);
+                             : m_core->explain(m_loop->now(), method, target);
 }
 
 const counter_set &decision_task::counters() const
--- a/servers/decision_task/decision_task.h
+++ b/servers/decision_task/decision_task.h
@@ -17,8 +17,8 @@
 
 namespace almondnotch {
 
-/// Service "decision": drives the decisions of a gateway with events and time, and carries out its actions in
-/// order on the ports. All functions are called on the loop's thread.
+/// Service "decision": drives the decisions of a gateway with events and time, and carries out its
+/// actions in order on the ports. All functions are called on the loop's thread.
 class decision_task : public event_sink, public decision_inspection, public entry_directory
 {
 public:
@@ -28,7 +28,6 @@
         = std::function<result<std::unique_ptr<decision_core>>(std::int64_t unixMsAtOrigin)>;
 
     explicit decision_task(core_factory makeCore);
-    explicit decision_task(const gateway_settings &settings);
 
     /// Finds the ports "worker_transport", "platform_client", "peer_link" and "http_entry", creates
     /// the gateway and lets it take its first actions.
@@ -78,4 +77,7 @@
     bool m_exiting = false;
 };
 
+/// Makes a `gateway`, which serves callers with idempotency keys.
+decision_task::core_factory gatewayFactory(const gateway_settings &settings);
+
 } // namespace almondnotch
--- a/servers/directory_port/directory_port.cpp
+++ b/servers/directory_port/directory_port.cpp
@@ -90,8 +90,8 @@
 
 MHD_Result directory_port::answerReadiness(MHD_Connection *connection)
 {
-    return answer(connection,
-                  m_directory->isReady() ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE, "{}");
+    return answer(connection, m_directory->isReady() ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
+                  "{}");
 }
 
 MHD_Result directory_port::answerEntry(MHD_Connection *connection)
--- a/servers/http_entry/register_services.cpp
+++ b/servers/http_entry/register_services.cpp
@@ -6,7 +6,7 @@
 namespace almondnotch {
 
 result<http_entry *> registerHttpEntry(kernel &owner, entry_settings settings,
-                               const caller_dialect &dialect)
+                                       const caller_dialect &dialect)
 {
     std::unique_ptr<http_entry> part = std::make_unique<http_entry>(std::move(settings), dialect);
     http_entry *borrowed = part.get();
--- a/servers/platform_client/platform_client.cpp
+++ b/servers/platform_client/platform_client.cpp
@@ -220,8 +220,8 @@
     if (const read_items *items = std::get_if<read_items>(&order))
         m_decision->deliver(items_read {items->read, tl::unexpected(cause)});
     else
-        m_decision->deliver(platform_read_finished {std::get<read_platform>(order).read,
-                                                    tl::unexpected(cause)});
+        m_decision->deliver(
+            platform_read_finished {std::get<read_platform>(order).read, tl::unexpected(cause)});
 }
 
 result<void> platform_client::checkTransfer(read &ended, CURLcode code)
--- a/servers/platform_client/platform_client.h
+++ b/servers/platform_client/platform_client.h
@@ -27,8 +27,7 @@
 {
 public:
     /// \param items how items are read; null if the platform publishes none. Outlives the service.
-    explicit platform_client(platform_client_settings bounds,
-                             const store_dialect *items = nullptr);
+    explicit platform_client(platform_client_settings bounds, const store_dialect *items = nullptr);
     ~platform_client() override;
 
     result<void> start(kernel &owner) override;
--- a/servers/platform_client/register_services.h
+++ b/servers/platform_client/register_services.h
@@ -9,6 +9,6 @@
 
 /// Adds the service "platform_client".
 result<platform_client *> registerPlatformClient(kernel &owner, platform_client_settings bounds,
-                                                const store_dialect *items = nullptr);
+                                                 const store_dialect *items = nullptr);
 
 } // namespace almondnotch
--- a/servers/worker_transport/register_services.cpp
+++ b/servers/worker_transport/register_services.cpp
@@ -5,7 +5,7 @@
 namespace almondnotch {
 
 result<worker_transport *> registerWorkerTransport(kernel &owner, worker_transport_settings bounds,
-                               const worker_dialect &dialect)
+                                                   const worker_dialect &dialect)
 {
     std::unique_ptr<worker_transport> part = std::make_unique<worker_transport>(bounds, dialect);
     worker_transport *borrowed = part.get();
--- a/servers/worker_transport/register_services.h
+++ b/servers/worker_transport/register_services.h
@@ -9,6 +9,7 @@
 
 /// Adds the service "worker_transport". \param dialect outlives the service.
 result<worker_transport *> registerWorkerTransport(kernel &owner, worker_transport_settings bounds,
-                               const worker_dialect &dialect = nativeWorkerDialect());
+                                                   const worker_dialect &dialect
+                                                   = nativeWorkerDialect());
 
 } // namespace almondnotch
--- a/servers/worker_transport/worker_transport.cpp
+++ b/servers/worker_transport/worker_transport.cpp
@@ -231,8 +231,8 @@
         || m_probes.contains(order.probe))
         sent = fail(error_code::out_of_bounds, "probe", order.workerAddress, "too many exchanges");
     if (sent)
-        sent = prepareProbe(*started->exchange,
-                            {m_handles, m_connections, m_bounds, m_dialect}, order);
+        sent = prepareProbe(*started->exchange, {m_handles, m_connections, m_bounds, m_dialect},
+                            order);
     if (sent) {
         const auto worker = m_workers.find(order.workerAddress);
         // All permitted connections are in use, so this one is in excess and is not kept.
--- a/tests/decision/gateway/fleet_world.h
+++ b/tests/decision/gateway/fleet_world.h
@@ -124,6 +124,8 @@
     void on(unsigned index, const send_entry_response &order);
     void on(unsigned index, const send_peer_message &order);
     void on(unsigned index, const read_platform &order);
+    /// The gateways of this world read no published items.
+    void on(unsigned /*index*/, const read_items & /*order*/) { }
     void on(unsigned index, const write_log &order);
     void on(unsigned index, const exit_process &order);
     void execute(unsigned index, std::uint64_t generation, const start_attempt &order,
--- /dev/null
+++ b/tests/decision/routing/routing_fixture.cpp
@@ -0,0 +1,227 @@
+#include "tests/decision/routing/routing_fixture.h"
+
+#include <stdexcept>
+#include <utility>
+
+namespace almondnotch {
+
+routing_settings nearGateway(std::uint64_t seed)
+{
+    routing_settings settings;
+    settings.seed = seed;
+    settings.peers.self = {"vm-1", 1};
+    settings.peers.failureDomain = "near";
+    settings.peers.entryAddress = "10.0.0.1:80";
+    settings.peers.peerAddress = "10.0.0.1:90";
+    settings.budgets.retryShare = 0.1;
+    settings.budgets.retrySlack = 320;
+    return settings;
+}
+
+published_worker workerEntry(const std::string &name, const std::string &service,
+                             const std::string &failureDomain)
+{
+    published_worker entry;
+    entry.name = name;
+    entry.address = "10.1.0.1:80";
+    entry.service = service;
+    entry.failureDomain = failureDomain;
+    entry.slots = 4;
+    entry.startedUnixMs = 1;
+    return entry;
+}
+
+published_item workerItem(const published_worker &entry)
+{
+    published_item item;
+    item.name = entry.name;
+    item.worker = entry;
+    return item;
+}
+
+published_item removedItem(const std::string &name)
+{
+    published_item item;
+    item.name = name;
+    item.removed = true;
+    return item;
+}
+
+route_config shopRoutes(std::uint64_t version)
+{
+    const auto makeRoute = [](const std::string &prefix, const std::string &service,
+                              repeatability repeats, unsigned priority) {
+        host_route route;
+        route.name = prefix;
+        route.host = "shop.example";
+        route.prefix = prefix;
+        route.repeats = repeats;
+        route.timeout = milliseconds(600);
+        route.latencyObjective = milliseconds(200);
+        route.priority = priority;
+        route.attemptsMax = 2;
+        route.targets = {{service, 1}};
+        return route;
+    };
+    route_config config;
+    config.version = version;
+    config.routes = {makeRoute("/read/", "reads", repeatability::idempotent, 1),
+                     makeRoute("/urgent/", "reads", repeatability::idempotent, 0),
+                     makeRoute("/book/", "books", repeatability::at_most_once, 0)};
+    config.services = {{"reads", {"/health", 100}}, {"books", {"/health", 100}}};
+    return config;
+}
+
+published_item configItem(const route_config &config)
+{
+    published_item item;
+    item.name = "configuration";
+    item.config = std::make_shared<const route_config>(config);
+    return item;
+}
+
+routing_fixture::routing_fixture(routing_settings settings)
+{
+    result<std::unique_ptr<decision_core>> made = route_gateway::create(std::move(settings));
+    if (!made)
+        throw std::runtime_error(toString(made.error()));
+    gateway = std::move(*made);
+    gateway->invariants().setFailureHandler([](std::string_view name, const std::string &detail) {
+        throw std::runtime_error("invariant " + std::string(name) + " failed: " + detail);
+    });
+    action_list fresh;
+    gateway->start(now, fresh);
+    takeNew(fresh);
+}
+
+void routing_fixture::takeNew(action_list &fresh)
+{
+    std::vector<start_probe> started;
+    for (action &one : fresh) {
+        if (const read_items *read = std::get_if<read_items>(&one))
+            m_reads[read->scope] = *read;
+        else if (const start_probe *probe = std::get_if<start_probe>(&one))
+            started.push_back(*probe);
+        else
+            actions.push_back(std::move(one));
+    }
+    for (const start_probe &probe : started) {
+        probes.push_back(probe);
+        if (!answersProbes)
+            continue;
+        const auto load = loads.find(probe.workerName);
+        answerProbe(probe, load == loads.end() ? load_report {0, 0, 4} : load->second);
+    }
+}
+
+void routing_fixture::becomeReady(const std::vector<published_worker> &workers,
+                                  const route_config &config)
+{
+    item_page configPage;
+    configPage.items = {configItem(config)};
+    configPage.revision = revision;
+    answerRead(item_scope::configuration, configPage);
+    item_page workerPage;
+    for (const published_worker &entry : workers)
+        workerPage.items.push_back(workerItem(entry));
+    workerPage.revision = revision;
+    answerRead(item_scope::workers, workerPage);
+}
+
+void routing_fixture::handle(const event &input)
+{
+    action_list fresh;
+    gateway->handle(now, input, fresh);
+    takeNew(fresh);
+}
+
+void routing_fixture::advance(duration length)
+{
+    const instant end = now + length;
+    while (gateway->nextWake() <= end) {
+        now = std::max(now, gateway->nextWake());
+        handle(timer_expired {});
+    }
+    now = end;
+}
+
+call_id routing_fixture::call(const std::string &method, const std::string &target,
+                              duration timeout)
+{
+    const call_id id {m_nextCall++};
+    std::shared_ptr<call_request> request = std::make_shared<call_request>();
+    request->method = method;
+    request->target = target;
+    request->host = "shop.example";
+    request->timeout = timeout;
+    request->requestId = "r-" + std::to_string(static_cast<std::uint64_t>(id));
+    handle(call_received {id, request});
+    return id;
+}
+
+void routing_fixture::answer(const start_attempt &attempt, int status)
+{
+    attempt_finished outcome;
+    outcome.attempt = attempt.attempt;
+    outcome.end = attempt_end::answered;
+    std::shared_ptr<call_response> response = std::make_shared<call_response>();
+    response->status = status;
+    response->body = attempt.workerName;
+    outcome.response = std::move(response);
+    handle(outcome);
+}
+
+void routing_fixture::refuseNotRun(const start_attempt &attempt)
+{
+    attempt_finished outcome;
+    outcome.attempt = attempt.attempt;
+    outcome.end = attempt_end::answered;
+    outcome.refusedNotRun = true;
+    std::shared_ptr<call_response> response = std::make_shared<call_response>();
+    response->status = 503;
+    outcome.response = std::move(response);
+    handle(outcome);
+}
+
+void routing_fixture::end(const start_attempt &attempt, attempt_end how)
+{
+    attempt_finished outcome;
+    outcome.attempt = attempt.attempt;
+    outcome.end = how;
+    handle(outcome);
+}
+
+const read_items *routing_fixture::openRead(item_scope scope) const
+{
+    const auto found = m_reads.find(scope);
+    return found == m_reads.end() ? nullptr : &found->second;
+}
+
+void routing_fixture::answerRead(item_scope scope, result<item_page> page)
+{
+    const auto found = m_reads.find(scope);
+    if (found == m_reads.end())
+        throw std::runtime_error("no read of this scope is under way");
+    const read_id id = found->second.read;
+    m_reads.erase(found);
+    handle(items_read {id, std::move(page)});
+}
+
+void routing_fixture::answerProbe(const start_probe &probe, const std::optional<load_report> &load)
+{
+    probe_finished outcome;
+    outcome.probe = probe.probe;
+    outcome.load = load;
+    handle(outcome);
+}
+
+std::string headerOf(const shared_response &response, const std::string &name)
+{
+    for (const header_field &field : response->headers) {
+        if (field.name == name)
+            return field.value;
+    }
+    return {};
+}
+
+} // namespace almondnotch
--- a/tests/servers/decision_task_test.cpp
+++ b/tests/servers/decision_task_test.cpp
@@ -26,7 +26,7 @@
         add<fake_platform>("platform_client");
         add<fake_peers>("peer_link");
         entry = add<fake_entry>("http_entry");
-        BOOST_REQUIRE(registerDecisionTask(owner, {}));
+        BOOST_REQUIRE(registerDecisionTask(owner, gatewayFactory({})));
         BOOST_REQUIRE(owner.start());
         sink = *owner.find<event_sink>("decision");
     }
