Offer free slots to the most urgent requests and refuse what cannot be served in time

Change: requests that look for a worker stand in order of priority and deadline; a report that shows a free slot, also that of a response, is offered to them; a request is refused at once if those before it take longer than it can wait, and when its objective can no longer be met on a busy service. Hedges take only workers that are half idle. Held requests ask distant workers every 150 ms.

--- /dev/null
+++ b/decision/routing/event_rate.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cmath>
+
+#include "core/time.h"
+
+namespace almondnotch {
+
+/// Rate of events with exponential decay.
+class event_rate
+{
+public:
+    void count(instant now)
+    {
+        m_weight = weightAt(now) + 1;
+        m_at = now;
+    }
+
+    double perSecond(instant now) const { return weightAt(now) / toSeconds(window); }
+
+private:
+    /// Time in which an event's weight falls to 1/e.
+    static constexpr duration window = milliseconds(500);
+
+    double weightAt(instant now) const
+    {
+        return m_weight * std::exp(-toSeconds(now - m_at) / toSeconds(window));
+    }
+
+    double m_weight = 0;
+    instant m_at;
+};
+
+} // namespace almondnotch
--- a/decision/routing/placement.cpp
+++ b/decision/routing/placement.cpp
@@ -56,6 +56,7 @@
         = std::max<double>(trust * reported + worker.sentSinceReport, worker.inFlight);
     const double waiting = std::max(0.0, busy + 1 - slots) / slots;
     out.hasRoom = busy + 1 <= slots;
+    out.isIdle = 2 * (busy + 1) <= slots;
     out.expected
         = scaled(request.work, slowdown * (1 + crowding * std::min(1.0, busy / slots) + waiting));
 
@@ -85,6 +86,19 @@
     }
 }
 
+std::optional<scored_worker> placement::assess(instant now, const placement_request &request,
+                                               worker_index index) const
+{
+    const pooled_worker &worker = m_pool.at(index);
+    const bool isUsable = worker.entry.service == request.service && !worker.isReplaced
+                          && !worker.entry.leaving && worker.removedAt == instant::never()
+                          && worker.shunnedUntil <= now;
+    if (!isUsable
+        || std::find(request.tried.begin(), request.tried.end(), index) != request.tried.end())
+        return std::nullopt;
+    return score(now, request, index);
+}
+
 std::vector<scored_worker> placement::rank(instant now, const placement_request &request,
                                            duration lastResort) const
 {
@@ -93,12 +107,14 @@
     if (out.empty() && lastResort > duration {0})
         collect(now, request, lastResort, out);
     // Workers that fail are left out as long as others remain.
-    const auto shunned = std::stable_partition(
-        out.begin(), out.end(), [this, now](const scored_worker &candidate) {
-            return m_pool.at(candidate.worker).shunnedUntil <= now;
+    const bool hasSound
+        = std::any_of(out.begin(), out.end(), [this, now](const scored_worker &one) {
+              return m_pool.at(one.worker).shunnedUntil <= now;
+          });
+    if (hasSound)
+        std::erase_if(out, [this, now](const scored_worker &one) {
+            return m_pool.at(one.worker).shunnedUntil > now;
         });
-    if (shunned != out.begin())
-        out.erase(shunned, out.end());
     std::sort(out.begin(), out.end(), [](const scored_worker &left, const scored_worker &right) {
         return left.cost < right.cost;
     });
--- a/decision/routing/placement.h
+++ b/decision/routing/placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -37,6 +38,8 @@
     bool isFresh = false;
     /// A slot is free for the request.
     bool hasRoom = false;
+    /// At most half of its slots are in use with the request.
+    bool isIdle = false;
     /// Its machine runs at about its usual speed.
     bool isUndisturbed = false;
 
@@ -63,6 +66,10 @@
     std::vector<scored_worker> rank(instant now, const placement_request &request,
                                     duration lastResort) const;
 
+    /// One worker; nothing if the request must not be sent there.
+    std::optional<scored_worker> assess(instant now, const placement_request &request,
+                                        worker_index index) const;
+
 private:
     scored_worker score(instant now, const placement_request &request, worker_index index) const;
     void collect(instant now, const placement_request &request, duration lastResort,
--- a/decision/routing/request_runner.cpp
+++ b/decision/routing/request_runner.cpp
@@ -27,14 +27,18 @@
 /// One near worker is undisturbed most of the time. Distant ones are asked last, as the bytes
 /// between failure domains cost more than the probe.
 constexpr std::array<probe_round, 3> probeRounds {{{1, true}, {3, true}, {2, false}}};
+/// A request that is held asks distant workers again after this time.
+constexpr duration distantProbeInterval = milliseconds(150);
 /// Rounds after which a distant worker may be taken.
 constexpr std::size_t nearRounds = 2;
+/// Requests that look for a worker of a service from which on the service counts as busy.
+constexpr std::size_t busySeekers = 3;
 /// Transmissions of one request, those that certainly did not run included.
 constexpr std::size_t transmissionsMax = 6;
 /// Part of the objective for which a request is held back until a worker has room.
 constexpr int holdPart = 8;
 /// Time after which a held request looks for a worker again.
-constexpr duration holdStep = milliseconds(20);
+constexpr duration holdStep = milliseconds(25);
 /// A request is held as long as this multiple of its usual work fits before its objective.
 constexpr double holdReserve = 1.35;
 /// Usual work of a route of which nothing is known, as a part of its objective.
@@ -112,7 +116,7 @@
     const std::optional<ending> refused = admit(now, record, table);
     m_parts.counters.add("requests_total");
     if (!refused)
-        m_budgets[record.service].requestArrived(
+        m_services[record.service].budget.requestArrived(
             m_settings.budgets.retryShare,
             std::max(1.0, slackPart * m_settings.budgets.retrySlack / m_gateways));
     m_requests.emplace(input.call, std::move(owned));
@@ -120,7 +124,7 @@
         finishWith(now, record, *refused, actions);
         return;
     }
-    record.isPlacing = true;
+    startPlacing(record, false);
     place(now, record, actions);
 }
 
@@ -147,8 +151,11 @@
         noPlace(now, record, "no worker of the service is usable", actions);
         return;
     }
-    const auto first = std::find_if(ranked.begin(), ranked.end(),
-                                    [](const scored_worker &one) { return one.isGood(); });
+    // A hedge takes no slot that a first attempt may need.
+    const auto first = std::find_if(
+        ranked.begin(), ranked.end(), [&record](const scored_worker &one) {
+            return one.isGood() && (!record.isHedge || one.isIdle);
+        });
     const bool hasGood = first != ranked.end();
     if (hasGood && (first->isNear || record.probeRounds >= nearRounds)) {
         launch(now, record, *first, actions);
@@ -158,25 +165,115 @@
         schedule(record);
         return;
     }
-    const scored_worker &best = hasGood ? *first : ranked.front();
-    if (!hasGood && record.isHedge) {
-        record.isPlacing = false;
+    if (hasGood) {
+        launch(now, record, *first, actions);
+        return;
+    }
+    if (record.isHedge) {
+        stopPlacing(record);
         schedule(record);
         return;
     }
-    if (!hasGood && mayHold(now, record, best)) {
+    placeLater(now, record, ranked.front(), actions);
+}
+
+/// No worker is good now: holds the request, sends it to the best of the bad, or gives it up.
+void request_runner::placeLater(instant now, routed_request &record, const scored_worker &best,
+                                action_list &actions)
+{
+    const duration timeLeft = record.deadline - now;
+    if (mayHold(now, record, best)) {
+        if (!record.isHeld && isCrowded(now, record)) {
+            giveUp(now, record, "more requests wait than can be served in time", actions);
+            return;
+        }
+        record.isHeld = true;
         record.placeAgainAt = now + holdStep;
+        // Room at other workers is found through the responses of requests that end there.
         record.probeRounds = 0;
         schedule(record);
         return;
     }
-    if (best.expected > request.timeToDeadline) {
-        noPlace(now, record, "no worker can answer in time", actions);
+    const bool isLate = now + best.expected > record.objectiveAt;
+    const bool isBusy = !best.hasRoom || seekersAhead(record) >= busySeekers;
+    if (best.expected > timeLeft || (isLate && isBusy)) {
+        giveUp(now, record, "no worker can answer in time", actions);
         return;
     }
     launch(now, record, best, actions);
 }
 
+/// Requests of the service that look for a worker and go before this one.
+std::size_t request_runner::seekersAhead(const routed_request &record) const
+{
+    const auto found = m_seekers.find(record.service);
+    if (found == m_seekers.end())
+        return 0;
+    const seeker self {record.route->priority, record.deadline, record.call};
+    return static_cast<std::size_t>(
+        std::distance(found->second.begin(), found->second.lower_bound(self)));
+}
+
+/// True if the requests that go before this one take longer to be sent than it can wait.
+bool request_runner::isCrowded(instant now, const routed_request &record)
+{
+    const std::size_t ahead = seekersAhead(record);
+    if (ahead < busySeekers)
+        return false;
+    const double rate = m_services[record.service].launches.perSecond(now);
+    const duration slack
+        = record.objectiveAt - now - scaled(workOf(*record.route), holdReserve);
+    return static_cast<double>(ahead) > rate * toSeconds(std::max(slack, duration {0}));
+}
+
+void request_runner::startPlacing(routed_request &record, bool isHedge)
+{
+    record.isPlacing = true;
+    record.isHedge = isHedge;
+    record.isHeld = false;
+    record.probeRounds = 0;
+    m_seekers[record.service].insert(
+        seeker {record.route->priority, record.deadline, record.call});
+}
+
+void request_runner::stopPlacing(routed_request &record)
+{
+    if (!record.isPlacing)
+        return;
+    record.isPlacing = false;
+    record.isHedge = false;
+    record.probesUntil = instant::never();
+    record.placeAgainAt = instant::never();
+    record.awaited.clear();
+    m_seekers[record.service].erase(
+        seeker {record.route->priority, record.deadline, record.call});
+}
+
+/// Offers the room that a fresh report shows to the requests that look for a worker, the most
+/// urgent first.
+void request_runner::offerRoom(instant now, worker_index worker, action_list &actions)
+{
+    const auto found = m_seekers.find(m_parts.pool.at(worker).entry.service);
+    if (found == m_seekers.end())
+        return;
+    // Placing one changes the set.
+    const std::vector<seeker> seekers(found->second.begin(), found->second.end());
+    for (const seeker &one : seekers) {
+        routed_request *record = find(one.call);
+        if (record == nullptr || !record->isPlacing)
+            continue;
+        const bool wasAwaited = record->awaited.erase(worker) > 0;
+        const std::optional<scored_worker> offered
+            = m_placement.assess(now, wanted(now, *record), worker);
+        const bool isTaken = offered && offered->isGood() && (offered->isNear || wasAwaited)
+                             && (!record->isHedge || offered->isIdle);
+        if (isTaken)
+            launch(now, *record, *offered, actions);
+        else if (wasAwaited && record->awaited.empty())
+            place(now, *record, actions);
+    }
+}
+
 /// True if a request gains by waiting: its objective can still be met later, and the workers are
 /// slow or full now.
 bool request_runner::mayHold(instant now, const routed_request &record, const scored_worker &best)
@@ -197,6 +294,10 @@
            && record.deadline - now > probeWait + timeLeftMin) {
         const probe_round &round = probeRounds.at(record.probeRounds);
         ++record.probeRounds;
+        if (!round.isNear && now < record.distantProbesAt)
+            continue;
+        if (!round.isNear)
+            record.distantProbesAt = now + distantProbeInterval;
         std::size_t left = round.workersMax;
         for (const scored_worker &candidate : ranked) {
             if (left == 0 || m_probes.size() >= m_settings.bounds.probesMax)
@@ -228,12 +329,29 @@
         almondnotch::start_probe {id, entry.address, probeTimeLimit, entry.name, healthPath});
 }
 
+/// No worker is known for the request: waits a little for one, or gives the request up.
 void request_runner::noPlace(instant now, routed_request &record, std::string_view reason,
                              action_list &actions)
 {
-    if (record.isHedge || record.runningAttempts() > 0) {
-        record.isPlacing = false;
-        record.isHedge = false;
+    const duration hold = record.route->latencyObjective / holdPart;
+    const bool mayWait = !record.isHedge && record.runningAttempts() == 0 && !record.failure
+                         && !record.mayHaveRun() && now + holdStep < record.arrivedAt + hold
+                         && now + holdStep < record.deadline;
+    if (!mayWait) {
+        giveUp(now, record, reason, actions);
+        return;
+    }
+    record.placeAgainAt = now + holdStep;
+    record.probeRounds = 0;
+    schedule(record);
+}
+
+/// Stops looking for a worker, and ends the request unless an attempt runs.
+void request_runner::giveUp(instant now, routed_request &record, std::string_view reason,
+                            action_list &actions)
+{
+    if (record.runningAttempts() > 0) {
+        stopPlacing(record);
         schedule(record);
         return;
     }
@@ -241,14 +359,6 @@
         finish(now, record, record.failure, actions);
         return;
     }
-    const duration hold = record.route->latencyObjective / holdPart;
-    if (!record.mayHaveRun() && now + holdStep < record.arrivedAt + hold
-        && now + holdStep < record.deadline) {
-        record.placeAgainAt = now + holdStep;
-        record.probeRounds = 0;
-        schedule(record);
-        return;
-    }
     finishWith(now, record,
                {record.mayHaveRun() ? 502 : 503, "no-worker-available", "No worker is available",
                 "place", std::string(reason)},
@@ -271,12 +381,11 @@
                              record.isIdempotent() || !record.mayHaveRun(),
                              record.request->requestId);
     if (record.isHedge) {
-        m_budgets[record.service].take();
+        m_services[record.service].budget.take();
         m_parts.counters.add("hedges_total");
     }
-    record.isPlacing = false;
-    record.isHedge = false;
-    record.probeRounds = 0;
+    stopPlacing(record);
+    m_services[record.service].launches.count(now);
     record.attempts.push_back({id, chosen.worker, now,
                                chosen.isFresh ? worker.report.slowdownPercent : 0, std::nullopt,
                                false});
@@ -321,22 +430,29 @@
     m_attempts.erase(found);
     routed_request *record = find(ended.first);
     observe(now, record, ended.second, input, actions);
-    if (record == nullptr)
-        return;
-    const auto attempt = std::find_if(
-        record->attempts.begin(), record->attempts.end(),
-        [&input](const routed_attempt &row) { return row.attempt == input.attempt; });
+    if (record != nullptr)
+        attemptEnded(now, *record, input, actions);
+    if (input.load)
+        offerRoom(now, ended.second, actions);
+}
+
+void request_runner::attemptEnded(instant now, routed_request &record,
+                                  const attempt_finished &input, action_list &actions)
+{
+    const auto attempt
+        = std::find_if(record.attempts.begin(), record.attempts.end(),
+                       [&input](const routed_attempt &row) { return row.attempt == input.attempt; });
     attempt->end = input.end;
     attempt->refusedNotRun = input.refusedNotRun;
     const bool isAnswer = input.end == attempt_end::answered && !input.refusedNotRun;
     if (isAnswer && !isServerFailure(input.response)) {
-        learnWork(now, *record, *attempt);
-        finish(now, *record, input.response, actions);
+        learnWork(now, record, *attempt);
+        finish(now, record, input.response, actions);
         return;
     }
     if (isAnswer)
-        record->failure = input.response;
-    attemptFailed(now, *record, input, actions);
+        record.failure = input.response;
+    attemptFailed(now, record, input, actions);
 }
 
 /// Tells the pool and the quarantine what the end of an attempt shows about its worker.
@@ -382,7 +498,7 @@
     if (m_parts.quarantine.isActive()
         && m_parts.quarantine.isQuarantined(now, digestOf(*record.request)))
         return false;
-    if (m_budgets[record.service].take()) {
+    if (m_services[record.service].budget.take()) {
         m_parts.counters.add("retries_total");
         return true;
     }
@@ -395,10 +511,8 @@
 {
     if (mayRetry(now, record, input)) {
         if (record.runningAttempts() == 0) {
-            record.isPlacing = true;
-            record.isHedge = false;
-            record.probeRounds = 0;
             record.hedgeAt = instant::never();
+            startPlacing(record, false);
             place(now, record, actions);
         }
         return;
@@ -462,27 +576,7 @@
         m_parts.quarantine.workerAnswered(name);
     else
         m_parts.quarantine.workerUnreachable(now, name);
-    std::vector<routed_request *> waiting;
-    for (const std::pair<const call_id, std::unique_ptr<routed_request>> &entry : m_requests) {
-        if (entry.second->isPlacing && entry.second->awaited.contains(worker))
-            waiting.push_back(entry.second.get());
-    }
-    std::sort(waiting.begin(), waiting.end(),
-              [](const routed_request *left, const routed_request *right) {
-                  return std::pair(left->route->priority, left->deadline)
-                         < std::pair(right->route->priority, right->deadline);
-              });
-    for (routed_request *record : waiting) {
-        record->awaited.erase(worker);
-        const std::vector<scored_worker> ranked
-            = m_placement.rank(now, wanted(now, *record), m_lastResort);
-        const bool hasGood
-            = std::any_of(ranked.begin(), ranked.end(), [worker](const scored_worker &one) {
-                  return one.worker == worker && one.isGood();
-              });
-        if (hasGood || record->awaited.empty())
-            place(now, *record, actions);
-    }
+    offerRoom(now, worker, actions);
 }
 
 void request_runner::callerDisconnected(instant now, const caller_disconnected &input,
@@ -497,6 +591,7 @@
         if (!attempt.end)
             actions.push_back(cancel_attempt {attempt.attempt});
     }
+    stopPlacing(*record);
     m_requests.erase(input.call);
 }
 
@@ -530,12 +625,11 @@
         record.hedgeAt = instant::never();
     const double capacity = std::max(1.0, slackPart * m_settings.budgets.retrySlack / m_gateways);
     const double reserve = now < record.objectiveAt ? hedgeReservePart : lateReservePart;
-    if (record.runningAttempts() == 0 || !m_budgets[record.service].has(1 + reserve * capacity)) {
+    if (record.runningAttempts() == 0 || !m_services[record.service].budget.has(1 + reserve * capacity)) {
         schedule(record);
         return;
     }
-    record.isPlacing = true;
-    record.isHedge = true;
+    startPlacing(record, true);
     // Later tries act on what other requests have learned.
     record.probeRounds = record.hasTriedHedge ? probeRounds.size() : 0;
     record.hasTriedHedge = true;
@@ -585,6 +679,7 @@
         if (!attempt.end)
             actions.push_back(cancel_attempt {attempt.attempt});
     }
+    stopPlacing(record);
     m_parts.counters.add("responses_total{class=\"" + std::to_string(response->status / 100)
                          + "xx\"}");
     logEnd(now, record, response, actions);
@@ -617,7 +712,7 @@
          {"attempts", tried},
          {"attempts_max",
           record.route == nullptr ? std::string("0") : std::to_string(record.route->attemptsMax)},
-         {"retry_tokens", std::to_string(static_cast<int>(m_budgets[record.service].tokens()))},
+         {"retry_tokens", std::to_string(static_cast<int>(m_services[record.service].budget.tokens()))},
          {"work_ms", record.route == nullptr
                          ? std::string("0")
                          : std::to_string(toMilliseconds(workOf(*record.route)))}}});
@@ -658,16 +753,17 @@
     nlohmann::json routes = nlohmann::json::object();
     for (const std::pair<const std::string, route_history> &entry : m_routes)
         routes[entry.first] = {{"work_ms", toMilliseconds(entry.second.work)}};
-    nlohmann::json budgets = nlohmann::json::object();
-    for (const std::pair<const std::string, retry_budget> &entry : m_budgets)
-        budgets[entry.first] = {{"retry_tokens", entry.second.tokens()}};
+    nlohmann::json services = nlohmann::json::object();
+    for (const std::pair<const std::string, service_state> &entry : m_services)
+        services[entry.first] = {{"retry_tokens", entry.second.budget.tokens()},
+                                 {"sent_per_second", entry.second.launches.perSecond(now)}};
     return {{"in_progress", m_requests.size()},
             {"attempts_in_flight", m_attempts.size()},
             {"probes_in_flight", m_probes.size()},
             {"gateways", m_gateways},
             {"requests", rows},
             {"routes", routes},
-            {"budgets", budgets}};
+            {"services", services}};
 }
 
 } // namespace almondnotch
--- a/decision/routing/request_runner.h
+++ b/decision/routing/request_runner.h
@@ -19,6 +19,7 @@
 #include "decision/actions.h"
 #include "decision/calls/quarantine_table.h"
 #include "decision/events.h"
+#include "decision/routing/event_rate.h"
 #include "decision/routing/placement.h"
 #include "decision/routing/retry_budget.h"
 #include "decision/routing/route_table.h"
@@ -77,6 +78,22 @@
         std::string_view step;
         std::string detail;
     };
+    /// A request that looks for a worker; the most urgent and the earliest deadline go first.
+    struct seeker
+    {
+        unsigned priority = 0;
+        instant deadline;
+        call_id call {};
+
+        // clang-tidy 14 takes the 0 in the generated comparison for a null pointer.
+        auto operator<=>(const seeker &) const = default; // NOLINT(modernize-use-nullptr)
+    };
+    /// State of one service that outlives its requests.
+    struct service_state
+    {
+        retry_budget budget;
+        event_rate launches;
+    };
     /// What is remembered of a route's requests.
     struct route_history
     {
@@ -85,6 +102,17 @@
 
     std::optional<ending> admit(instant now, routed_request &record, route_table *table);
     void place(instant now, routed_request &record, action_list &actions);
+    void placeLater(instant now, routed_request &record, const scored_worker &best,
+                    action_list &actions);
+    std::size_t seekersAhead(const routed_request &record) const;
+    bool isCrowded(instant now, const routed_request &record);
+    void startPlacing(routed_request &record, bool isHedge);
+    void stopPlacing(routed_request &record);
+    void offerRoom(instant now, worker_index worker, action_list &actions);
+    void attemptEnded(instant now, routed_request &record, const attempt_finished &input,
+                      action_list &actions);
+    void giveUp(instant now, routed_request &record, std::string_view reason,
+                action_list &actions);
     bool mayHold(instant now, const routed_request &record, const scored_worker &best);
     bool probe(instant now, routed_request &record, const std::vector<scored_worker> &ranked,
                action_list &actions);
@@ -129,7 +157,8 @@
     /// When requests are due; an entry may be stale and is then skipped.
     std::set<std::pair<instant, call_id>> m_timers;
     std::map<std::string, route_history, std::less<>> m_routes;
-    std::map<std::string, retry_budget, std::less<>> m_budgets;
+    std::map<std::string, service_state, std::less<>> m_services;
+    std::map<std::string, std::set<seeker>, std::less<>> m_seekers;
     std::uint64_t m_nextAttempt = 1;
     std::uint64_t m_nextProbe = 1;
 };
--- a/decision/routing/routed_request.h
+++ b/decision/routing/routed_request.h
@@ -46,8 +46,12 @@
     bool isPlacing = false;
     /// The worker that is looked for is a second one beside a running attempt.
     bool isHedge = false;
+    /// It was held at least once, since no worker was good.
+    bool isHeld = false;
     /// Rounds of probes for the attempt that is being placed.
     unsigned probeRounds = 0;
+    /// When distant workers may be probed again.
+    instant distantProbesAt;
     /// Workers whose probes are awaited, until `probesUntil`.
     std::set<worker_index> awaited;
     instant probesUntil = instant::never();
