--- /dev/null
+++ b/tests/platform/standins.py
@@ -0,0 +1,358 @@
+"""Stand-ins of the users' platform: its store, its workers, and a gateway process to test with them."""
+import base64
+import http.client
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import tempfile
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+HOST = "shop.example"
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *arguments):
+        pass
+
+    def reply(self, status, headers=(), body=b"", framed=True):
+        head = f"HTTP/1.1 {status} X\r\n" + "".join(f"{n}: {v}\r\n" for n, v in headers)
+        if framed:
+            head += f"Content-Length: {len(body)}\r\n"
+        self.wfile.write(head.encode() + b"\r\n" + body)
+
+    def reset(self):
+        """Ends the connection so that the peer sees a reset."""
+        self.close_connection = True
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.connection.close()
+
+
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 256
+
+    def __init__(self, handler):
+        super().__init__(("127.0.0.1", 0), handler)
+        self.address = f"127.0.0.1:{self.server_address[1]}"
+        threading.Thread(target=self.serve_forever, kwargs={"poll_interval": 0.05},
+                         daemon=True).start()
+
+    def handle_error(self, request, client_address):
+        pass
+
+    def end(self):
+        self.shutdown()
+        self.server_close()
+
+
+class Store:
+    """Items with one revision counter, lists, watches, lost history and outages."""
+
+    def __init__(self):
+        self.changed = threading.Condition()
+        self.items, self.events = {}, []
+        self.revision, self.compacted, self.calls = 1, 0, 0
+        self.is_down, self.cuts = False, 0
+        store = self
+
+        class StoreHandler(Handler):
+            def do_GET(self):
+                store.answer(self)
+
+        self.server = Server(StoreHandler)
+
+    def put(self, key, value):
+        text = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self._change(key, base64.b64encode(text).decode())
+
+    def remove(self, key):
+        self._change(key, None)
+
+    def _change(self, key, value):
+        with self.changed:
+            self.revision += 1
+            event = {"key": key, "revision": self.revision}
+            if value is None:
+                self.items.pop(key, None)
+                event["removed"] = True
+            else:
+                event.update(value=value, created=self.revision, lease=0)
+                self.items[key] = event
+            self.events.append(event)
+            self.changed.notify_all()
+
+    def compact(self):
+        """Drops the history and cuts the watches."""
+        with self.changed:
+            self.events.clear()
+            self.compacted = self.revision
+            self.cuts += 1
+            self.changed.notify_all()
+
+    def answer(self, handler):
+        target = urlsplit(handler.path)
+        query = {name: values[0] for name, values in parse_qs(target.query).items()}
+        self.calls += 1
+        if self.is_down:
+            handler.reply(503)
+        elif target.path == "/v1/kv-range":
+            self._list(handler, query)
+        elif target.path == "/v1/kv-watch":
+            self._watch(handler, query)
+        else:
+            handler.reply(404)
+
+    def _list(self, handler, query):
+        page = 3
+        with self.changed:
+            keys = sorted(key for key in self.items
+                          if key.startswith(query["prefix"]) and key > query.get("after", ""))
+            body = {"items": [self.items[key] for key in keys[:page]],
+                    "hasMore": len(keys) > page, "currentRev": self.revision}
+        handler.reply(200, body=json.dumps(body).encode())
+
+    def _watch(self, handler, query):
+        after, cuts = int(query["after"]), self.cuts
+        limit = time.monotonic() + int(query["waitMs"]) / 1000
+
+        def news():
+            return [event for event in self.events
+                    if event["revision"] > after and event["key"].startswith(query["prefix"])]
+
+        with self.changed:
+            if after < self.compacted:
+                handler.reply(410)
+                return
+            while not news() and time.monotonic() < limit and self.cuts == cuts \
+                    and not self.is_down:
+                self.changed.wait(0.05)
+            if self.cuts != cuts or self.is_down:
+                handler.close_connection = True
+                return
+            body = {"events": news(), "currentRev": self.revision}
+        handler.reply(200, body=json.dumps(body).encode())
+
+
+class Worker:
+    """A worker that registers in the store; `mode` makes it misbehave."""
+
+    def __init__(self, store, name, service, zone="a", port=None):
+        self.store, self.name, self.service, self.zone = store, name, service, zone
+        self.mode, self.work, self.slowdown, self.runs = "sound", 0.0, 100, []
+        self.headers = []
+        self.lock = threading.Lock()
+        self.running = 0
+        worker = self
+
+        class WorkerHandler(Handler):
+            def do_GET(self):
+                worker.answer(self)
+
+            do_POST = do_PUT = do_GET
+
+        self.server = Server(WorkerHandler)
+        self.born = int(time.time() * 1000)
+        self.register()
+
+    def register(self, state="ready"):
+        self.store.put(f"servers/{self.name}", {
+            "address": self.server.address, "born": self.born,
+            "info": {"service": self.service, "version": "v1", "zone": self.zone, "slots": 4},
+            "status": {"state": state, "seq": 1, "warmupLeft": "0ms"}})
+
+    def load(self):
+        return [("X-Almondnotch-Server-Load", f"{self.running},0,4,{self.slowdown}")]
+
+    def answer(self, handler):
+        wanted = handler.headers.get("X-Almondnotch-Target-Instance", self.name)
+        if wanted != self.name:
+            self._read(handler)
+            handler.reply(421, [("X-Almondnotch-Instance-Id", self.name)])
+            return
+        if handler.path == "/health":
+            handler.reply(200, [("X-Almondnotch-Instance-Id", self.name)] + self.load())
+            return
+        if self.mode == "early":
+            # Refused before the body is read; the rest of it still arrives on the connection.
+            handler.reply(503, [("X-Almondnotch-Not-Executed", "1")])
+            self._read(handler)
+            return
+        body = self._read(handler)
+        if self.mode == "shed":
+            handler.reply(503, [("X-Almondnotch-Not-Executed", "1")])
+            return
+        self._run(handler, body)
+
+    def _read(self, handler):
+        return handler.rfile.read(int(handler.headers.get("Content-Length", 0)))
+
+    def _run(self, handler, body):
+        attempt = handler.headers["X-Almondnotch-Attempt-Id"]
+        with self.lock:
+            self.runs.append((attempt, handler.command, handler.path, body, time.monotonic()))
+            self.headers.append(dict(handler.headers))
+            self.running += 1
+        time.sleep(self.work)
+        with self.lock:
+            self.running -= 1
+        head = [("X-Almondnotch-Attempt-Id", attempt),
+                ("X-Almondnotch-Server-Seal", f"seal-{self.name}")] + self.load()
+        text = f"{self.name} {attempt}".encode()
+        if self.mode == "reset":
+            handler.reset()
+        elif self.mode == "mute":
+            time.sleep(2)
+            handler.reset()
+        elif self.mode == "failing":
+            handler.reply(500, head, text)
+        elif self.mode == "unsealed":
+            handler.reply(200, head[:1], text)
+        elif self.mode == "unframed":
+            handler.reply(200, head, text, framed=False)
+            handler.close_connection = True
+        elif self.mode == "unframed-reset":
+            handler.reply(200, head, text, framed=False)
+            handler.wfile.flush()
+            time.sleep(0.05)
+            handler.reset()
+        else:
+            handler.reply(200, head, text)
+            if self.mode == "extra":
+                handler.reply(200, head, text)
+            elif self.mode == "extra-late":
+                handler.wfile.flush()
+                time.sleep(0.02)
+                handler.reply(200, head, text)
+
+
+def routes(version, **changes):
+    """A configuration with /read/ (safe) and /book/ (unsafe), with changes to its routes."""
+    def route(prefix, kind, service):
+        return {"host": HOST, "prefix": prefix, "kind": kind, "timeout": "1500ms",
+                "targetLatency": "500ms", "priority": 1, "service": service, "maxAttempts": 2}
+    table = {"r-read": route("/read/", "safe", "reads"), "r-book": route("/book/", "unsafe", "books")}
+    table.update(changes)
+    service = {"healthPath": "/health", "maxConns": 220, "protocol": "h1", "tls": False}
+    return {"version": f"{version:08x}", "routes": table,
+            "services": {"reads": service, "books": service},
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20,
+                       "headerTimeout": "3000ms", "idleTimeout": "15000ms"}}
+
+
+class Gateway:
+    """A process of almondnotchd on loopback."""
+
+    def __init__(self, daemon, store, name, seeds=None):
+        self.entry, self.ready, self.directory, self.peer, operator = free_ports(5)
+        self.folder = tempfile.TemporaryDirectory()
+        path = os.path.join(self.folder.name, "settings.toml")
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(f"""[vm]
+name = "{name}"
+failure_domain = "a"
+[entry]
+address = "127.0.0.1:{self.entry}"
+[operator]
+address = "127.0.0.1:{operator}"
+[peer]
+address = "127.0.0.1:{self.peer}"
+seeds = "{seeds or ''}"
+keys = "k1:0123456789abcdef"
+[platform]
+address = "{store.server.address}"
+[fleet]
+exchange_interval_ms = 200
+[routing]
+configuration = "items"
+directory_addresses = "127.0.0.1:{self.ready},127.0.0.1:{self.directory}"
+grace = "3s"
+""")
+        self.log = tempfile.TemporaryFile()
+        self.process = subprocess.Popen(daemon + ["--settings", path], stderr=self.log)
+
+    def get(self, port, target):
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
+        try:
+            connection.request("GET", target)
+            response = connection.getresponse()
+            return response.status, response.read()
+        finally:
+            connection.close()
+
+    def is_ready(self):
+        try:
+            return self.get(self.ready, "/v1/readiness")[0] == 200
+        except OSError:
+            return False
+
+    def addresses(self):
+        status, body = self.get(self.directory, f"/v1/resolve?name={HOST}&region=r&zone=a")
+        return json.loads(body)["addresses"] if status == 200 else []
+
+    def terminate(self):
+        self.process.send_signal(signal.SIGTERM)
+
+    def end(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self.folder.cleanup()
+
+    def output(self):
+        self.log.seek(0)
+        return self.log.read().decode(errors="replace")
+
+
+class Caller:
+    """A caller with one kept connection."""
+
+    def __init__(self, port):
+        self.port, self.connection = port, None
+
+    def send(self, method, path, attempt, body=None, deadline=1500):
+        """Returns (status, headers, body); raises OSError or HTTPException if there is none."""
+        if self.connection is None:
+            self.connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=5)
+        try:
+            self.connection.request(method, path, body, {
+                "Host": HOST, "X-Almondnotch-Attempt-Id": attempt,
+                "X-Almondnotch-Deadline-Remaining": str(deadline)})
+            response = self.connection.getresponse()
+            answer = response.status, response.headers, response.read()
+        except (OSError, http.client.HTTPException):
+            self.close()
+            raise
+        if response.headers.get("Connection", "").lower() == "close":
+            self.close()
+        return answer
+
+    def close(self):
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
+
+
+def wait_for(condition, limit=10.0, message="the condition did not come true"):
+    end = time.monotonic() + limit
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError(message)
+        time.sleep(0.01)
--- /dev/null
+++ b/tests/platform/whole_path_test.py
@@ -0,0 +1,257 @@
+"""The whole path over real sockets: store, workers and gateway processes that speak the platform's
+protocol, and faults of each.
+
+Usage: whole_path_test.py PATH_OF_ALMONDNOTCHD [CASE]
+"""
+import http.client
+import json
+import os
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import standins  # noqa: E402
+
+DAEMON = [sys.argv.pop(1)]
+CONFIG_APPLY_SECONDS = 2.0
+
+
+class WholePath(unittest.TestCase):
+    def setUp(self):
+        self.store = standins.Store()
+        self.store.put("op/config", standins.routes(1))
+        self.workers = [standins.Worker(self.store, f"{service[0]}-{i}", service)
+                        for service in ("reads", "books") for i in range(2)]
+        self.gateways = []
+        self.attempts = 0
+
+    def tearDown(self):
+        failed = any(error for _, error in getattr(self._outcome, "errors", []) or [])
+        for gateway in self.gateways:
+            gateway.end()
+            if failed:
+                print(gateway.output(), file=sys.stderr)
+        for worker in self.workers:
+            worker.server.end()
+        self.store.server.end()
+
+    def start(self, count=1):
+        for i in range(count):
+            seeds = f"127.0.0.1:{self.gateways[0].peer}" if self.gateways else None
+            gateway = standins.Gateway(DAEMON, self.store, f"vm-{i}", seeds)
+            self.gateways.append(gateway)
+        for gateway in self.gateways:
+            standins.wait_for(gateway.is_ready, message="the gateway is not ready")
+        return self.gateways[0]
+
+    def attempt(self):
+        self.attempts += 1
+        return f"{self.attempts:016x}"
+
+    def check_own(self, answer, attempt):
+        """The answer is the one that a worker gave to this attempt."""
+        status, headers, body = answer
+        self.assertEqual(status, 200)
+        name, echoed = body.decode().split()
+        self.assertEqual(echoed, attempt)
+        self.assertEqual(headers["X-Almondnotch-Server-Seal"], f"seal-{name}")
+        self.assertEqual(headers["X-Almondnotch-Attempt-Id"], attempt)
+
+    def runs(self, attempt):
+        return [run for worker in self.workers for run in worker.runs if run[0] == attempt]
+
+    def test_calm(self):
+        """Guards against lost, mixed or doubled requests with no fault at all."""
+        self.start(2)
+        standins.wait_for(lambda: all(len(g.addresses()) == 2 for g in self.gateways))
+        caller = standins.Caller(self.gateways[0].entry)
+        for i in range(200):
+            attempt = self.attempt()
+            if i % 2:
+                answer = caller.send("GET", f"/read/{i}?q=a%20b", attempt)
+            else:
+                answer = caller.send("POST", f"/book/{i}", attempt, b"x" * (i * 50))
+            self.check_own(answer, attempt)
+            run, = self.runs(attempt)
+            self.assertEqual(run[1:4], ("GET", f"/read/{i}?q=a%20b", b"") if i % 2
+                             else ("POST", f"/book/{i}", b"x" * (i * 50)))
+        headers = [h for worker in self.workers for h in worker.headers]
+        self.assertTrue(all(int(h["X-Almondnotch-Deadline-Remaining"]) <= 1500 for h in headers))
+        status, _, _ = caller.send("GET", "/elsewhere/", self.attempt())
+        self.assertEqual(status, 404)
+
+    def test_faulty_answers(self):
+        """Guards against answers that belong to another request, have no seal or are not whole."""
+        gateway = self.start()
+        for mode in ("extra", "extra-late", "unframed", "unframed-reset", "unsealed", "reset",
+                     "shed", "early", "failing", "mute"):
+            self.workers[0].mode = self.workers[2].mode = mode
+            caller = standins.Caller(gateway.entry)
+            for i in range(12):
+                for method, path, body in (("GET", "/read/1", None), ("POST", "/book/1", b"y" * 9000)):
+                    attempt = self.attempt()
+                    status, headers, text = caller.send(method, path, attempt, body)
+                    runs = self.runs(attempt)
+                    if status == 200:
+                        self.check_own((status, headers, text), attempt)
+                    if method == "POST":
+                        self.assertLessEqual(len(runs), 1, f"{mode}: {attempt} ran twice")
+                    else:
+                        self.assertEqual(status, 200, f"{mode}: the other worker was sound")
+                    if status in (429, 503):
+                        self.assertEqual(runs, [], f"{mode}: {attempt} ran and was refused")
+            self.workers[0].mode = self.workers[2].mode = "sound"
+            time.sleep(0.5)
+
+    def test_reused_address(self):
+        """Guards against requests that run at the worker which has the address now."""
+        gateway = self.start()
+        caller = standins.Caller(gateway.entry)
+        self.workers[2].name = "another"
+        for _ in range(10):
+            attempt = self.attempt()
+            self.check_own(caller.send("POST", "/book/1", attempt, b"z"), attempt)
+            self.assertEqual(len(self.runs(attempt)), 1)
+
+    def test_drain(self):
+        """Guards against requests at workers that leave, whether they say so or only go."""
+        gateway = self.start()
+        caller = standins.Caller(gateway.entry)
+        self.workers[0].register("draining")
+        self.store.remove("servers/b-0")
+        time.sleep(CONFIG_APPLY_SECONDS / 2)
+        limit = time.monotonic()
+        for i in range(40):
+            self.check_own(caller.send("GET", "/read/1", self.attempt()), f"{self.attempts:016x}")
+            self.check_own(caller.send("POST", "/book/1", self.attempt(), b""),
+                           f"{self.attempts:016x}")
+        for worker in (self.workers[0], self.workers[2]):
+            self.assertTrue(all(run[4] < limit for run in worker.runs))
+
+    def version_in_force(self, caller, version):
+        status, _, _ = caller.send("GET", f"/v{version}/x", self.attempt())
+        return status == 200
+
+    def route_for(self, version):
+        route = dict(standins.routes(1)["routes"]["r-read"], prefix=f"/v{version}/")
+        return {f"r-{version}": route}
+
+    def test_configuration(self):
+        """Guards against changes that are missed: while the store is down, after its history was
+        lost, and when a watch is cut."""
+        gateway = self.start()
+        caller = standins.Caller(gateway.entry)
+        self.store.put("op/config", standins.routes(2, **self.route_for(2)))
+        standins.wait_for(lambda: self.version_in_force(caller, 2), CONFIG_APPLY_SECONDS)
+        self.store.put("op/config", b"{ not a configuration")
+        self.store.put("servers/forged", b"\xff\x00")
+        time.sleep(0.3)
+        self.assertTrue(self.version_in_force(caller, 2))
+        self.store.is_down = True
+        time.sleep(0.5)
+        self.assertTrue(self.version_in_force(caller, 2))
+        self.store.put("op/config", standins.routes(4, **self.route_for(4)))
+        self.store.compact()
+        time.sleep(0.5)
+        self.store.is_down = False
+        standins.wait_for(lambda: self.version_in_force(caller, 4), CONFIG_APPLY_SECONDS)
+        with self.store.changed:
+            # The change and the cut come together, so that no watch hears of the change.
+            self.store.put("op/config", standins.routes(5, **self.route_for(5)))
+            self.store.compact()
+        standins.wait_for(lambda: self.version_in_force(caller, 5), CONFIG_APPLY_SECONDS)
+        # An older version that comes late changes nothing.
+        self.store.put("op/config", standins.routes(3, **self.route_for(3)))
+        time.sleep(0.5)
+        self.assertTrue(self.version_in_force(caller, 5))
+
+    def test_no_store_at_start(self):
+        """Guards against a process that answers before it knows any route."""
+        self.store.is_down = True
+        gateway = standins.Gateway(DAEMON, self.store, "vm-0")
+        self.gateways.append(gateway)
+
+        def answers():
+            try:
+                return gateway.get(gateway.ready, "/v1/readiness")[0] == 503
+            except OSError:
+                return False
+        standins.wait_for(answers)
+        status, headers, _ = standins.Caller(gateway.entry).send("GET", "/read/1", self.attempt())
+        self.assertEqual(status, 503)
+        self.assertGreater(float(headers["Retry-After"]), 0)
+        self.store.is_down = False
+        standins.wait_for(gateway.is_ready)
+
+    def test_shutdown(self):
+        """Guards against requests that are cut when a gateway is told to leave."""
+        first = self.start(2)
+        standins.wait_for(lambda: all(len(g.addresses()) == 2 for g in self.gateways))
+        for worker in self.workers:
+            worker.work = 0.15
+        stop, failures, served = threading.Event(), [], []
+
+        def call(number):
+            caller = standins.Caller(first.entry)
+            while not stop.is_set():
+                attempt = f"{number}-{time.monotonic_ns():x}"
+                opened = caller.connection is not None
+                try:
+                    status, _, body = caller.send("POST", "/book/1", attempt, b"b")
+                    served.append(attempt)
+                    if status == 200 and body.decode().split()[1] != attempt:
+                        failures.append((attempt, "mixed"))
+                    if status not in (200, 503):
+                        failures.append((attempt, status))
+                except ConnectionRefusedError:
+                    return
+                except (OSError, http.client.HTTPException) as error:
+                    if self.runs(attempt):
+                        failures.append((attempt, repr(error), opened))
+        threads = [threading.Thread(target=call, args=(i,)) for i in range(6)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.5)
+        first.terminate()
+        standins.wait_for(lambda: not first.is_ready(), 1)
+        other = self.gateways[1]
+        standins.wait_for(lambda: other.addresses() == [f"127.0.0.1:{other.entry}"], 2)
+        self.assertEqual(first.process.wait(5), 0)
+        stop.set()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(failures, [])
+        self.assertGreater(len(served), 20)
+
+    def test_killed_gateway(self):
+        """Guards against callers that are sent to a gateway which is gone."""
+        self.start(2)
+        standins.wait_for(lambda: all(len(g.addresses()) == 2 for g in self.gateways))
+        self.gateways[0].process.kill()
+        left = self.gateways[1]
+        standins.wait_for(lambda: left.addresses() == [f"127.0.0.1:{left.entry}"], 8)
+
+    def test_slow_machines(self):
+        """Load pattern: one of two machines is seven times slower. Guards against bookings there."""
+        gateway = self.start()
+        self.workers[2].slowdown = 700
+        caller = standins.Caller(gateway.entry)
+        for _ in range(20):
+            attempt = self.attempt()
+            self.check_own(caller.send("POST", "/book/1", attempt, b""), attempt)
+            time.sleep(0.03)
+        self.assertEqual(self.workers[2].runs, [])
+
+    def test_store_calls(self):
+        """Guards against watches that come back at once: each call to the store has its price."""
+        self.start()
+        time.sleep(0.5)
+        before = self.store.calls
+        time.sleep(2)
+        self.assertLessEqual(self.store.calls - before, 1)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=1)
