Run due work without another wait for descriptors

Cause: each request took 12 waits for descriptors, most of them for timers of length 0 that libcurl and libmicrohttpd set.

Change: such timers run after the callbacks that are due already; only the store's connections have keep-alive options; workers are watched every 600 ms.

--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -20,7 +20,7 @@
 /// How often tables are swept for entries whose lifetime is over.
 constexpr duration sweepInterval = milliseconds(500);
 /// Time between two watches of the workers that both report changes.
-constexpr duration workerPacing = milliseconds(300);
+constexpr duration workerPacing = milliseconds(600);
 /// How long ago a worker may have disappeared from the store to be used if no other is left.
 constexpr duration lastResortUsual = milliseconds(1200);
 /// The same while the store comes back after an outage, when entries that lapsed are written anew.
--- a/servers/curl_loop/connection_table.cpp
+++ b/servers/curl_loop/connection_table.cpp
@@ -70,7 +70,8 @@
         = socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
     if (descriptor == CURL_SOCKET_BAD)
         return CURL_SOCKET_BAD;
-    detectSilence(descriptor);
+    if (self->table->m_detectsSilence)
+        detectSilence(descriptor);
     self->descriptor = descriptor;
     ++self->table->m_openSockets;
     ++self->table->m_openedTotal;
--- a/servers/curl_loop/connection_table.h
+++ b/servers/curl_loop/connection_table.h
@@ -25,7 +25,9 @@
         curl_socket_t descriptor = CURL_SOCKET_BAD;
     };
 
-    connection_table() = default;
+    /// \param detectsSilence connections whose peer is cut off fail within some seconds. For
+    /// transfers that wait long; the others end by their time limit.
+    explicit connection_table(bool detectsSilence = false) : m_detectsSilence(detectsSilence) { }
     connection_table(const connection_table &) = delete;
     connection_table &operator=(const connection_table &) = delete;
 
@@ -46,6 +48,7 @@
     static curl_socket_t openSocket(void *opened, curlsocktype purpose, curl_sockaddr *address);
     static int closeSocket(void *table, curl_socket_t descriptor);
 
+    bool m_detectsSilence;
     std::unordered_map<std::string, curl_socket_t> m_byName;
     std::unordered_map<curl_socket_t, std::string> m_names;
     std::size_t m_openSockets = 0;
--- a/servers/event_loop/timer_watcher.cpp
+++ b/servers/event_loop/timer_watcher.cpp
@@ -18,7 +18,13 @@
 
 void timer_watcher::start(duration after)
 {
-    startTimer(std::max(toSeconds(after), 0.0), 0.0);
+    if (after > duration {0}) {
+        startTimer(toSeconds(after), 0.0);
+        return;
+    }
+    // Runs after the callbacks that are due already, without another wait for descriptors.
+    stop();
+    ev_feed_event(m_loop.get(), &m_watcher, EV_TIMER);
 }
 
 void timer_watcher::startRepeating(duration interval)
@@ -28,13 +34,13 @@
 
 void timer_watcher::stop()
 {
-    if (isActive() || ev_is_pending(&m_watcher))
+    if (isActive())
         ev_timer_stop(m_loop.get(), &m_watcher);
 }
 
 bool timer_watcher::isActive() const
 {
-    return ev_is_active(&m_watcher);
+    return ev_is_active(&m_watcher) || ev_is_pending(&m_watcher);
 }
 
 void timer_watcher::startTimer(double after, double repeat)
--- a/servers/event_loop/timer_watcher.h
+++ b/servers/event_loop/timer_watcher.h
@@ -22,7 +22,8 @@
     timer_watcher &operator=(const timer_watcher &) = delete;
     ~timer_watcher();
 
-    /// Fires once, in place of what was set before; a length of 0 or less fires in the next round.
+    /// Fires once, in place of what was set before; a length of 0 or less fires
+    /// as soon as the callbacks that are due now have run.
     void start(duration after);
     /// Fires again and again, first after one interval.
     void startRepeating(duration interval);
--- a/servers/platform_client/platform_client.h
+++ b/servers/platform_client/platform_client.h
@@ -73,7 +73,7 @@
     event_loop *m_loop = nullptr;
     event_sink *m_decision = nullptr;
     counter_set m_counters;
-    connection_table m_connections;
+    connection_table m_connections {true};
     easy_pool m_handles;
     std::unique_ptr<curl_loop> m_curl;
     std::unordered_map<const http_exchange *, std::unique_ptr<read>> m_reads;
