Use workers whose entries lapsed until the entries are written anew

The gateways refused nearly every request for 8 s: the last resort ended after 1.2 s, workers that came back first took all load, and gateways told one another that the workers leave, which outlived the return of the entries.

Ruled out: workers that come back late; the log shows entries back in time at gateways that ignored them as leaving.

Change: when 40% of the workers disappear at once, removed workers serve on for 3.5 s beside the others; a returned entry ends the report of its drain; drains that other gateways tell count only while the store does not answer. Three tests, each of which failed before.

--- a/decision/routing/placement.cpp
+++ b/decision/routing/placement.cpp
@@ -69,43 +69,43 @@
     return out;
 }
 
-void placement::collect(instant now, const placement_request &request, duration lastResort,
+/// \param removedFor how long ago the worker may have been removed.
+bool placement::isUsable(instant now, const placement_request &request, worker_index index,
+                         duration removedFor) const
+{
+    const pooled_worker &worker = m_pool.at(index);
+    const bool isTried
+        = std::find(request.tried.begin(), request.tried.end(), index) != request.tried.end();
+    const bool isRemoved
+        = worker.removedAt != instant::never() && now - worker.removedAt >= removedFor;
+    return worker.entry.service == request.service && !worker.isReplaced && !worker.entry.leaving
+           && !isTried && !isRemoved;
+}
+
+void placement::collect(instant now, const placement_request &request, duration removedFor,
                         std::vector<scored_worker> &out) const
 {
     for (const worker_index index : m_pool.ofService(request.service)) {
-        const pooled_worker &worker = m_pool.at(index);
-        if (worker.isReplaced
-            || std::find(request.tried.begin(), request.tried.end(), index) != request.tried.end())
-            continue;
-        const bool isRemoved = worker.removedAt != instant::never();
-        if (lastResort == duration {0}
-                ? isRemoved || worker.entry.leaving
-                : !isRemoved || worker.entry.leaving || now - worker.removedAt > lastResort)
-            continue;
-        out.push_back(score(now, request, index));
+        if (isUsable(now, request, index, removedFor))
+            out.push_back(score(now, request, index));
     }
 }
 
 std::optional<scored_worker> placement::assess(instant now, const placement_request &request,
-                                               worker_index index) const
+                                               worker_index index, const removal_rules &rules) const
 {
-    const pooled_worker &worker = m_pool.at(index);
-    const bool isUsable = worker.entry.service == request.service && !worker.isReplaced
-                          && !worker.entry.leaving && worker.removedAt == instant::never()
-                          && worker.shunnedUntil <= now;
-    if (!isUsable
-        || std::find(request.tried.begin(), request.tried.end(), index) != request.tried.end())
+    if (!isUsable(now, request, index, rules.lapse) || m_pool.at(index).shunnedUntil > now)
         return std::nullopt;
     return score(now, request, index);
 }
 
 std::vector<scored_worker> placement::rank(instant now, const placement_request &request,
-                                           duration lastResort) const
+                                           const removal_rules &rules) const
 {
     std::vector<scored_worker> out;
-    collect(now, request, duration {0}, out);
-    if (out.empty() && lastResort > duration {0})
-        collect(now, request, lastResort, out);
+    collect(now, request, rules.lapse, out);
+    if (out.empty())
+        collect(now, request, rules.lastResort, out);
     // Workers that fail are left out as long as others remain.
     const bool hasSound
         = std::any_of(out.begin(), out.end(), [this, now](const scored_worker &one) {
--- a/decision/routing/placement.h
+++ b/decision/routing/placement.h
@@ -26,6 +26,15 @@
     std::vector<worker_index> tried;
 };
 
+/// For how long workers serve whose entry disappeared from the store.
+struct removal_rules
+{
+    /// Time for which they do, if no other worker of the service is left.
+    duration lastResort {0};
+    /// Time for which they do beside the others, as while lapsed entries are written anew.
+    duration lapse {0};
+};
+
 /// A worker with the time that a request is expected to take there.
 struct scored_worker
 {
@@ -62,17 +71,18 @@
     { }
 
     /// Usable workers, the best first.
-    /// \param lastResort how long ago a worker may have been removed if no other is left.
     std::vector<scored_worker> rank(instant now, const placement_request &request,
-                                    duration lastResort) const;
+                                    const removal_rules &rules) const;
 
     /// One worker; nothing if the request must not be sent there.
     std::optional<scored_worker> assess(instant now, const placement_request &request,
-                                        worker_index index) const;
+                                        worker_index index, const removal_rules &rules) const;
 
 private:
+    bool isUsable(instant now, const placement_request &request, worker_index index,
+                  duration removedFor) const;
     scored_worker score(instant now, const placement_request &request, worker_index index) const;
-    void collect(instant now, const placement_request &request, duration lastResort,
+    void collect(instant now, const placement_request &request, duration removedFor,
                  std::vector<scored_worker> &out) const;
 
     const worker_pool &m_pool;
--- a/decision/routing/request_runner.cpp
+++ b/decision/routing/request_runner.cpp
@@ -146,16 +146,16 @@
     record.placeAgainAt = instant::never();
     record.awaited.clear();
     const placement_request request = wanted(now, record);
-    const std::vector<scored_worker> ranked = m_placement.rank(now, request, m_lastResort);
+    const std::vector<scored_worker> ranked = m_placement.rank(now, request, m_removals);
     if (ranked.empty()) {
         noPlace(now, record, "no worker of the service is usable", actions);
         return;
     }
     // A hedge takes no slot that a first attempt may need.
-    const auto first = std::find_if(
-        ranked.begin(), ranked.end(), [&record](const scored_worker &one) {
-            return one.isGood() && (!record.isHedge || one.isIdle);
-        });
+    const auto first
+        = std::find_if(ranked.begin(), ranked.end(), [&record](const scored_worker &one) {
+              return one.isGood() && (!record.isHedge || one.isIdle);
+          });
     const bool hasGood = first != ranked.end();
     if (hasGood && (first->isNear || record.probeRounds >= nearRounds)) {
         launch(now, record, *first, actions);
@@ -221,8 +221,7 @@
     if (ahead < busySeekers)
         return false;
     const double rate = m_services[record.service].launches.perSecond(now);
-    const duration slack
-        = record.objectiveAt - now - scaled(workOf(*record.route), holdReserve);
+    const duration slack = record.objectiveAt - now - scaled(workOf(*record.route), holdReserve);
     return static_cast<double>(ahead) > rate * toSeconds(std::max(slack, duration {0}));
 }
 
@@ -232,8 +231,7 @@
     record.isHedge = isHedge;
     record.isHeld = false;
     record.probeRounds = 0;
-    m_seekers[record.service].insert(
-        seeker {record.route->priority, record.deadline, record.call});
+    m_seekers[record.service].insert(seeker {record.route->priority, record.deadline, record.call});
 }
 
 void request_runner::stopPlacing(routed_request &record)
@@ -245,8 +243,7 @@
     record.probesUntil = instant::never();
     record.placeAgainAt = instant::never();
     record.awaited.clear();
-    m_seekers[record.service].erase(
-        seeker {record.route->priority, record.deadline, record.call});
+    m_seekers[record.service].erase(seeker {record.route->priority, record.deadline, record.call});
 }
 
 /// Offers the room that a fresh report shows to the requests that look for a worker, the most
@@ -264,7 +261,7 @@
             continue;
         const bool wasAwaited = record->awaited.erase(worker) > 0;
         const std::optional<scored_worker> offered
-            = m_placement.assess(now, wanted(now, *record), worker);
+            = m_placement.assess(now, wanted(now, *record), worker, m_removals);
         const bool isTaken = offered && offered->isGood() && (offered->isNear || wasAwaited)
                              && (!record->isHedge || offered->isIdle);
         if (isTaken)
@@ -439,9 +436,9 @@
 void request_runner::attemptEnded(instant now, routed_request &record,
                                   const attempt_finished &input, action_list &actions)
 {
-    const auto attempt
-        = std::find_if(record.attempts.begin(), record.attempts.end(),
-                       [&input](const routed_attempt &row) { return row.attempt == input.attempt; });
+    const auto attempt = std::find_if(
+        record.attempts.begin(), record.attempts.end(),
+        [&input](const routed_attempt &row) { return row.attempt == input.attempt; });
     attempt->end = input.end;
     attempt->refusedNotRun = input.refusedNotRun;
     const bool isAnswer = input.end == attempt_end::answered && !input.refusedNotRun;
@@ -625,7 +622,8 @@
         record.hedgeAt = instant::never();
     const double capacity = std::max(1.0, slackPart * m_settings.budgets.retrySlack / m_gateways);
     const double reserve = now < record.objectiveAt ? hedgeReservePart : lateReservePart;
-    if (record.runningAttempts() == 0 || !m_services[record.service].budget.has(1 + reserve * capacity)) {
+    if (record.runningAttempts() == 0
+        || !m_services[record.service].budget.has(1 + reserve * capacity)) {
         schedule(record);
         return;
     }
@@ -712,7 +710,8 @@
          {"attempts", tried},
          {"attempts_max",
           record.route == nullptr ? std::string("0") : std::to_string(record.route->attemptsMax)},
-         {"retry_tokens", std::to_string(static_cast<int>(m_services[record.service].budget.tokens()))},
+         {"retry_tokens",
+          std::to_string(static_cast<int>(m_services[record.service].budget.tokens()))},
          {"work_ms", record.route == nullptr
                          ? std::string("0")
                          : std::to_string(toMilliseconds(workOf(*record.route)))}}});
--- a/decision/routing/request_runner.h
+++ b/decision/routing/request_runner.h
@@ -61,8 +61,7 @@
     /// From now on new requests are refused.
     void refuseNew() { m_refusesNew = true; }
     void setGatewayCount(unsigned count) { m_gateways = count; }
-    /// How long ago a worker may have disappeared from the store to be used if no other is left.
-    void setLastResort(duration window) { m_lastResort = window; }
+    void setRemovalRules(const removal_rules &rules) { m_removals = rules; }
 
     std::size_t inProgress() const { return m_requests.size(); }
     instant nextWake() const;
@@ -111,8 +110,7 @@
     void offerRoom(instant now, worker_index worker, action_list &actions);
     void attemptEnded(instant now, routed_request &record, const attempt_finished &input,
                       action_list &actions);
-    void giveUp(instant now, routed_request &record, std::string_view reason,
-                action_list &actions);
+    void giveUp(instant now, routed_request &record, std::string_view reason, action_list &actions);
     bool mayHold(instant now, const routed_request &record, const scored_worker &best);
     bool probe(instant now, routed_request &record, const std::vector<scored_worker> &ranked,
                action_list &actions);
@@ -148,7 +146,7 @@
     bool m_isLeaving = false;
     bool m_refusesNew = false;
     unsigned m_gateways = 1;
-    duration m_lastResort {0};
+    removal_rules m_removals;
     std::unordered_map<call_id, std::unique_ptr<routed_request>> m_requests;
     /// Attempts under way; one may outlive its request.
     std::unordered_map<attempt_id, std::pair<call_id, worker_index>> m_attempts;
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -23,10 +23,6 @@
 constexpr duration workerPacing = milliseconds(600);
 /// How long ago a worker may have disappeared from the store to be used if no other is left.
 constexpr duration lastResortUsual = milliseconds(1200);
-/// The same while the store comes back after an outage, when entries that lapsed are written anew.
-constexpr duration lastResortAfterOutage = milliseconds(2500);
-/// Time after the store's return for which the longer window holds.
-constexpr duration outageMemory = seconds(3);
 /// Leaving workers are told to other gateways for this time.
 constexpr duration drainsTold = seconds(3);
 /// Parts of the time to leave: a leaving gateway serves callers that still know its address for
@@ -89,6 +85,7 @@
     void detectPause(instant now);
     void takeConfig(const reader_news &news, action_list &actions);
     void takeWorkers(instant now, const reader_news &news, action_list &actions);
+    void updateRemovalRules(instant now);
     void logUnusable(const published_item &item, action_list &actions);
     peer_facts facts(instant now) const;
     void continueLeaving(instant now, action_list &actions);
@@ -199,8 +196,12 @@
         counters.add("peer_messages_ignored_total");
         return;
     }
-    for (const worker_drain &drain : digest->drains)
-        pool.learnLeaving(now, drain.worker, drain.age);
+    // The store's own word is newer as long as the store answers.
+    const bool isCutOff = workerReader.failuresInARow() > 0;
+    for (const worker_drain &drain : digest->drains) {
+        if (isCutOff)
+            pool.learnLeaving(now, drain.worker, drain.age);
+    }
     for (const crash_record &crash : digest->crashes)
         quarantine.learn(now, crash);
     peers.digestArrived(now, *digest, facts(now), actions);
@@ -276,9 +277,13 @@
             pool.apply(now, item);
     }
     counters.set("workers_known", static_cast<double>(pool.size()));
-    const bool hadOutage
-        = workerReader.hasFailed() && now - workerReader.lastFailure() < outageMemory;
-    runner.setLastResort(hadOutage ? lastResortAfterOutage : lastResortUsual);
+    updateRemovalRules(now);
+}
+
+void route_gateway::state::updateRemovalRules(instant now)
+{
+    const bool hasLapse = pool.hasLapse(now);
+    runner.setRemovalRules({lastResortUsual, hasLapse ? worker_pool::lapseWindow : duration {0}});
 }
 
 void route_gateway::state::logUnusable(const published_item &item, action_list &actions)
@@ -325,6 +330,7 @@
     if (now >= nextSweep) {
         nextSweep = now + (stage == life_stage::leaving ? milliseconds(100) : sweepInterval);
         pool.sweep(now);
+        updateRemovalRules(now);
         quarantine.expire(now);
         runner.setGatewayCount(peers.gatewayCount(now));
     }
--- a/decision/routing/worker_pool.cpp
+++ b/decision/routing/worker_pool.cpp
@@ -17,6 +17,10 @@
 /// First and longest time for which a failing worker is left out.
 constexpr duration shunFirst = milliseconds(400);
 constexpr duration shunLongest = seconds(3);
+/// Removals within the window that show that entries ran out while the store was away: at least so
+/// many, and this share of all workers.
+constexpr std::ptrdiff_t lapseRemovalsMin = 3;
+constexpr double lapseShare = 0.4;
 /// A removed worker is kept this long, for attempts under way and for a return of its entry.
 constexpr duration removedKept = seconds(20);
 
@@ -58,7 +62,9 @@
                                && known.entry.address == entry.address
                                && known.entry.service == entry.service;
         if (isSameRun) {
-            if (entry.leaving && !known.entry.leaving)
+            if (!entry.leaving)
+                m_leavingSince.erase(entry.name);
+            else if (!known.entry.leaving)
                 m_leavingSince[entry.name] = now;
             known.entry = entry;
             known.removedAt = instant::never();
@@ -209,6 +215,18 @@
     worker.sentSinceReport = 0;
 }
 
+bool worker_pool::hasLapse(instant now) const
+{
+    const auto removed
+        = std::count_if(m_byName.begin(), m_byName.end(),
+                        [this, now](const std::pair<const std::string, worker_index> &named) {
+                            const instant at = this->at(named.second).removedAt;
+                            return at != instant::never() && now - at <= lapseWindow;
+                        });
+    return removed >= lapseRemovalsMin
+           && static_cast<double>(removed) >= lapseShare * static_cast<double>(m_byName.size());
+}
+
 void worker_pool::forgetReports()
 {
     for (pooled_worker &worker : m_workers)
--- a/decision/routing/worker_pool.h
+++ b/decision/routing/worker_pool.h
@@ -64,6 +64,12 @@
     void attemptFinished(instant now, worker_index worker, const attempt_finished &input);
     void probeFinished(instant now, worker_index worker, const probe_finished &input);
 
+    /// Time in which lapsed entries are written anew after the store's return, with a margin.
+    static constexpr duration lapseWindow = milliseconds(3500);
+    /// True if so many entries disappeared at once that they ran out while the store was away.
+    /// Their workers serve on until the time to write them anew is over.
+    bool hasLapse(instant now) const;
+
     /// All that was measured is old, as after a pause of the process.
     void forgetReports();
     /// Drops workers that are gone and have no attempt under way.
--- /dev/null
+++ b/tests/decision/routing/lapse_test.cpp
@@ -0,0 +1,122 @@
+#include <set>
+
+#include <boost/test/unit_test.hpp>
+
+#include "tests/decision/routing/routing_fixture.h"
+
+using namespace almondnotch;
+
+namespace {
+
+constexpr unsigned workerCount = 6;
+
+std::vector<published_worker> manyWorkers()
+{
+    std::vector<published_worker> workers;
+    for (unsigned i = 0; i < workerCount; ++i)
+        workers.push_back(workerEntry("b-" + std::to_string(i), "books"));
+    return workers;
+}
+
+item_page removalOfAll(std::uint64_t revision)
+{
+    item_page page;
+    for (const published_worker &worker : manyWorkers())
+        page.items.push_back(removedItem(worker.name));
+    page.revision = revision;
+    return page;
+}
+
+/// Sends a booking and answers it. \return its worker, or nothing if it was refused.
+std::optional<std::string> bookOnce(routing_fixture &world)
+{
+    world.call("POST", "/book/1");
+    world.advance(milliseconds(100));
+    const std::vector<start_attempt> attempts = world.take<start_attempt>();
+    if (attempts.empty())
+        return std::nullopt;
+    world.answer(attempts.front());
+    world.take<send_response>();
+    return attempts.front().workerName;
+}
+
+void hear(routing_fixture &world, const std::string &drained)
+{
+    fleet_digest digest;
+    digest.self.process = {"vm-2", 1};
+    digest.self.failureDomain = "near";
+    digest.self.entryAddress = "10.0.0.2:80";
+    digest.self.peerAddress = "10.0.0.2:90";
+    digest.drains = {{drained, seconds(1)}};
+    world.handle(peer_message_received {digest.self.process, digest});
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(lapse_suite)
+
+// The store was away so long that all entries ran out. Guards against a service that refuses all
+// requests until its workers have written their entries anew.
+BOOST_AUTO_TEST_CASE(workersServeWhileTheirLapsedEntriesComeBack)
+{
+    routing_fixture world;
+    world.becomeReady(manyWorkers());
+    world.answerRead(item_scope::workers, removalOfAll(11));
+    world.advance(milliseconds(2200));
+    BOOST_TEST(bookOnce(world).has_value());
+    // Those that come back first do not take all load while the others are still missing.
+    item_page page;
+    page.items = {workerItem(workerEntry("b-0", "books"))};
+    page.revision = 12;
+    world.answerRead(item_scope::workers, page);
+    std::set<std::string> used;
+    for (int i = 0; i < 8; ++i)
+        world.call("POST", "/book/1");
+    world.advance(milliseconds(50));
+    const std::vector<start_attempt> sent = world.take<start_attempt>();
+    BOOST_TEST(sent.size() == 8U);
+    for (const start_attempt &attempt : sent) {
+        used.insert(attempt.workerName);
+        world.answer(attempt);
+    }
+    BOOST_TEST(used.size() > 1U);
+    world.take<send_response>();
+    world.advance(seconds(4));
+    for (int i = 0; i < 8; ++i)
+        BOOST_TEST(bookOnce(world).value_or("") == "b-0");
+}
+
+// Guards against a worker that gets no requests any more, since another gateway tells that its
+// entry was away for a moment.
+BOOST_AUTO_TEST_CASE(hearsayOfADrainDoesNotOutliveTheStoresWord)
+{
+    routing_fixture world;
+    world.becomeReady({workerEntry("b-0", "books")});
+    hear(world, "b-0");
+    BOOST_TEST(bookOnce(world).has_value());
+}
+
+// Guards against requests to leaving workers at a gateway that the store turns away.
+BOOST_AUTO_TEST_CASE(hearsayOfADrainCountsWhileTheStoreDoesNotAnswer)
+{
+    routing_fixture world;
+    world.becomeReady({workerEntry("b-0", "books"), workerEntry("b-1", "books")});
+    const auto refuse = [&world] {
+        world.answerRead(item_scope::workers,
+                         fail(error_code::unavailable, "read store", "", "status 503"));
+    };
+    refuse();
+    hear(world, "b-0");
+    for (int i = 0; i < 6; ++i)
+        BOOST_TEST(bookOnce(world).value_or("") == "b-1");
+    // The store's own word goes first as soon as it is back.
+    world.advance(seconds(1));
+    item_page page;
+    page.items = {workerItem(workerEntry("b-0", "books"))};
+    page.revision = 12;
+    world.answerRead(item_scope::workers, page);
+    world.advance(seconds(2));
+    BOOST_TEST(bookOnce(world).value_or("") == "b-0");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
