Read fewer lists and watches of the store at their full price

Change: the first list of workers may be stale, since the watch that follows tells what has changed; all later lists are current. Changes of workers are gathered for one second.

--- a/decision/actions.h
+++ b/decision/actions.h
@@ -110,6 +110,8 @@
     std::uint64_t afterRevision = 0;
     /// How long a watch waits.
     duration wait {0};
+    /// The list may be some seconds old, which the store answers at a lower price.
+    bool mayBeStale = false;
 };
 
 /// Write a log record.
--- a/decision/routing/item_reader.cpp
+++ b/decision/routing/item_reader.cpp
@@ -14,7 +14,8 @@
 
 item_reader::item_reader(item_reader_settings settings, random_source &random,
                          counter_set &counters)
-    : m_settings(settings), m_random(random), m_counters(counters)
+    : m_settings(settings), m_random(random), m_counters(counters),
+      m_mayBeStale(settings.startsStale)
 { }
 
 void item_reader::start(instant now, std::uint64_t &nextRead, action_list &actions)
@@ -32,6 +33,7 @@
     order.scope = m_settings.scope;
     if (m_isListing) {
         order.afterKey = m_afterKey;
+        order.mayBeStale = m_mayBeStale;
     } else {
         order.afterRevision = m_revision;
         // Spread, so that the watches of all gateways do not end together.
@@ -117,6 +119,8 @@
 void item_reader::restart(instant now)
 {
     m_isListing = true;
+    // An old list could lie before the history that the store still has, again and again.
+    m_mayBeStale = false;
     m_afterKey.clear();
     m_listedItems.clear();
     m_underWay = false;
--- a/decision/routing/item_reader.h
+++ b/decision/routing/item_reader.h
@@ -20,6 +20,8 @@
     /// Time between the end of a watch that reported changes and the next one, so that changes
     /// that come together cost one call.
     duration pacing {0};
+    /// The first list may be old: the watch that follows tells what has changed since.
+    bool startsStale = false;
     /// Time before a failed read is repeated, doubled with each further failure.
     duration retryFirst {milliseconds(100)};
     duration retryLongest {seconds(1)};
@@ -81,6 +83,7 @@
     unsigned m_failures = 0;
     instant m_lastFailure;
     bool m_hasFailed = false;
+    bool m_mayBeStale = false;
     bool m_wasComplete = false;
 };
 
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -20,7 +20,7 @@
 /// How often tables are swept for entries whose lifetime is over.
 constexpr duration sweepInterval = milliseconds(500);
 /// Time between two watches of the workers that both report changes.
-constexpr duration workerPacing = milliseconds(600);
+constexpr duration workerPacing = milliseconds(1000);
 /// How long ago a worker may have disappeared from the store to be used if no other is left.
 constexpr duration lastResortUsual = milliseconds(1200);
 /// Leaving workers are told to other gateways for this time.
@@ -45,8 +45,10 @@
     item_reader_settings out;
     out.scope = scope;
     out.watch = watch;
-    if (scope == item_scope::workers)
+    if (scope == item_scope::workers) {
         out.pacing = workerPacing;
+        out.startsStale = true;
+    }
     return out;
 }
 
@@ -127,7 +129,8 @@
     // Deadlines go before new work, so that nothing is sent for a request whose time is over.
     if (!std::holds_alternative<attempt_finished>(input))
         runner.timerExpired(now, actions);
-    std::visit([&](const auto &typed) { on(now, typed, actions); }, input);
+    action_list *out = &actions;
+    std::visit([this, now, out](const auto &typed) { on(now, typed, *out); }, input);
     if (stage == life_stage::leaving)
         continueLeaving(now, actions);
     expectedWake = nextWake();
--- a/decision/routing/worker_pool.cpp
+++ b/decision/routing/worker_pool.cpp
@@ -217,7 +217,7 @@
 
 bool worker_pool::hasLapse(instant now) const
 {
-    const auto removed
+    const std::ptrdiff_t removed
         = std::count_if(m_byName.begin(), m_byName.end(),
                         [this, now](const std::pair<const std::string, worker_index> &named) {
                             const instant at = this->at(named.second).removedAt;
--- a/tests/decision/routing/published_items_test.cpp
+++ b/tests/decision/routing/published_items_test.cpp
@@ -86,6 +86,21 @@
     BOOST_TEST(world.gateway->dump(world.now)["config_version"] == 7);
 }
 
+// Guards against lists at the full price at each start, and against an old list that is read again
+// and again because the store has dropped what came after it.
+BOOST_AUTO_TEST_CASE(onlyTheFirstListOfWorkersMayBeOld)
+{
+    routing_fixture world;
+    BOOST_TEST(world.openRead(item_scope::workers)->mayBeStale);
+    BOOST_TEST(!world.openRead(item_scope::configuration)->mayBeStale);
+    world.becomeReady({workerEntry("b-1", "books")});
+    item_page lost;
+    lost.historyLost = true;
+    world.answerRead(item_scope::workers, lost);
+    BOOST_TEST(world.openRead(item_scope::workers)->afterRevision == 0U);
+    BOOST_TEST(!world.openRead(item_scope::workers)->mayBeStale);
+}
+
 // Guards against a list that is cut short by its pages: workers beyond the first would be removed.
 BOOST_AUTO_TEST_CASE(aListIsReadToItsLastPage)
 {
