Add a randomized fault soak of the platform's whole path

Change: three gateway processes, six workers and the store run under kills, pauses, orders to leave, misbehaving and replaced workers, outages, lost history and new versions, while callers keep their connections; each booking runs at most once, refusals are true, answers are their own, and service returns. Records of failed requests are bounded to 20 a second; logs go to standard output, as the users ask. Unused parameters of the routing decisions are gone.

--- a/core/log_line.cpp
+++ b/core/log_line.cpp
@@ -57,7 +57,7 @@
         LOG4CXX_STR("%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %-5p %m%n"));
     const std::shared_ptr<log4cxx::ConsoleAppender> appender
         = std::make_shared<log4cxx::ConsoleAppender>(layout,
-                                                     log4cxx::ConsoleAppender::getSystemErr());
+                                                     log4cxx::ConsoleAppender::getSystemOut());
     log4cxx::BasicConfigurator::configure(appender);
     processLogger()->setLevel(nativeLevel(level));
 }
--- a/core/log_line.h
+++ b/core/log_line.h
@@ -10,7 +10,7 @@
 
 enum class log_level { debug, info, warning, error };
 
-/// Sets up log4cxx for the process: one line a record on standard error.
+/// Sets up log4cxx for the process: one line a record on standard output.
 /// \param level lowest level that is written.
 void startLogging(log_level level);
 
--- a/decision/routing/item_reader.cpp
+++ b/decision/routing/item_reader.cpp
@@ -18,12 +18,12 @@
       m_mayBeStale(settings.startsStale)
 { }
 
-void item_reader::start(instant now, std::uint64_t &nextRead, action_list &actions)
+void item_reader::start(std::uint64_t &nextRead, action_list &actions)
 {
-    send(now, nextRead, actions);
+    send(nextRead, actions);
 }
 
-void item_reader::send(instant now, std::uint64_t &nextRead, action_list &actions)
+void item_reader::send(std::uint64_t &nextRead, action_list &actions)
 {
     m_underWay = true;
     m_nextRead = instant::never();
@@ -40,7 +40,6 @@
         order.wait = duration(static_cast<std::int64_t>(
             static_cast<double>(m_settings.watch.count()) * (1.0 - 0.2 * m_random.uniform())));
     }
-    static_cast<void>(now);
     actions.push_back(std::move(order));
 }
 
@@ -130,7 +129,7 @@
 void item_reader::timerExpired(instant now, std::uint64_t &nextRead, action_list &actions)
 {
     if (!m_underWay && m_nextRead <= now)
-        send(now, nextRead, actions);
+        send(nextRead, actions);
 }
 
 } // namespace almondnotch
--- a/decision/routing/item_reader.h
+++ b/decision/routing/item_reader.h
@@ -43,7 +43,7 @@
     /// \param random, counters outlive the reader.
     item_reader(item_reader_settings settings, random_source &random, counter_set &counters);
 
-    void start(instant now, std::uint64_t &nextRead, action_list &actions);
+    void start(std::uint64_t &nextRead, action_list &actions);
     /// \return true if the read is this reader's; `news` then holds what it told, if anything.
     bool finished(instant now, const items_read &input, std::vector<reader_news> &news);
     void timerExpired(instant now, std::uint64_t &nextRead, action_list &actions);
@@ -62,7 +62,7 @@
     std::uint64_t revision() const { return m_revision; }
 
 private:
-    void send(instant now, std::uint64_t &nextRead, action_list &actions);
+    void send(std::uint64_t &nextRead, action_list &actions);
     void listed(instant now, const item_page &page, std::vector<reader_news> &news);
     void watched(instant now, const item_page &page, std::vector<reader_news> &news);
     void failed(instant now);
--- a/decision/routing/peer_group.cpp
+++ b/decision/routing/peer_group.cpp
@@ -113,12 +113,6 @@
         send(now, digest.self.peerAddress, facts, false, actions);
 }
 
-void peer_group::sendFailed(const std::string &peerAddress)
-{
-    static_cast<void>(peerAddress);
-    m_counters.add("peer_digests_failed_total");
-}
-
 void peer_group::beginLeaving(instant now, action_list &actions)
 {
     m_members.beginLeaving();
--- a/decision/routing/peer_group.h
+++ b/decision/routing/peer_group.h
@@ -52,11 +52,9 @@
     /// Takes over a digest and answers it if the sender wants that.
     void digestArrived(instant now, const fleet_digest &digest, const peer_facts &facts,
                        action_list &actions);
-    void sendFailed(const std::string &peerAddress);
     /// Tells all known gateways at once that this one leaves.
     void beginLeaving(instant now, action_list &actions);
     void pauseDetected(instant now);
-    void setSeeds(std::vector<std::string> seeds) { m_settings.seeds = std::move(seeds); }
 
     /// Gateways that share the group's budgets: those that run or may run, this one included.
     unsigned gatewayCount(instant now) const;
--- a/decision/routing/request_runner.cpp
+++ b/decision/routing/request_runner.cpp
@@ -33,6 +33,8 @@
 constexpr std::size_t nearRounds = 2;
 /// Requests that look for a worker of a service from which on the service counts as busy.
 constexpr std::size_t busySeekers = 3;
+/// Records of failed requests in a second; more are only counted.
+constexpr double failureLinesPerSecond = 20;
 /// Transmissions of one request, those that certainly did not run included.
 constexpr std::size_t transmissionsMax = 6;
 /// Part of the objective for which a request is held back until a worker has room.
@@ -400,16 +402,15 @@
     order.freshConnection = !record.isIdempotent();
     m_parts.counters.add("attempts_total");
     actions.push_back(std::move(order));
-    planHedge(now, record, chosen);
+    planHedge(now, record);
     schedule(record);
 }
 
-void request_runner::planHedge(instant now, routed_request &record, const scored_worker &chosen)
+void request_runner::planHedge(instant now, routed_request &record)
 {
     record.hedgeAt = instant::never();
     if (!record.isIdempotent() || record.spentAttempts() >= record.route->attemptsMax)
         return;
-    static_cast<void>(chosen);
     const duration work = workOf(*record.route);
     const instant latest = record.objectiveAt - scaled(work, 1.3) - milliseconds(5);
     record.hedgeAt = std::max(now + scaled(work, hedgeLateness), latest);
@@ -465,14 +466,13 @@
     if (input.end != attempt_end::broken || record == nullptr)
         return;
     m_parts.quarantine.connectionBroke(now, digestOf(*record->request), name);
-    checkWorker(now, *record, worker, actions);
+    checkWorker(*record, worker, actions);
 }
 
 /// Probes a worker whose connection broke, to tell a crash from a lost connection.
-void request_runner::checkWorker(instant now, const routed_request &record, worker_index worker,
+void request_runner::checkWorker(const routed_request &record, worker_index worker,
                                  action_list &actions)
 {
-    static_cast<void>(now);
     if (m_probeOf.contains(worker) || m_probes.size() >= m_settings.bounds.probesMax)
         return;
     const auto spec = record.config->services.find(record.service);
@@ -576,13 +576,11 @@
     offerRoom(now, worker, actions);
 }
 
-void request_runner::callerDisconnected(instant now, const caller_disconnected &input,
-                                        action_list &actions)
+void request_runner::callerDisconnected(const caller_disconnected &input, action_list &actions)
 {
     routed_request *record = find(input.call);
     if (record == nullptr)
         return;
-    static_cast<void>(now);
     m_parts.counters.add("callers_disconnected_total");
     for (const routed_attempt &attempt : record->attempts) {
         if (!attempt.end)
@@ -690,6 +688,11 @@
 {
     if (response->status < 500)
         return;
+    if (m_failureLines.perSecond(now) >= failureLinesPerSecond) {
+        m_parts.counters.add("log_lines_left_out_total");
+        return;
+    }
+    m_failureLines.count(now);
     std::string tried;
     for (const routed_attempt &attempt : record.attempts) {
         const pooled_worker &worker = m_parts.pool.at(attempt.worker);
--- a/decision/routing/request_runner.h
+++ b/decision/routing/request_runner.h
@@ -49,7 +49,7 @@
     /// \param table null while no configuration is known.
     void callReceived(instant now, const call_received &input, route_table *table,
                       action_list &actions);
-    void callerDisconnected(instant now, const caller_disconnected &input, action_list &actions);
+    void callerDisconnected(const caller_disconnected &input, action_list &actions);
     void attemptFinished(instant now, const attempt_finished &input, action_list &actions);
     void probeFinished(instant now, const probe_finished &input, action_list &actions);
     void timerExpired(instant now, action_list &actions);
@@ -115,14 +115,13 @@
     bool probe(instant now, routed_request &record, const std::vector<scored_worker> &ranked,
                action_list &actions);
     void startProbe(worker_index worker, const std::string &healthPath, action_list &actions);
-    void checkWorker(instant now, const routed_request &record, worker_index worker,
-                     action_list &actions);
+    void checkWorker(const routed_request &record, worker_index worker, action_list &actions);
     void launch(instant now, routed_request &record, const scored_worker &chosen,
                 action_list &actions);
     void noPlace(instant now, routed_request &record, std::string_view reason,
                  action_list &actions);
     void tryHedge(instant now, routed_request &record, action_list &actions);
-    void planHedge(instant now, routed_request &record, const scored_worker &chosen);
+    void planHedge(instant now, routed_request &record);
     bool mayRetry(instant now, const routed_request &record, const attempt_finished &input);
     void attemptFailed(instant now, routed_request &record, const attempt_finished &input,
                        action_list &actions);
@@ -157,6 +156,7 @@
     std::map<std::string, route_history, std::less<>> m_routes;
     std::map<std::string, service_state, std::less<>> m_services;
     std::map<std::string, std::set<seeker>, std::less<>> m_seekers;
+    event_rate m_failureLines;
     std::uint64_t m_nextAttempt = 1;
     std::uint64_t m_nextProbe = 1;
 };
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -168,9 +168,10 @@
     runner.callReceived(now, input, table.get(), actions);
 }
 
-void route_gateway::state::on(instant now, const caller_disconnected &input, action_list &actions)
+void route_gateway::state::on(instant /*now*/, const caller_disconnected &input,
+                              action_list &actions)
 {
-    runner.callerDisconnected(now, input, actions);
+    runner.callerDisconnected(input, actions);
 }
 
 void route_gateway::state::on(instant now, const attempt_finished &input, action_list &actions)
@@ -211,10 +212,10 @@
     runner.setGatewayCount(peers.gatewayCount(now));
 }
 
-void route_gateway::state::on(instant /*now*/, const peer_send_failed &input,
+void route_gateway::state::on(instant /*now*/, const peer_send_failed & /*input*/,
                               action_list & /*actions*/)
 {
-    peers.sendFailed(input.peerAddress);
+    counters.add("peer_digests_failed_total");
 }
 
 void route_gateway::state::on(instant now, const items_read &input, action_list &actions)
@@ -355,8 +356,8 @@
 void route_gateway::start(instant now, action_list &actions)
 {
     m_state->nextSweep = now + sweepInterval;
-    m_state->configReader.start(now, m_state->nextRead, actions);
-    m_state->workerReader.start(now, m_state->nextRead, actions);
+    m_state->configReader.start(m_state->nextRead, actions);
+    m_state->workerReader.start(m_state->nextRead, actions);
     m_state->expectedWake = m_state->nextWake();
 }
 
--- a/decision/routing/worker_pool.cpp
+++ b/decision/routing/worker_pool.cpp
@@ -150,9 +150,8 @@
     worker.sentSinceReport = 0;
 }
 
-void worker_pool::noteSuccess(instant now, pooled_worker &worker)
+void worker_pool::noteSuccess(pooled_worker &worker)
 {
-    static_cast<void>(now);
     worker.failuresInARow = 0;
     worker.failureShare *= 1 - outcomeWeight;
     worker.shunTime = duration {0};
@@ -190,7 +189,7 @@
         if (input.response && input.response->status >= 500)
             noteFailure(now, worker, false);
         else
-            noteSuccess(now, worker);
+            noteSuccess(worker);
         return;
     case attempt_end::not_sent:
         noteFailure(now, worker, true);
--- a/decision/routing/worker_pool.h
+++ b/decision/routing/worker_pool.h
@@ -88,7 +88,7 @@
 private:
     void add(instant now, const published_worker &entry);
     void remove(instant now, const std::string &name);
-    void noteSuccess(instant now, pooled_worker &worker);
+    static void noteSuccess(pooled_worker &worker);
     void noteFailure(instant now, pooled_worker &worker, bool isSevere);
     void takeReport(instant now, pooled_worker &worker, const load_report &report);
     pooled_worker &mutableAt(worker_index worker)
--- a/main/daemon/almondnotchd.cpp
+++ b/main/daemon/almondnotchd.cpp
@@ -75,7 +75,7 @@
     gateway_process process;
     const result<void> started = process.start(settings);
     if (!started) {
-        const log_line record(log_level::error, "main", toString(started.error()));
+        std::cerr << "almondnotchd: " << toString(started.error()) << '\n';
         return exitCodeFailed;
     }
     return process.run();
--- /dev/null
+++ b/tests/platform/soak.py
@@ -0,0 +1,218 @@
+"""Randomized fault soak of the platform's whole path with real processes.
+
+Usage: soak.py PATH_OF_ALMONDNOTCHD [--seed N] [--seconds S] [--seeds COUNT]
+
+Faults come from outside: gateways are killed, paused and told to leave, and start again; workers
+misbehave, leave and are replaced; the store is down, loses its history or turns to other versions.
+Callers keep their connections. Checked while it runs, from what callers and workers see:
+  - a booking runs at most once, and never if it was refused as not run;
+  - an answer is the one that a worker gave to this attempt;
+  - after the last fault requests are served again.
+"""
+import argparse
+import http.client
+import os
+import random
+import signal
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import standins  # noqa: E402
+
+MODES = ("sound", "sound", "extra", "extra-late", "unframed", "unframed-reset", "unsealed", "reset",
+         "shed", "early", "failing", "mute")
+GATEWAYS, CALLERS = 3, 8
+RECOVERY_SECONDS = 15
+SERVED_SHARE_MIN = 0.9
+
+
+class Soak:
+    def __init__(self, daemon, seed, seconds):
+        self.random = random.Random(seed)
+        self.daemon, self.seconds = daemon, seconds
+        self.store = standins.Store()
+        self.version = 1
+        self.store.put("op/config", standins.routes(self.version))
+        self.workers, self.retired, self.created = [], [], 0
+        for service in ("reads", "books") * 3:
+            self.add_worker(service)
+        self.gateways = []
+        for i in range(GATEWAYS):
+            self.gateways.append(self.new_gateway(i))
+        self.stop = threading.Event()
+        self.lock = threading.Lock()
+        self.answers, self.faults = {}, []
+
+    def add_worker(self, service):
+        self.created += 1
+        self.workers.append(standins.Worker(self.store, f"{service[0]}-{self.created}", service))
+
+    def new_gateway(self, number):
+        seeds = ",".join(f"127.0.0.1:{one.peer}" for one in self.gateways[:2]) \
+            if self.gateways else None
+        return standins.Gateway([self.daemon], self.store, f"vm-{number}", seeds)
+
+    def call(self, number):
+        """One caller: resolves, keeps its connection, retries nothing, notes each answer."""
+        rng = random.Random(number)
+        caller, count = None, 0
+        while not self.stop.is_set():
+            if caller is None or rng.random() < 0.02:
+                if caller is not None:
+                    caller.close()
+                caller = standins.Caller(rng.choice(self.gateways).entry)
+            count += 1
+            attempt = f"{number:x}-{count:x}"
+            booking = rng.random() < 0.5
+            try:
+                if booking:
+                    answer = caller.send("POST", "/book/1", attempt, b"x" * rng.randrange(20000))
+                else:
+                    answer = caller.send("GET", f"/read/{count}", attempt)
+                outcome = (answer[0], answer[1].get("X-Almondnotch-Server-Seal"), answer[2])
+            except (OSError, http.client.HTTPException) as error:
+                outcome = (0, None, repr(error).encode())
+                time.sleep(0.02)
+            with self.lock:
+                self.answers[attempt] = (booking, outcome, time.monotonic())
+            time.sleep(rng.random() * 0.01)
+
+    def fault(self):
+        kind = self.random.choice(("kill", "pause", "leave", "mode", "mode", "mode", "drain",
+                                   "remove", "replace", "down", "compact", "config", "forge"))
+        number = self.random.randrange(GATEWAYS)
+        gateway, worker = self.gateways[number], self.random.choice(self.workers)
+        self.faults.append((kind, number, worker.name))
+        if kind in ("kill", "leave"):
+            gateway.process.send_signal(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
+            self.finish_gateway(number)
+        elif kind == "pause":
+            gateway.process.send_signal(signal.SIGSTOP)
+            time.sleep(self.random.uniform(0.2, 2))
+            gateway.process.send_signal(signal.SIGCONT)
+        elif kind == "mode":
+            worker.mode = self.random.choice(MODES)
+            worker.slowdown = self.random.choice((100, 100, 300, 700))
+        elif kind in ("drain", "remove", "replace"):
+            self.retire(worker, kind)
+        elif kind == "down":
+            self.store.is_down = True
+            time.sleep(self.random.uniform(0.2, 2))
+            self.store.is_down = False
+        elif kind == "compact":
+            self.store.compact()
+        elif kind == "config":
+            self.version += self.random.randrange(1, 5)
+            self.store.put("op/config", standins.routes(self.version))
+        else:
+            self.store.put("servers/forged", self.random.randbytes(40))
+
+    def finish_gateway(self, number):
+        ended = self.gateways[number]
+
+        def restart():
+            ended.process.wait()
+            ended.end()
+            self.gateways[number] = self.new_gateway(number)
+        thread = threading.Thread(target=restart)
+        thread.start()
+        thread.join(self.random.uniform(0, 4))
+
+    def retire(self, worker, kind):
+        self.workers.remove(worker)
+        self.retired.append(worker)
+        if kind == "drain":
+            worker.register("draining")
+        self.add_worker(worker.service)
+        if kind == "replace":
+            # Another worker has the address at once.
+            worker.name = "another"
+        if kind != "drain":
+            self.store.remove(f"servers/{worker.name}")
+
+    def check(self):
+        runs = {}
+        for worker in self.workers + self.retired:
+            for run in worker.runs:
+                runs.setdefault(run[0], []).append(run)
+        failures = []
+        for attempt, (booking, (status, seal, body), _) in self.answers.items():
+            count = len(runs.get(attempt, []))
+            if booking and count > 1:
+                failures.append(f"{attempt} ran {count} times")
+            if booking and count and status in (408, 421, 429, 503) and seal is None:
+                failures.append(f"{attempt} was refused with {status} and ran")
+            if status == 200 and (seal is None or body.decode().split()[1] != attempt):
+                failures.append(f"{attempt} got {body!r} with seal {seal}")
+        return failures
+
+    def run(self):
+        for gateway in self.gateways:
+            standins.wait_for(gateway.is_ready)
+        callers = [threading.Thread(target=self.call, args=(i + 1,)) for i in range(CALLERS)]
+        for thread in callers:
+            thread.start()
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            time.sleep(self.random.expovariate(2))
+            self.fault()
+        for worker in self.workers:
+            worker.mode, worker.slowdown = "sound", 100
+        recovered = self.wait_for_recovery()
+        self.stop.set()
+        for thread in callers:
+            thread.join()
+        failures = self.check()
+        if not recovered:
+            failures.append(f"not recovered {RECOVERY_SECONDS} s after the last fault")
+        self.close(failures)
+        return failures
+
+    def wait_for_recovery(self):
+        end = time.monotonic() + RECOVERY_SECONDS
+        while time.monotonic() < end:
+            time.sleep(1)
+            since = time.monotonic() - 1
+            with self.lock:
+                recent = [outcome[0] for _, outcome, at in self.answers.values() if at > since]
+            served = sum(status == 200 for status in recent)
+            if len(recent) >= 20 and served >= SERVED_SHARE_MIN * len(recent):
+                return True
+        return False
+
+    def close(self, failures):
+        for gateway in self.gateways:
+            gateway.end()
+            if failures:
+                print(gateway.output()[-4000:])
+        for worker in self.workers + self.retired:
+            worker.server.end()
+        self.store.server.end()
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("daemon")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=10)
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.seed, options.seed + options.seeds):
+        soak = Soak(options.daemon, seed, options.seconds)
+        failures = soak.run()
+        served = sum(outcome[0] == 200 for _, outcome, _ in soak.answers.values())
+        print(f"seed {seed}: {len(soak.answers)} requests, {served} served, "
+              f"{len(soak.faults)} faults, {len(failures)} failures", flush=True)
+        for failure in failures[:10]:
+            print("  " + failure)
+        if failures:
+            print(f"  faults: {soak.faults}")
+            failed += 1
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -286,7 +286,8 @@
 grace = "3s"
 """)
         self.log = tempfile.TemporaryFile()
-        self.process = subprocess.Popen(daemon + ["--settings", path], stderr=self.log)
+        self.process = subprocess.Popen(daemon + ["--settings", path], stdout=self.log,
+                                        stderr=self.log)
 
     def get(self, port, target):
         connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
