--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -280,7 +280,10 @@
 address = "{store.server.address}"
 [fleet]
 exchange_interval_ms = 200
+gateways_assumed = 1
 [routing]
+# The budget has tests of its own; here each read that may be retried is.
+retry_slack = 2000
 configuration = "items"
 directory_addresses = "127.0.0.1:{self.ready},127.0.0.1:{self.directory}"
 grace = "3s"
