Remove dead state of the routing decisions and say the retry capacity once

Cause: a read of the whole change. item_reader kept the time of its last failure and worker_pool a look-up by name for rules that are gone; a counter was reset right after the function that resets it; the capacity of the retry budget stood twice.

Behaviour is unchanged. Checked: routing_test, the ten cases of the whole path, the linter on the four files, format and layers.

--- a/decision/routing/item_reader.cpp
+++ b/decision/routing/item_reader.cpp
@@ -104,8 +104,6 @@
 void item_reader::failed(instant now)
 {
     m_counters.add("store_reads_failed_total");
-    m_hasFailed = true;
-    m_lastFailure = now;
     const unsigned doublings = std::min(m_failures, backoffDoublingsMax);
     ++m_failures;
     const duration pause
--- a/decision/routing/item_reader.h
+++ b/decision/routing/item_reader.h
@@ -56,9 +56,6 @@
     bool isComplete() const { return m_wasComplete; }
     /// Failed reads since the last one that worked; 0 while the store answers.
     unsigned failuresInARow() const { return m_failures; }
-    /// When a read last failed; the origin if none did.
-    instant lastFailure() const { return m_lastFailure; }
-    bool hasFailed() const { return m_hasFailed; }
     std::uint64_t revision() const { return m_revision; }
 
 private:
@@ -81,8 +78,6 @@
     std::uint64_t m_listRevision = 0;
     std::uint64_t m_revision = 0;
     unsigned m_failures = 0;
-    instant m_lastFailure;
-    bool m_hasFailed = false;
     bool m_mayBeStale = false;
     bool m_wasComplete = false;
 };
--- a/decision/routing/request_runner.cpp
+++ b/decision/routing/request_runner.cpp
@@ -118,9 +118,8 @@
     const std::optional<ending> refused = admit(now, record, table);
     m_parts.counters.add("requests_total");
     if (!refused)
-        m_services[record.service].budget.requestArrived(
-            m_settings.budgets.retryShare,
-            std::max(1.0, slackPart * m_settings.budgets.retrySlack / m_gateways));
+        m_services[record.service].budget.requestArrived(m_settings.budgets.retryShare,
+                                                         retryCapacity());
     m_requests.emplace(input.call, std::move(owned));
     if (refused) {
         finishWith(now, record, *refused, actions);
@@ -613,15 +612,20 @@
     }
 }
 
+/// Most retries of a service that this gateway may have saved up.
+double request_runner::retryCapacity() const
+{
+    return std::max(1.0, slackPart * m_settings.budgets.retrySlack / m_gateways);
+}
+
 void request_runner::tryHedge(instant now, routed_request &record, action_list &actions)
 {
     record.hedgeAt = now + hedgeStep;
     if (record.hedgeAt + workOf(*record.route) > record.deadline)
         record.hedgeAt = instant::never();
-    const double capacity = std::max(1.0, slackPart * m_settings.budgets.retrySlack / m_gateways);
     const double reserve = now < record.objectiveAt ? hedgeReservePart : lateReservePart;
     if (record.runningAttempts() == 0
-        || !m_services[record.service].budget.has(1 + reserve * capacity)) {
+        || !m_services[record.service].budget.has(1 + reserve * retryCapacity())) {
         schedule(record);
         return;
     }
--- a/decision/routing/request_runner.h
+++ b/decision/routing/request_runner.h
@@ -130,6 +130,7 @@
                  const attempt_finished &input, action_list &actions);
     placement_request wanted(instant now, const routed_request &record);
     duration workOf(const host_route &route);
+    double retryCapacity() const;
     unsigned connectionShare(const routed_request &record) const;
     void finishWith(instant now, routed_request &record, const ending &cause, action_list &actions);
     void finish(instant now, routed_request &record, const shared_response &response,
--- a/decision/routing/worker_pool.cpp
+++ b/decision/routing/worker_pool.cpp
@@ -211,7 +211,6 @@
         return;
     }
     takeReport(now, worker, *input.load);
-    worker.sentSinceReport = 0;
 }
 
 bool worker_pool::hasLapse(instant now) const
@@ -260,12 +259,6 @@
     return found == m_byService.end() ? none : found->second;
 }
 
-std::optional<worker_index> worker_pool::find(std::string_view name) const
-{
-    const auto found = m_byName.find(name);
-    return found == m_byName.end() ? std::nullopt : std::optional<worker_index>(found->second);
-}
-
 nlohmann::json worker_pool::dump(instant now) const
 {
     nlohmann::json rows = nlohmann::json::array();
--- a/decision/routing/worker_pool.h
+++ b/decision/routing/worker_pool.h
@@ -81,7 +81,6 @@
     }
     /// Workers of a service, gone and leaving ones included.
     const std::vector<worker_index> &ofService(std::string_view service) const;
-    std::optional<worker_index> find(std::string_view name) const;
     std::size_t size() const { return m_byName.size(); }
     nlohmann::json dump(instant now) const;
 
