Keep four of five membership exchanges within the failure domain

Cause: each gateway chose its contact of a round among all gateways, so that on a site of five failure domains four of five digests crossed between them.

Ruled out: smaller digests. In steady state a digest already tells four members.

Change: a fifth of the exchanges goes to other failure domains; a gateway that leaves tells its own failure domain and three others.

--- a/decision/routing/peer_group.cpp
+++ b/decision/routing/peer_group.cpp
@@ -11,6 +11,10 @@
 constexpr std::size_t turnsPerDigest = 4;
 /// Known gateways below which the seeds are asked as well.
 constexpr std::size_t membersWithoutSeeds = 4;
+/// Share of the exchanges that go to other failure domains, since bytes between them are dear.
+constexpr double distantContactShare = 0.2;
+/// Gateways of other failure domains that a leaving gateway tells at once; they tell the others.
+constexpr std::size_t distantToldOfLeaving = 3;
 /// Gateways of the caller's failure domain below which those of others are named as well.
 constexpr std::size_t nearAddressesMin = 2;
 
@@ -69,19 +73,38 @@
         send_peer_message {address, m_nextMessage++, makeDigest(now, facts, replyWanted)});
 }
 
+/// Removes and returns a random address.
+std::string peer_group::takeRandom(std::vector<std::string> &addresses)
+{
+    const std::size_t index = m_random.below(addresses.size());
+    std::string taken = std::move(addresses[index]);
+    addresses.erase(addresses.begin() + static_cast<std::ptrdiff_t>(index));
+    return taken;
+}
+
+peer_group::contact_lists peer_group::contacts() const
+{
+    contact_lists out;
+    for (const member_record *record : m_members.contactable()) {
+        const bool isNear = record->update.failureDomain == m_settings.failureDomain;
+        (isNear ? out.nearby : out.distant).push_back(record->update.peerAddress);
+    }
+    return out;
+}
+
 std::vector<std::string> peer_group::chooseContacts()
 {
-    std::vector<std::string> known;
-    for (const member_record *record : m_members.contactable())
-        known.push_back(record->update.peerAddress);
+    contact_lists known = contacts();
+    const std::size_t knownCount = known.nearby.size() + known.distant.size();
     std::vector<std::string> chosen;
-    for (unsigned i = 0; i < m_settings.fanout && !known.empty(); ++i) {
-        const std::size_t index = m_random.below(known.size());
-        chosen.push_back(known[index]);
-        known.erase(known.begin() + static_cast<std::ptrdiff_t>(index));
+    while (chosen.size() < std::min<std::size_t>(m_settings.fanout, knownCount)) {
+        const bool isDistant
+            = known.nearby.empty()
+              || (!known.distant.empty() && m_random.uniform() < distantContactShare);
+        chosen.push_back(takeRandom(isDistant ? known.distant : known.nearby));
     }
     // A gateway that knows few others may be on the small side of a partition that has healed.
-    if (known.size() + chosen.size() < membersWithoutSeeds && !m_settings.seeds.empty()) {
+    if (knownCount < membersWithoutSeeds && !m_settings.seeds.empty()) {
         const std::string &seed = m_settings.seeds[m_random.below(m_settings.seeds.size())];
         if (seed != m_settings.peerAddress
             && std::find(chosen.begin(), chosen.end(), seed) == chosen.end())
@@ -116,8 +139,12 @@
 void peer_group::beginLeaving(instant now, action_list &actions)
 {
     m_members.beginLeaving();
-    for (const member_record *record : m_members.contactable())
-        send(now, record->update.peerAddress, {}, false, actions);
+    contact_lists known = contacts();
+    while (known.distant.size() > distantToldOfLeaving)
+        takeRandom(known.distant);
+    known.nearby.insert(known.nearby.end(), known.distant.begin(), known.distant.end());
+    for (const std::string &address : known.nearby)
+        send(now, address, {}, false, actions);
 }
 
 void peer_group::pauseDetected(instant now)
--- a/decision/routing/peer_group.h
+++ b/decision/routing/peer_group.h
@@ -52,7 +52,7 @@
     /// Takes over a digest and answers it if the sender wants that.
     void digestArrived(instant now, const fleet_digest &digest, const peer_facts &facts,
                        action_list &actions);
-    /// Tells all known gateways at once that this one leaves.
+    /// Tells the gateways of the failure domain and some others at once that this one leaves.
     void beginLeaving(instant now, action_list &actions);
     void pauseDetected(instant now);
 
@@ -67,9 +67,18 @@
     nlohmann::json dump(instant now) const { return m_members.dump(now); }
 
 private:
+    /// Peer addresses of the known gateways.
+    struct contact_lists
+    {
+        std::vector<std::string> nearby;
+        std::vector<std::string> distant;
+    };
+
     fleet_digest makeDigest(instant now, const peer_facts &facts, bool replyWanted);
     void send(instant now, const std::string &address, const peer_facts &facts, bool replyWanted,
               action_list &actions);
+    std::string takeRandom(std::vector<std::string> &addresses);
+    contact_lists contacts() const;
     std::vector<std::string> chooseContacts();
 
     peer_group_settings m_settings;
--- /dev/null
+++ b/tests/decision/routing/peer_group_test.cpp
@@ -0,0 +1,112 @@
+#include <map>
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+#include "decision/routing/peer_group.h"
+
+namespace almondnotch {
+
+namespace {
+
+constexpr unsigned nearGateways = 8;
+constexpr unsigned distantGateways = 24;
+
+struct group_fixture
+{
+    group_fixture()
+    {
+        for (unsigned i = 0; i < nearGateways + distantGateways; ++i)
+            hear(i);
+        group.start(now);
+    }
+
+    static std::string addressOf(unsigned index)
+    {
+        return "10.0.1." + std::to_string(index) + ":9";
+    }
+    static bool isNear(unsigned index) { return index < nearGateways; }
+
+    void hear(unsigned index)
+    {
+        fleet_digest digest;
+        digest.self.process = {"vm-" + std::to_string(index), 1};
+        digest.self.failureDomain = isNear(index) ? "near" : "far";
+        digest.self.entryAddress = "10.0.2." + std::to_string(index) + ":80";
+        digest.self.peerAddress = addressOf(index);
+        action_list ignored;
+        group.digestArrived(now, digest, {}, ignored);
+    }
+
+    static peer_group_settings makeSettings()
+    {
+        peer_group_settings settings;
+        settings.self = {"vm-self", 1};
+        settings.failureDomain = "near";
+        settings.peerAddress = "10.0.0.1:9";
+        settings.fanout = 1;
+        return settings;
+    }
+
+    counter_set counters;
+    random_source random {7};
+    instant now {seconds(50)};
+    peer_group group {makeSettings(), random, counters};
+};
+
+/// Messages by address.
+std::map<std::string, unsigned> countMessages(const action_list &actions)
+{
+    std::map<std::string, unsigned> out;
+    for (const action &one : actions) {
+        if (const send_peer_message *sent = std::get_if<send_peer_message>(&one))
+            ++out[sent->peerAddress];
+    }
+    return out;
+}
+
+unsigned distantMessages(const std::map<std::string, unsigned> &counts)
+{
+    unsigned out = 0;
+    for (unsigned i = nearGateways; i < nearGateways + distantGateways; ++i) {
+        const auto found = counts.find(group_fixture::addressOf(i));
+        out += found == counts.end() ? 0 : found->second;
+    }
+    return out;
+}
+
+} // namespace
+
+// Guards against an exchange that pays for bytes between failure domains with most messages, and
+// against one that no longer reaches the other failure domains.
+BOOST_FIXTURE_TEST_CASE(mostExchangesStayInTheFailureDomain, group_fixture)
+{
+    constexpr unsigned rounds = 1000;
+    action_list actions;
+    for (unsigned round = 0; round < rounds; ++round) {
+        now = group.nextWake();
+        for (unsigned i = 0; i < nearGateways + distantGateways; ++i)
+            hear(i);
+        group.timerExpired(now, {}, actions);
+    }
+    const std::map<std::string, unsigned> counts = countMessages(actions);
+    BOOST_TEST(counts.size() == nearGateways + distantGateways);
+    const unsigned distant = distantMessages(counts);
+    BOOST_TEST(distant >= rounds / 10);
+    BOOST_TEST(distant <= rounds * 3 / 10);
+}
+
+// Guards against callers of the failure domain that are sent to a gateway which has begun to leave.
+BOOST_FIXTURE_TEST_CASE(aLeavingGatewayTellsItsWholeFailureDomain, group_fixture)
+{
+    action_list actions;
+    group.beginLeaving(now, actions);
+    const std::map<std::string, unsigned> counts = countMessages(actions);
+    for (unsigned i = 0; i < nearGateways; ++i)
+        BOOST_TEST(counts.contains(addressOf(i)));
+    const unsigned distant = distantMessages(counts);
+    BOOST_TEST(distant >= 1U);
+    BOOST_TEST(distant < distantGateways);
+}
+
+} // namespace almondnotch
