Search a text once for its syntax faults

Cause: each syntax fault of a published text led to a further parse of the whole text, up to twenty.

Change: after a fault the search goes on behind the erased objects, and the objects are read by one last parse of the whole text.

--- a/config/set_reader.cpp
+++ b/config/set_reader.cpp
@@ -15,17 +15,28 @@
 constexpr int syntaxRetriesMax = 20;
 
 /// Replaces the objects around a syntax fault by empty lines, so that a further parse finds the
-/// faults behind it with the right line numbers.
+/// faults behind it with the right line numbers. Text before a fault is not searched again: all
+/// searches together take about as long as one parse.
 class fault_eraser
 {
 public:
     explicit fault_eraser(std::string text) : m_text(std::move(text)) { }
 
-    const std::string &text() const { return m_text; }
+    /// What has not been searched for faults yet.
+    std::string_view rest() const { return std::string_view(m_text).substr(m_searched); }
+    /// Line of the whole text, from 1, for one of `rest()`.
+    int lineOf(int restLine) const { return m_searchedLines + restLine; }
+    /// True if the rest is the whole text.
+    bool isWhole() const { return m_searched == 0; }
+    void searchAnew()
+    {
+        m_searched = 0;
+        m_searchedLines = 0;
+    }
 
     /// Erases from the last header above the line up to the next header below it. An unclosed
     /// value shows only at the header that follows it, so a header line takes the object above
-    /// along.
+    /// along. The search goes on at that next header.
     void erase(int line)
     {
         const std::size_t at = startOf(line);
@@ -42,6 +53,9 @@
             m_text.begin() + static_cast<std::ptrdiff_t>(begin),
             m_text.begin() + static_cast<std::ptrdiff_t>(std::min(end, m_text.size())),
             [](char letter) { return letter != '\n'; }, ' ');
+        m_searched = std::min(end, m_text.size());
+        m_searchedLines = static_cast<int>(std::count(
+            m_text.begin(), m_text.begin() + static_cast<std::ptrdiff_t>(m_searched), '\n'));
     }
 
 private:
@@ -67,6 +81,8 @@
     }
 
     std::string m_text;
+    std::size_t m_searched = 0;
+    int m_searchedLines = 0;
 };
 
 template <typename T>
@@ -149,13 +165,17 @@
     std::optional<fault_eraser> remaining;
     while (true) {
         try {
-            const toml::table root
-                = toml::parse(remaining ? std::string_view(remaining->text()) : toml);
-            readTables(root);
-            return;
+            const toml::table root = toml::parse(remaining ? remaining->rest() : toml);
+            if (!remaining || remaining->isWhole()) {
+                readTables(root);
+                return;
+            }
+            // The rest has no more faults; the objects before it are read with it.
+            remaining->searchAnew();
         } catch (const toml::parse_error &failure) {
             m_set.incomplete = true;
-            const int line = static_cast<int>(failure.source().begin.line);
+            const int restLine = static_cast<int>(failure.source().begin.line);
+            const int line = remaining ? remaining->lineOf(restLine) : restLine;
             refuse(line, "not TOML: " + std::string(failure.description()));
             if (++m_set.syntaxRetries > syntaxRetriesMax)
                 return;
