Let two gateways read the store for a large failure domain

Cause: each gateway watched the store by itself.

Ruled out: a watch of the configuration by each gateway and only the workers through readers (about a third of the calls would remain); one reader a failure domain (its loss is noticed too late); copies of large configurations (seconds on a link of 10 Mbit/s, so they are only announced).

Change: in failure domains of eight gateways or more, the two with the largest processor share watch the store, report each second, and pass changes on with the revisions between which they lie. Three substitutes step in after 1.2 s of silence, all others read for themselves after 1.7 s. Readers check every 0.6 s that the store answers. What is announced and does not arrive is asked for, and listed if the store does not tell it. Gateways that follow try a store that is down every 4 s.

--- a/decision/actions.h
+++ b/decision/actions.h
@@ -112,6 +112,8 @@
     duration wait {0};
     /// The list may be some seconds old, which the store answers at a lower price.
     bool mayBeStale = false;
+    /// Only the revision is wanted, to see whether the store answers: the page has no items.
+    bool isCheck = false;
 };
 
 /// Write a log record.
--- a/decision/gateway.cpp
+++ b/decision/gateway.cpp
@@ -159,6 +159,7 @@
         &state::dispatchMessage<config_data>,        &state::dispatchMessage<forwarded_call>,
         &state::dispatchMessage<forwarded_response>, &state::dispatchMessage<handover_chunk>,
         &state::dispatchMessage<handover_commit>,    &state::dispatchMessage<handover_ack>,
+        &state::dispatchMessage<reader_report>,      &state::dispatchMessage<items_update>,
     };
 
 gateway::state::state(gateway_settings given)
--- a/decision/peer_messages.cpp
+++ b/decision/peer_messages.cpp
@@ -22,8 +22,8 @@
 std::string_view messageName(const peer_message &message)
 {
     static constexpr std::array<std::string_view, std::variant_size_v<peer_message>> names {
-        "fleet_digest",       "config_request", "config_data",     "forwarded_call",
-        "forwarded_response", "handover_chunk", "handover_commit", "handover_ack"};
+        "fleet_digest",   "config_request",  "config_data",  "forwarded_call", "forwarded_response",
+        "handover_chunk", "handover_commit", "handover_ack", "reader_report",  "items_update"};
     return names.at(message.index());
 }
 
--- a/decision/peer_messages.h
+++ b/decision/peer_messages.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/time.h"
+#include "decision/routing/published.h"
 #include "decision/types.h"
 
 namespace almondnotch {
@@ -35,6 +36,8 @@
     /// Reading of the process's clock: what it last told of itself plus `heardAge`, so that others
     /// can mint key ranges for it. Never ahead of the true reading; 0 if unknown.
     duration clock {0};
+    /// Processor share of the VM, hundredths of a core; 0 if unknown.
+    std::uint32_t capacity = 0;
 
     bool operator==(const member_update &) const = default;
 };
@@ -192,9 +195,38 @@
     bool refused = false;
 };
 
+/// Steady report of a gateway that reads the platform's store for others; its absence shows that
+/// the reader is gone.
+struct reader_report
+{
+    /// True while the store answers the reader.
+    bool isCurrent = false;
+    /// Revisions of the last change that the reader knows.
+    std::uint64_t configurationRevision = 0;
+    std::uint64_t workersRevision = 0;
+
+    bool operator==(const reader_report &) const = default;
+};
+
+/// Most items, and most routes of a configuration, that one `items_update` carries. Longer changes
+/// are only announced by a report.
+constexpr std::size_t updateItemsMax = 64;
+constexpr std::size_t updateRoutesMax = 100;
+
+/// Changes of one scope of the platform's store, passed on by a reader.
+struct items_update
+{
+    item_scope scope = item_scope::configuration;
+    /// The sender knows of no other change between the two revisions.
+    std::uint64_t afterRevision = 0;
+    std::uint64_t revision = 0;
+    /// At most `updateItemsMax`.
+    std::vector<published_item> items;
+};
+
 using peer_message
     = std::variant<fleet_digest, config_request, config_data, forwarded_call, forwarded_response,
-                   handover_chunk, handover_commit, handover_ack>;
+                   handover_chunk, handover_commit, handover_ack, reader_report, items_update>;
 
 /// Name of the message's type, for logs and counters.
 std::string_view messageName(const peer_message &message);
--- a/decision/routing/item_reader.h
+++ b/decision/routing/item_reader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -9,6 +10,7 @@
 #include "core/time.h"
 #include "decision/actions.h"
 #include "decision/events.h"
+#include "decision/routing/reader_group.h"
 
 namespace almondnotch {
 
@@ -20,11 +22,12 @@
     /// Time between the end of a watch that reported changes and the next one, so that changes
     /// that come together cost one call.
     duration pacing {0};
+    /// Time from the start to the second watch that reports changes: a gateway learns meanwhile
+    /// whether others pass the changes on.
+    duration settling {0};
     /// The first list may be old: the watch that follows tells what has changed since.
     bool startsStale = false;
-    /// Time before a failed read is repeated, doubled with each further failure.
-    duration retryFirst {milliseconds(100)};
-    duration retryLongest {seconds(1)};
+    retry_pace retries;
 };
 
 /// What a finished read told.
@@ -33,32 +36,55 @@
     /// The items are all that exist; items that are not among them were removed.
     bool isWhole = false;
     std::vector<published_item> items;
+    /// The changes follow on each other between these revisions.
+    std::uint64_t afterRevision = 0;
+    std::uint64_t revision = 0;
 };
 
 /// Reads one scope of the platform's store: lists it page by page, then watches it, and lists it
 /// again when the store has forgotten changes. Has at most one read under way.
+///
+/// Another gateway may watch in its place and pass the changes on. The reader then only lists, and
+/// watches for a moment when changes are missing.
 class item_reader
 {
 public:
     /// \param random, counters outlive the reader.
     item_reader(item_reader_settings settings, random_source &random, counter_set &counters);
 
-    void start(std::uint64_t &nextRead, action_list &actions);
+    void start(instant now, std::uint64_t &nextRead, action_list &actions);
     /// \return true if the read is this reader's; `news` then holds what it told, if anything.
     bool finished(instant now, const items_read &input, std::vector<reader_news> &news);
     void timerExpired(instant now, std::uint64_t &nextRead, action_list &actions);
-    instant nextWake() const { return m_nextRead; }
+    instant nextWake() const;
 
     /// The process did not run, or the watch may be dead: all is read anew.
     void restart(instant now);
 
+    /// Whether the scope is watched; a watch under way goes on to its end.
+    void setWatching(bool isWatching, const retry_pace &retries);
+    /// The store has changes up to this revision, as a gateway knows that the store answers. Asks
+    /// for them unless they arrive soon; this also takes the place of a list after failed reads.
+    void announce(instant now, std::uint64_t revision);
+    /// Takes over changes that another gateway read. Changes before which others are missing are
+    /// kept for a moment, since messages of several gateways overtake each other.
+    /// \return what is new here.
+    std::vector<reader_news> follow(instant now, const items_update &update);
+
     /// True once everything was listed.
     bool isComplete() const { return m_wasComplete; }
     /// Failed reads since the last one that worked; 0 while the store answers.
     unsigned failuresInARow() const { return m_failures; }
     std::uint64_t revision() const { return m_revision; }
+    /// Revision of the last change that is known.
+    std::uint64_t changedRevision() const { return m_changedRevision; }
 
 private:
+    bool isDue() const { return m_isListing || m_isWatching || m_isCatchingUp; }
+    bool isBehind() const { return m_announced > m_revision; }
+    duration watchTime();
+    std::vector<published_item> newItems(const std::vector<published_item> &items) const;
+    bool takeUpdate(const items_update &update, std::vector<reader_news> &news);
     void send(std::uint64_t &nextRead, action_list &actions);
     void listed(instant now, const item_page &page, std::vector<reader_news> &news);
     void watched(instant now, const item_page &page, std::vector<reader_news> &news);
@@ -70,6 +96,7 @@
     bool m_underWay = false;
     read_id m_read {};
     instant m_nextRead = instant::never();
+    instant m_settledAt;
     /// The scope is being listed; otherwise it is watched.
     bool m_isListing = true;
     std::string m_afterKey;
@@ -77,6 +104,17 @@
     /// Revision of the list's first page: changes that were made while it was read come again.
     std::uint64_t m_listRevision = 0;
     std::uint64_t m_revision = 0;
+    std::uint64_t m_changedRevision = 0;
+    bool m_isWatching = true;
+    /// Changes up to `m_announced` exist. They are asked for, or listed if a watch under way does
+    /// not tell them by `m_announcedUntil`.
+    bool m_isCatchingUp = false;
+    std::uint64_t m_announced = 0;
+    instant m_announcedUntil;
+    /// The store no longer has the changes since `m_revision`.
+    bool m_mustList = true;
+    /// Updates before which changes are missing.
+    std::vector<items_update> m_early;
     unsigned m_failures = 0;
     bool m_mayBeStale = false;
     bool m_wasComplete = false;
--- a/decision/routing/peer_group.cpp
+++ b/decision/routing/peer_group.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t membersWithoutSeeds = 4;
 /// Share of the exchanges that go to other failure domains, since bytes between them are dear.
 constexpr double distantContactShare = 0.2;
+/// Part of the interval after which the next exchange follows one that found new gateways.
+constexpr double growingIntervalPart = 0.25;
 /// Gateways of other failure domains that a leaving gateway tells at once; they tell the others.
 constexpr std::size_t distantToldOfLeaving = 3;
 /// Gateways of the caller's failure domain below which those of others are named as well.
@@ -34,6 +36,7 @@
     self.failureDomain = settings.failureDomain;
     self.entryAddress = settings.entryAddress;
     self.peerAddress = settings.peerAddress;
+    self.capacity = settings.capacity;
     return self;
 }
 
@@ -120,9 +123,13 @@
     m_members.expire(now);
     for (const std::string &address : chooseContacts())
         send(now, address, facts, true, actions);
+    // A group that is still being found is worth more messages.
+    const bool isGrowing = m_members.records().size() > m_knownAtExchange;
+    m_knownAtExchange = m_members.records().size();
+    const double factor = isGrowing ? growingIntervalPart : 1;
     m_nextExchange = now
                      + duration(static_cast<std::int64_t>(
-                         static_cast<double>(m_settings.exchangeInterval.count())
+                         static_cast<double>(m_settings.exchangeInterval.count()) * factor
                          * (0.8 + 0.4 * m_random.uniform())));
 }
 
@@ -147,6 +154,26 @@
         send(now, address, {}, false, actions);
 }
 
+void peer_group::tellFailureDomain(const peer_message &message, action_list &actions)
+{
+    for (const std::string &address : contacts().nearby)
+        actions.push_back(send_peer_message {address, m_nextMessage++, message});
+}
+
+std::vector<reader_candidate> peer_group::readerCandidates() const
+{
+    std::vector<reader_candidate> out;
+    const member_update &self = m_members.self();
+    if (self.state == gateway_state::alive)
+        out.push_back({self.process.vm, self.capacity});
+    for (const member_record *record : m_members.contactable()) {
+        const member_update &other = record->update;
+        if (other.state == gateway_state::alive && other.failureDomain == m_settings.failureDomain)
+            out.push_back({other.process.vm, other.capacity});
+    }
+    return out;
+}
+
 void peer_group::pauseDetected(instant now)
 {
     m_members.pauseDetected(now);
--- a/decision/routing/peer_group.h
+++ b/decision/routing/peer_group.h
@@ -11,6 +11,7 @@
 #include "decision/actions.h"
 #include "decision/fleet/membership.h"
 #include "decision/peer_messages.h"
+#include "decision/routing/reader_group.h"
 
 namespace almondnotch {
 
@@ -20,6 +21,8 @@
     std::string failureDomain;
     std::string entryAddress;
     std::string peerAddress;
+    /// Processor share of this VM, hundredths of a core; 0 if unknown.
+    std::uint32_t capacity = 0;
     std::vector<std::string> seeds;
     unsigned fanout = 2;
     duration exchangeInterval {milliseconds(500)};
@@ -55,6 +58,11 @@
     /// Tells the gateways of the failure domain and some others at once that this one leaves.
     void beginLeaving(instant now, action_list &actions);
     void pauseDetected(instant now);
+    /// Sends a message to all known gateways of the failure domain.
+    void tellFailureDomain(const peer_message &message, action_list &actions);
+
+    /// Gateways of the failure domain that serve, this one included.
+    std::vector<reader_candidate> readerCandidates() const;
 
     /// Gateways that share the group's budgets: those that run or may run, this one included.
     unsigned gatewayCount(instant now) const;
@@ -87,6 +95,8 @@
     membership m_members;
     instant m_startedAt;
     instant m_nextExchange;
+    /// Other gateways known when the last exchange was sent.
+    std::size_t m_knownAtExchange = 0;
     std::uint64_t m_nextMessage = 1;
 };
 
--- /dev/null
+++ b/decision/routing/reader_group.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "core/time.h"
+
+namespace almondnotch {
+
+/// A gateway that may read the platform's store for its failure domain.
+struct reader_candidate
+{
+    std::string vm;
+    /// Processor share of the VM, hundredths of a core; 0 if unknown.
+    std::uint32_t capacity = 0;
+
+    bool operator==(const reader_candidate &) const = default;
+};
+
+/// Time between two tries of what fails: `first`, doubled with each further failure up to
+/// `longest`.
+struct retry_pace
+{
+    duration first {milliseconds(100)};
+    duration longest {seconds(1)};
+
+    bool operator==(const retry_pace &) const = default;
+};
+
+struct reader_group_settings
+{
+    /// This gateway's VM.
+    std::string vm;
+    std::string failureDomain;
+    /// Gateways that read for a failure domain.
+    unsigned readers = 2;
+    /// Gateways of a failure domain below which each reads for itself.
+    unsigned gatewaysMin = 8;
+    /// Time between two reports of a reader.
+    duration reportInterval {seconds(1)};
+    /// Further gateways that step in as readers before all others read for themselves.
+    unsigned substitutes = 3;
+    /// Silence of all readers after which the substitutes step in.
+    duration substituteSilence {milliseconds(1200)};
+    /// Silence of all readers after which each gateway reads for itself.
+    duration silence {milliseconds(1700)};
+    /// Tries of a gateway on which others depend, and in small failure domains.
+    retry_pace readerPace {milliseconds(100), seconds(1)};
+    /// Tries of a gateway that reads for itself alone: the readers notice the return of the store.
+    retry_pace followerPace {seconds(4), seconds(4)};
+    /// Time between two checks whether the store still answers a reader, whose watch may wait long
+    /// on a dead connection, and how long an answer may take.
+    duration checkInterval {milliseconds(600)};
+    duration checkTimeLimit {milliseconds(600)};
+};
+
+/// Decides whether this gateway reads the platform's store itself, or follows those gateways of
+/// its failure domain that read it for all.
+///
+/// The readers are the candidates with the largest processor share, among equals those with the
+/// highest rendezvous score; the next few step in while no reader is heard. All candidates choose
+/// alike as far as they know the same members; where they do not, a reader too many costs calls,
+/// and one too few shows as silence.
+class reader_group
+{
+public:
+    explicit reader_group(reader_group_settings settings) : m_settings(std::move(settings)) { }
+
+    /// \param candidates gateways of the failure domain that serve, this one included if it does.
+    void setCandidates(const std::vector<reader_candidate> &candidates);
+    /// A reader reported; one that has lost the store says so.
+    void reportArrived(instant now, const std::string &vm, bool isCurrent);
+    /// The store answered a read of this gateway.
+    void storeAnswered(instant now);
+    /// All that was heard is old, as after a pause of the process.
+    void pauseDetected();
+
+    /// This gateway watches the store, for itself or for others.
+    bool mustRead(instant now) const;
+    /// This gateway reads for its failure domain.
+    bool isReader(instant now) const;
+    /// Time between two tries of a read while the store does not answer.
+    const retry_pace &retryPace(instant now) const;
+    /// The store answers this gateway.
+    bool isCurrent(instant now) const;
+
+    /// \param reads whether the gateway's own reads work. \return true if a report is due, which is
+    /// then taken as sent.
+    bool takeReport(instant now, bool reads);
+    /// The next report is due at once, since there is something to announce.
+    void hastenReport(instant now);
+    /// \return true if a check is due, which is then taken as sent.
+    bool takeCheck(instant now);
+
+    instant nextWake(instant now) const;
+    nlohmann::json dump(instant now) const;
+
+private:
+    bool isShared() const { return m_candidates >= m_settings.gatewaysMin; }
+    bool isSubstitute() const;
+    bool isSilent(instant now, duration limit) const { return now - m_lastCurrent >= limit; }
+
+    reader_group_settings m_settings;
+    std::size_t m_candidates = 0;
+    /// Gateways that come before this one as readers.
+    std::size_t m_rank = 0;
+    bool m_isCandidate = false;
+    /// When each reader last reported that the store answers it.
+    std::map<std::string, instant> m_currentAt;
+    /// When a reader last did; earlier if the last of them has lost the store since.
+    instant m_lastCurrent;
+    instant m_nextReport;
+    instant m_nextCheck;
+    instant m_answeredAt;
+    bool m_reportedCurrent = false;
+};
+
+} // namespace almondnotch
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -9,6 +9,7 @@
 #include "decision/calls/quarantine_table.h"
 #include "decision/routing/item_reader.h"
 #include "decision/routing/peer_group.h"
+#include "decision/routing/reader_group.h"
 #include "decision/routing/request_runner.h"
 #include "decision/routing/route_table.h"
 #include "decision/routing/worker_pool.h"
@@ -40,11 +41,12 @@
     return names.at(static_cast<std::size_t>(stage));
 }
 
-item_reader_settings readerSettings(item_scope scope, duration watch)
+item_reader_settings readerSettings(item_scope scope, const routing_settings &settings)
 {
     item_reader_settings out;
     out.scope = scope;
-    out.watch = watch;
+    out.watch = settings.watch;
+    out.settling = settings.settling;
     if (scope == item_scope::workers) {
         out.pacing = workerPacing;
         out.startsStale = true;
@@ -85,6 +87,22 @@
     }
 
     void detectPause(instant now);
+    void on(instant now, const process_id &from, const fleet_digest &digest, action_list &actions);
+    void on(instant now, const process_id &from, const reader_report &report, action_list &actions);
+    void on(instant now, const process_id &from, const items_update &update, action_list &actions);
+    /// Messages between gateways that own idempotency keys.
+    template <typename Other>
+    void on(instant /*now*/, const process_id & /*from*/, const Other & /*message*/,
+            action_list & /*actions*/)
+    {
+        counters.add("peer_messages_ignored_total");
+    }
+    void take(instant now, item_scope scope, const reader_news &news, action_list &actions);
+    void logStore(bool wasFailing, const items_read &input, action_list &actions);
+    bool areReadsFailing() const;
+    void read(instant now, action_list &actions);
+    void serveReaders(instant now, action_list &actions);
+    void passOn(instant now, item_scope scope, const reader_news &news, action_list &actions);
     void takeConfig(const reader_news &news, action_list &actions);
     void takeWorkers(instant now, const reader_news &news, action_list &actions);
     void updateRemovalRules(instant now);
@@ -100,13 +118,18 @@
     quarantine_table quarantine;
     request_runner runner;
     peer_group peers;
+    reader_group readers;
     item_reader configReader;
     item_reader workerReader;
     std::unique_ptr<route_table> table;
     std::uint64_t nextRead = 1;
+    /// Check of the store that is under way.
+    std::optional<read_id> check;
+    bool wasReading = true;
     instant nextSweep;
     /// Value of `nextWake` after the last input; shows a pause if the next input is much later.
     instant expectedWake = instant::never();
+    instant lastHandled;
     life_stage stage = life_stage::serving;
     instant leavingSince;
     bool hasJoined = false;
@@ -116,9 +139,9 @@
     : settings(std::move(given)), random(settings.seed), pool(counters),
       quarantine(settings.bounds.quarantine, settings.bounds.crashRecordsMax, counters),
       runner(settings, {pool, quarantine, random, invariants, counters}),
-      peers(settings.peers, random, counters),
-      configReader(readerSettings(item_scope::configuration, settings.watch), random, counters),
-      workerReader(readerSettings(item_scope::workers, settings.watch), random, counters)
+      peers(settings.peers, random, counters), readers(settings.readers),
+      configReader(readerSettings(item_scope::configuration, settings), random, counters),
+      workerReader(readerSettings(item_scope::workers, settings), random, counters)
 { }
 
 void route_gateway::state::handle(instant now, const event &input, action_list &actions)
@@ -126,6 +149,7 @@
     if (stage == life_stage::finished)
         return;
     detectPause(now);
+    lastHandled = now;
     // Deadlines go before new work, so that nothing is sent for a request whose time is over.
     if (!std::holds_alternative<attempt_finished>(input))
         runner.timerExpired(now, actions);
@@ -143,6 +167,7 @@
     counters.add("pauses_total");
     pool.forgetReports();
     peers.pauseDetected(now);
+    readers.pauseDetected();
     configReader.restart(now);
     workerReader.restart(now);
 }
@@ -154,7 +179,7 @@
     instant wake = std::min(
         {runner.nextWake(), configReader.nextWake(), workerReader.nextWake(), nextSweep});
     if (hasJoined)
-        wake = std::min(wake, peers.nextWake());
+        wake = std::min({wake, peers.nextWake(), readers.nextWake(lastHandled)});
     return wake;
 }
 
@@ -195,23 +220,47 @@
 
 void route_gateway::state::on(instant now, const peer_message_received &input, action_list &actions)
 {
-    const fleet_digest *digest = std::get_if<fleet_digest>(&input.message);
-    if (digest == nullptr) {
-        counters.add("peer_messages_ignored_total");
-        return;
-    }
+    const process_id from = input.from;
+    action_list *out = &actions;
+    std::visit([this, now, from, out](const auto &typed) { on(now, from, typed, *out); },
+               input.message);
+}
+
+void route_gateway::state::on(instant now, const process_id & /*from*/, const fleet_digest &digest,
+                              action_list &actions)
+{
     // The store's own word is newer as long as the store answers.
     const bool isCutOff = workerReader.failuresInARow() > 0;
-    for (const worker_drain &drain : digest->drains) {
+    for (const worker_drain &drain : digest.drains) {
         if (isCutOff)
             pool.learnLeaving(now, drain.worker, drain.age);
     }
-    for (const crash_record &crash : digest->crashes)
+    for (const crash_record &crash : digest.crashes)
         quarantine.learn(now, crash);
-    peers.digestArrived(now, *digest, facts(now), actions);
+    peers.digestArrived(now, digest, facts(now), actions);
     runner.setGatewayCount(peers.gatewayCount(now));
 }
 
+void route_gateway::state::on(instant now, const process_id &from, const reader_report &report,
+                              action_list &actions)
+{
+    readers.reportArrived(now, from.vm, report.isCurrent);
+    if (report.isCurrent) {
+        configReader.announce(now, report.configurationRevision);
+        workerReader.announce(now, report.workersRevision);
+    }
+    read(now, actions);
+}
+
+void route_gateway::state::on(instant now, const process_id & /*from*/, const items_update &update,
+                              action_list &actions)
+{
+    item_reader &reader = update.scope == item_scope::configuration ? configReader : workerReader;
+    for (const reader_news &news : reader.follow(now, update))
+        take(now, update.scope, news, actions);
+    read(now, actions);
+}
+
 void route_gateway::state::on(instant /*now*/, const peer_send_failed & /*input*/,
                               action_list & /*actions*/)
 {
@@ -220,27 +269,24 @@
 
 void route_gateway::state::on(instant now, const items_read &input, action_list &actions)
 {
-    std::vector<reader_news> news;
-    const bool wasFailing = configReader.failuresInARow() + workerReader.failuresInARow() > 0;
-    if (configReader.finished(now, input, news)) {
-        for (const reader_news &told : news)
-            takeConfig(told, actions);
-    } else if (workerReader.finished(now, input, news)) {
-        for (const reader_news &told : news)
-            takeWorkers(now, told, actions);
+    if (input.page)
+        readers.storeAnswered(now);
+    if (check == input.read) {
+        check.reset();
+        return;
     }
-    const bool isFailing = configReader.failuresInARow() + workerReader.failuresInARow() > 0;
-    if (isFailing != wasFailing) {
-        std::vector<header_field> fields;
-        if (!input.page)
-            fields.push_back({"cause", toString(input.page.error())});
-        actions.push_back(
-            write_log {isFailing ? log_level::warning : log_level::info, "store",
-                       isFailing ? "The store does not answer." : "The store answers again.",
-                       std::move(fields)});
+    std::vector<reader_news> news;
+    const bool wasFailing = areReadsFailing();
+    const bool isConfig = configReader.finished(now, input, news);
+    if (!isConfig)
+        workerReader.finished(now, input, news);
+    const item_scope scope = isConfig ? item_scope::configuration : item_scope::workers;
+    for (const reader_news &told : news) {
+        take(now, scope, told, actions);
+        passOn(now, scope, told, actions);
     }
-    configReader.timerExpired(now, nextRead, actions);
-    workerReader.timerExpired(now, nextRead, actions);
+    logStore(wasFailing, input, actions);
+    read(now, actions);
     if (!hasJoined && isReady()) {
         hasJoined = true;
         peers.start(now);
@@ -250,6 +296,96 @@
     runner.setGatewayCount(peers.gatewayCount(now));
 }
 
+bool route_gateway::state::areReadsFailing() const
+{
+    return configReader.failuresInARow() + workerReader.failuresInARow() > 0;
+}
+
+void route_gateway::state::logStore(bool wasFailing, const items_read &input, action_list &actions)
+{
+    const bool isFailing = areReadsFailing();
+    if (isFailing == wasFailing)
+        return;
+    std::vector<header_field> fields;
+    if (!input.page)
+        fields.push_back({"cause", toString(input.page.error())});
+    actions.push_back(write_log {
+        isFailing ? log_level::warning : log_level::info, "store",
+        isFailing ? "The store does not answer." : "The store answers again.", std::move(fields)});
+}
+
+void route_gateway::state::take(instant now, item_scope scope, const reader_news &news,
+                                action_list &actions)
+{
+    if (scope == item_scope::configuration)
+        takeConfig(news, actions);
+    else
+        takeWorkers(now, news, actions);
+}
+
+/// Reads what is due: lists always, changes only unless another gateway passes them on.
+void route_gateway::state::read(instant now, action_list &actions)
+{
+    const bool reads = readers.mustRead(now);
+    if (reads != wasReading) {
+        wasReading = reads;
+        counters.set("store_watched", reads ? 1 : 0);
+        actions.push_back(write_log {log_level::info,
+                                     "store",
+                                     reads ? "The store is watched."
+                                           : "Other gateways pass on the changes of the store.",
+                                     {{"is_reader", readers.isReader(now) ? "true" : "false"}}});
+    }
+    configReader.setWatching(reads, readers.retryPace(now));
+    workerReader.setWatching(reads, readers.retryPace(now));
+    configReader.timerExpired(now, nextRead, actions);
+    workerReader.timerExpired(now, nextRead, actions);
+}
+
+/// Passes changes on to the failure domain. What is too long is only announced: each gateway then
+/// reads it from the store.
+void route_gateway::state::passOn(instant now, item_scope scope, const reader_news &news,
+                                  action_list &actions)
+{
+    if (!readers.isReader(now))
+        return;
+    const bool isLong
+        = news.isWhole || news.items.size() > updateItemsMax
+          || std::any_of(news.items.begin(), news.items.end(), [](const published_item &item) {
+                 return item.config && item.config->routes.size() > updateRoutesMax;
+             });
+    if (isLong) {
+        readers.hastenReport(now);
+        return;
+    }
+    counters.add("items_updates_sent_total");
+    peers.tellFailureDomain(items_update {scope, news.afterRevision, news.revision, news.items},
+                            actions);
+}
+
+/// Sends the report and the check of the store that are due.
+void route_gateway::state::serveReaders(instant now, action_list &actions)
+{
+    // A watch that was cut once is followed by a list; the next failure shows an ill store.
+    const bool reads = configReader.isComplete() && workerReader.isComplete()
+                       && configReader.failuresInARow() < 2 && workerReader.failuresInARow() < 2;
+    if (readers.takeReport(now, reads)) {
+        const reader_report report {reads && readers.isCurrent(now), configReader.changedRevision(),
+                                    workerReader.changedRevision()};
+        counters.add("reader_reports_sent_total");
+        peers.tellFailureDomain(report, actions);
+    }
+    if (!readers.takeCheck(now) || check)
+        return;
+    check = read_id {nextRead++};
+    read_items order;
+    order.read = *check;
+    order.scope = item_scope::workers;
+    order.isCheck = true;
+    order.mayBeStale = true;
+    actions.push_back(order);
+}
+
 void route_gateway::state::takeConfig(const reader_news &news, action_list &actions)
 {
     for (const published_item &item : news.items) {
@@ -327,15 +463,17 @@
 
 void route_gateway::state::on(instant now, const timer_expired & /*input*/, action_list &actions)
 {
-    configReader.timerExpired(now, nextRead, actions);
-    workerReader.timerExpired(now, nextRead, actions);
-    if (hasJoined)
+    read(now, actions);
+    if (hasJoined) {
         peers.timerExpired(now, facts(now), actions);
+        serveReaders(now, actions);
+    }
     if (now >= nextSweep) {
         nextSweep = now + (stage == life_stage::leaving ? milliseconds(100) : sweepInterval);
         pool.sweep(now);
         updateRemovalRules(now);
         quarantine.expire(now);
+        readers.setCandidates(peers.readerCandidates());
         runner.setGatewayCount(peers.gatewayCount(now));
     }
 }
@@ -356,8 +494,8 @@
 void route_gateway::start(instant now, action_list &actions)
 {
     m_state->nextSweep = now + sweepInterval;
-    m_state->configReader.start(m_state->nextRead, actions);
-    m_state->workerReader.start(m_state->nextRead, actions);
+    m_state->configReader.start(now, m_state->nextRead, actions);
+    m_state->workerReader.start(now, m_state->nextRead, actions);
     m_state->expectedWake = m_state->nextWake();
 }
 
@@ -399,6 +537,7 @@
             {"workers", all.pool.dump(now)},
             {"quarantine", all.quarantine.dump(now)},
             {"peers", all.peers.dump(now)},
+            {"readers", all.readers.dump(now)},
             {"invariants", all.invariants.dump()},
             {"counters", all.counters.dump()}};
 }
--- a/decision/routing/routing_settings.h
+++ b/decision/routing/routing_settings.h
@@ -4,6 +4,7 @@
 
 #include "core/time.h"
 #include "decision/routing/peer_group.h"
+#include "decision/routing/reader_group.h"
 
 namespace almondnotch {
 
@@ -39,7 +40,11 @@
     duration entryKeep {seconds(4)};
     /// Longest watch of the platform's store.
     duration watch {seconds(25)};
+    /// Time from the start in which a gateway finds out who reads the store. Below the 3 s after
+    /// which a started gateway has to know all changes.
+    duration settling {milliseconds(2400)};
     peer_group_settings peers;
+    reader_group_settings readers;
     group_budgets budgets;
     request_bounds bounds;
 };
--- a/main/daemon/daemon_declarations.cpp
+++ b/main/daemon/daemon_declarations.cpp
@@ -44,12 +44,21 @@
 
 std::vector<setting_declaration> processDeclarations()
 {
+    setting_declaration processorShare;
+    processorShare.name = "vm.processor_share";
+    processorShare.defaultValue = 0.0;
+    processorShare.minimum = 0;
+    processorShare.maximum = 1024;
+    processorShare.unit = "cores";
+    processorShare.doc = "Processor share of this VM, 0 if unknown. Larger VMs read the platform "
+                         "for the others of their failure domain.";
     return {
         integer("seed", 0, 0, 4294967295.0, "",
                 "Seed of the random source, for repeatable runs; 0 takes a random one."),
         requiredText("vm.name", "Name of this VM, as on the platform's VM list."),
         requiredText("vm.failure_domain",
                      "Failure domain of this VM, as in the published configuration."),
+        processorShare,
         requiredText("entry.address",
                      "Address that callers connect to, as ip:port. Entry responses name it, so it "
                      "must be one that callers reach."),
--- a/main/daemon/daemon_settings.cpp
+++ b/main/daemon/daemon_settings.cpp
@@ -1,6 +1,7 @@
 #include "main/daemon/daemon_settings.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <optional>
 #include <set>
@@ -264,6 +265,11 @@
     routing.peers.suspectAfter = fleetPart.suspectAfter;
     routing.peers.goneAfter = fleetPart.goneAfter;
     routing.peers.gatewaysAssumed = fleetPart.gatewaysAssumed;
+    routing.peers.capacity
+        = static_cast<std::uint32_t>(std::lround(100 * values.real("vm.processor_share")));
+    routing.readers.vm = fleetPart.self.vm;
+    routing.readers.failureDomain = fleetPart.failureDomain;
+    routing.readers.readers = fleetPart.readers;
 }
 
 void readEntry(const settings &values, entry_settings &target)
--- a/servers/peer_link/message_codec.cpp
+++ b/servers/peer_link/message_codec.cpp
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include "servers/peer_link/item_codec.h"
+
 namespace almondnotch {
 
 namespace {
@@ -97,6 +99,7 @@
     out.set_calls_in_progress(member.callsInProgress);
     out.set_heard_age_us(member.heardAge.count());
     out.set_clock_us(member.clock.count());
+    out.set_capacity(member.capacity);
 }
 
 result<member_update> decode(const wire::MemberUpdate &in)
@@ -114,6 +117,7 @@
     member.callsInProgress = in.calls_in_progress();
     member.heardAge = duration(in.heard_age_us());
     member.clock = duration(in.clock_us());
+    member.capacity = in.capacity();
     return member;
 }
 
@@ -396,6 +400,33 @@
                                       in.refused()});
 }
 
+void encode(const reader_report &report, wire::Envelope &envelope)
+{
+    wire::ReaderReport &out = *envelope.mutable_reader_report();
+    out.set_is_current(report.isCurrent);
+    out.set_configuration_revision(report.configurationRevision);
+    out.set_workers_revision(report.workersRevision);
+}
+
+result<peer_message> decode(const wire::ReaderReport &in)
+{
+    return peer_message(
+        reader_report {in.is_current(), in.configuration_revision(), in.workers_revision()});
+}
+
+void encode(const items_update &update, wire::Envelope &envelope)
+{
+    encodeItems(update, *envelope.mutable_items_update());
+}
+
+result<peer_message> decode(const wire::ItemsUpdate &in)
+{
+    result<items_update> update = decodeItems(in);
+    if (!update)
+        return tl::unexpected(update.error());
+    return peer_message(std::move(*update));
+}
+
 } // namespace
 
 void encodeMessage(const peer_message &message, peer::v1::Envelope &envelope)
@@ -422,6 +453,10 @@
         return decode(envelope.handover_commit());
     case wire::Envelope::kHandoverAck:
         return decode(envelope.handover_ack());
+    case wire::Envelope::kReaderReport:
+        return decode(envelope.reader_report());
+    case wire::Envelope::kItemsUpdate:
+        return decode(envelope.items_update());
     default:
         return malformed("the envelope has no known payload");
     }
--- a/servers/platform_client/platform_client.cpp
+++ b/servers/platform_client/platform_client.cpp
@@ -121,7 +121,7 @@
     std::unique_ptr<read> added = std::make_unique<read>();
     added->order = order;
     added->timeLimit
-        = order.afterRevision > 0 ? order.wait + m_bounds.watchGrace : m_bounds.readTimeLimit;
+        = order.afterRevision > 0 ? order.wait + m_bounds.watchGrace : m_bounds.itemsTimeLimit;
     if (m_items == nullptr) {
         defer({order,
                {error_code::invalid_argument, readStep, m_bounds.address,
--- a/servers/platform_client/platform_client_settings.h
+++ b/servers/platform_client/platform_client_settings.h
@@ -21,6 +21,8 @@
     duration watchGrace {seconds(2)};
     /// Time limit of a plain read: the same grace and one second for the transfer of the value.
     duration readTimeLimit {seconds(3)};
+    /// Time limit of a plain read of published items, which are answered in milliseconds.
+    duration itemsTimeLimit {milliseconds(1500)};
     /// Reads and watches in progress; a process uses a few.
     std::size_t readsMax = 64;
 
--- a/tests/decision/routing/routing_fixture.cpp
+++ b/tests/decision/routing/routing_fixture.cpp
@@ -15,6 +15,9 @@
     settings.peers.peerAddress = "10.0.0.1:90";
     settings.budgets.retryShare = 0.1;
     settings.budgets.retrySlack = 320;
+    settings.settling = duration {0};
+    settings.readers.vm = settings.peers.self.vm;
+    settings.readers.failureDomain = settings.peers.failureDomain;
     return settings;
 }
 
@@ -98,7 +101,10 @@
 {
     std::vector<start_probe> started;
     for (action &one : fresh) {
-        if (const read_items *read = std::get_if<read_items>(&one))
+        const read_items *read = std::get_if<read_items>(&one);
+        if (read != nullptr && read->isCheck)
+            checks.push_back(*read);
+        else if (read != nullptr)
             m_reads[read->scope] = *read;
         else if (const start_probe *probe = std::get_if<start_probe>(&one))
             started.push_back(*probe);
--- a/tests/decision/routing/routing_fixture.h
+++ b/tests/decision/routing/routing_fixture.h
@@ -90,6 +90,8 @@
     /// Load by worker; an idle machine at its usual speed if it is not here.
     std::map<std::string, load_report> loads;
     std::vector<start_probe> probes;
+    /// Checks whether the store answers.
+    std::vector<read_items> checks;
     std::uint64_t revision = 10;
 
 private:
--- a/tests/servers/message_codec_test.cpp
+++ b/tests/servers/message_codec_test.cpp
@@ -144,4 +144,66 @@
     BOOST_CHECK(!decodeMessage(envelope));
 }
 
+// Guards against a change of the store that arrives at other gateways without a part of it.
+BOOST_AUTO_TEST_CASE(changes_of_published_items_survive_the_round_trip)
+{
+    const reader_report report {true, 5, 6};
+    BOOST_TEST((carriedAs(report) == report));
+
+    published_worker worker {"w-1", "10.0.0.1:80", "reads",         "near",
+                             4,     true,          milliseconds(7), 1234567890123};
+    host_route route;
+    route.name = "r";
+    route.host = "shop.example";
+    route.prefix = "/a/";
+    route.repeats = repeatability::idempotent;
+    route.timeout = milliseconds(600);
+    route.latencyObjective = milliseconds(200);
+    route.priority = 2;
+    route.attemptsMax = 3;
+    route.targets = {{"reads", 0.25}, {"books", 3}};
+    route_config config;
+    config.version = 9;
+    config.routes = {route};
+    config.services = {{"reads", {"/health", 100}}};
+    config.limits = {1000, 2000, seconds(3), seconds(4)};
+
+    items_update update;
+    update.scope = item_scope::workers;
+    update.afterRevision = 3;
+    update.revision = 8;
+    update.items.resize(4);
+    update.items[0] = {"w-1", 4, false, nullptr, worker, ""};
+    update.items[1] = {"w-2", 5, true, nullptr, std::nullopt, ""};
+    update.items[2] = {"w-3", 6, false, nullptr, std::nullopt, "no address"};
+    update.items[3]
+        = {"c", 7, false, std::make_shared<const route_config>(config), std::nullopt, ""};
+    const items_update arrived = carriedAs(update);
+    BOOST_TEST((arrived.scope == update.scope));
+    BOOST_TEST(arrived.afterRevision == 3U);
+    BOOST_TEST(arrived.revision == 8U);
+    BOOST_REQUIRE_EQUAL(arrived.items.size(), 4U);
+    BOOST_TEST((arrived.items[0].worker == worker));
+    BOOST_TEST(arrived.items[1].removed);
+    BOOST_TEST(arrived.items[2].fault == "no address");
+    BOOST_TEST(!arrived.items[2].worker.has_value());
+    BOOST_REQUIRE(arrived.items[3].config);
+    BOOST_TEST((*arrived.items[3].config == config));
+    BOOST_TEST(arrived.items[3].revision == 7U);
+}
+
+// Guards against an update of another version of the program that is read as something else.
+BOOST_AUTO_TEST_CASE(updates_of_an_unknown_scope_or_without_bounds_are_refused)
+{
+    peer::v1::Envelope unknown;
+    unknown.mutable_items_update()->set_revision(1);
+    BOOST_TEST(!decodeMessage(unknown));
+
+    peer::v1::Envelope tooLong;
+    tooLong.mutable_items_update()->set_scope(peer::v1::ITEM_SCOPE_WORKERS);
+    for (std::size_t i = 0; i <= updateItemsMax; ++i)
+        tooLong.mutable_items_update()->add_items();
+    BOOST_TEST(!decodeMessage(tooLong));
+}
+
 } // namespace almondnotch
