Let requests wait for the first configuration of a new process

Cause: after a restart a process listens some 15 ms before it has read the configuration. It refused what arrived meanwhile, also while it read the workers, and many of these callers had used up the one time that they return.

Ruled out: listening later. Callers then meet a closed port and lose a try as well.

Change: such requests wait for an eighth of their time and 100 ms at most. While the store does not answer they are refused at once.

--- /dev/null
+++ b/decision/routing/early_requests.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include "core/time.h"
+#include "decision/events.h"
+
+namespace almondnotch {
+
+/// Requests that arrive while a new process reads its first configuration and the workers, some
+/// milliseconds after it began to listen. They wait for it a small part of their time, since a
+/// refusal costs their callers a new connection, and many callers return only once.
+class early_requests
+{
+public:
+    /// \return false if no more requests can wait.
+    bool add(instant now, const call_received &input);
+    /// \return true if the request waited here; its caller has left.
+    bool remove(call_id call);
+    /// Removes and returns all, with their timeouts less the time that they waited.
+    std::vector<call_received> takeAll(instant now);
+    /// Removes and returns those that have waited long enough.
+    std::vector<call_received> takeExpired(instant now);
+
+    bool isEmpty() const { return m_waiting.empty(); }
+    instant nextWake() const;
+
+private:
+    struct waiting_request
+    {
+        call_received input;
+        instant arrivedAt;
+        instant until;
+    };
+
+    static call_received afterWait(instant now, const waiting_request &waiting);
+
+    std::vector<waiting_request> m_waiting;
+};
+
+} // namespace almondnotch
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -7,6 +7,7 @@
 
 #include "core/random_source.h"
 #include "decision/calls/quarantine_table.h"
+#include "decision/routing/early_requests.h"
 #include "decision/routing/item_reader.h"
 #include "decision/routing/peer_group.h"
 #include "decision/routing/reader_group.h"
@@ -101,6 +102,7 @@
     void logStore(bool wasFailing, const items_read &input, action_list &actions);
     bool areReadsFailing() const;
     void read(instant now, action_list &actions);
+    void releaseEarly(instant now, action_list &actions);
     void serveReaders(instant now, action_list &actions);
     void passOn(instant now, item_scope scope, const reader_news &news, action_list &actions);
     void takeConfig(const reader_news &news, action_list &actions);
@@ -117,6 +119,7 @@
     worker_pool pool;
     quarantine_table quarantine;
     request_runner runner;
+    early_requests early;
     peer_group peers;
     reader_group readers;
     item_reader configReader;
@@ -155,6 +158,8 @@
         runner.timerExpired(now, actions);
     action_list *out = &actions;
     std::visit([this, now, out](const auto &typed) { on(now, typed, *out); }, input);
+    if (!early.isEmpty())
+        releaseEarly(now, actions);
     if (stage == life_stage::leaving)
         continueLeaving(now, actions);
     expectedWake = nextWake();
@@ -176,8 +181,8 @@
 {
     if (stage == life_stage::finished)
         return instant::never();
-    instant wake = std::min(
-        {runner.nextWake(), configReader.nextWake(), workerReader.nextWake(), nextSweep});
+    instant wake = std::min({runner.nextWake(), early.nextWake(), configReader.nextWake(),
+                             workerReader.nextWake(), nextSweep});
     if (hasJoined)
         wake = std::min({wake, peers.nextWake(), readers.nextWake(lastHandled)});
     return wake;
@@ -190,12 +195,17 @@
 
 void route_gateway::state::on(instant now, const call_received &input, action_list &actions)
 {
+    // While the store does not answer, a request that waits is not served either.
+    if (!isReady() && stage == life_stage::serving && !areReadsFailing() && early.add(now, input))
+        return;
     runner.callReceived(now, input, table.get(), actions);
 }
 
 void route_gateway::state::on(instant /*now*/, const caller_disconnected &input,
                               action_list &actions)
 {
+    if (early.remove(input.call))
+        return;
     runner.callerDisconnected(input, actions);
 }
 
@@ -342,6 +352,15 @@
     workerReader.timerExpired(now, nextRead, actions);
 }
 
+/// Runs the requests that waited for the first configuration and the workers, or refuses them if
+/// these do not come.
+void route_gateway::state::releaseEarly(instant now, action_list &actions)
+{
+    const bool isDecided = isReady() || areReadsFailing() || stage != life_stage::serving;
+    for (const call_received &input : isDecided ? early.takeAll(now) : early.takeExpired(now))
+        runner.callReceived(now, input, table.get(), actions);
+}
+
 /// Passes changes on to the failure domain. What is too long is only announced: each gateway then
 /// reads it from the store.
 void route_gateway::state::passOn(instant now, item_scope scope, const reader_news &news,
--- a/tests/decision/routing/requests_test.cpp
+++ b/tests/decision/routing/requests_test.cpp
@@ -27,11 +27,51 @@
     routing_fixture world;
     BOOST_TEST(!world.gateway->isReady(world.now));
     world.call("GET", "/read/1");
+    world.advance(milliseconds(100));
     const send_response sent = world.takeOne<send_response>();
     BOOST_TEST(sent.response->status == 503);
     BOOST_TEST(!headerOf(sent.response, "Retry-After").empty());
 }
 
+// Guards against refusals by processes that were just started, whose callers return only once.
+BOOST_AUTO_TEST_CASE(requestsWaitForTheFirstConfiguration)
+{
+    routing_fixture world;
+    const call_id early = world.call("GET", "/read/1", milliseconds(600));
+    world.advance(milliseconds(20));
+    BOOST_TEST(world.take<send_response>().empty());
+    world.becomeReady({workerEntry("w-1", "reads")});
+    const start_attempt attempt = world.takeOne<start_attempt>();
+    BOOST_TEST(attempt.timeLimit <= milliseconds(580));
+    world.answer(attempt);
+    const send_response sent = world.takeOne<send_response>();
+    BOOST_TEST((sent.call == early));
+    BOOST_TEST(sent.response->status == 200);
+}
+
+// Guards against requests that wait for a configuration although the store does not answer.
+BOOST_AUTO_TEST_CASE(requestsAreRefusedAtOnceWhileTheStoreFails)
+{
+    routing_fixture world;
+    world.call("GET", "/read/1");
+    world.answerRead(item_scope::configuration, fail(error_code::unavailable, "read", "", "down"));
+    BOOST_TEST(world.takeOne<send_response>().response->status == 503);
+    world.call("GET", "/read/1");
+    BOOST_TEST(world.takeOne<send_response>().response->status == 503);
+}
+
+// Guards against work for a caller that left while its request waited for the configuration.
+BOOST_AUTO_TEST_CASE(aCallerThatLeavesEarlyIsForgotten)
+{
+    routing_fixture world;
+    const call_id call = world.call("GET", "/read/1");
+    world.handle(caller_disconnected {call});
+    world.becomeReady({workerEntry("w-1", "reads")});
+    world.advance(milliseconds(200));
+    BOOST_TEST(world.take<start_attempt>().empty());
+    BOOST_TEST(world.take<send_response>().empty());
+}
+
 // Guards against prefixes that match within a path segment, and against the shorter of two.
 BOOST_AUTO_TEST_CASE(theLongestPrefixOfTheHostDecides)
 {
