Let substitute readers read before they report, and give way in order

Cause, found by a new case on real processes (test_readers kills both readers of nine gateways at a change): substitutes stepped in after 1.2 s of silence, reported at once that they are current although they had not read yet, heard each other's reports, and all stopped again. The change was not in force after 2 s.

Ruled out: a slow detection; the logs show the substitutes at 1.2 s.

Change: a reader reports as current only after a read has ended since it began to watch; its first watch is short. A substitute gives way only to reports of gateways that come before it.

The case also failed to start gateways now and then ("Address already in use"): the stand-ins chose ports that outgoing connections of other gateways took meanwhile. They now choose below those.

--- a/decision/routing/item_reader.cpp
+++ b/decision/routing/item_reader.cpp
@@ -53,15 +53,21 @@
 
 duration item_reader::watchTime()
 {
-    if (!m_isWatching)
+    if (!m_isWatching || !m_hasReadSinceWatching)
         return catchUpWait;
     // Spread, so that the watches of all gateways do not end together.
     return duration(static_cast<std::int64_t>(static_cast<double>(m_settings.watch.count())
                                               * (1.0 - 0.2 * m_random.uniform())));
 }
 
-void item_reader::setWatching(bool isWatching, const retry_pace &retries)
+void item_reader::setWatching(instant now, bool isWatching, const retry_pace &retries)
 {
+    if (isWatching && !m_isWatching) {
+        // A watch under way from before may wait on a dead connection.
+        m_hasReadSinceWatching = false;
+        m_underWay = m_underWay && m_isListing;
+        m_nextRead = std::min(m_nextRead, now);
+    }
     m_isWatching = isWatching;
     m_settings.retries = retries;
 }
@@ -151,6 +157,7 @@
         return true;
     }
     m_failures = 0;
+    m_hasReadSinceWatching = m_hasReadSinceWatching || m_isWatching;
     if (input.page->historyLost) {
         m_counters.add("store_history_lost_total");
         m_mustList = true;
--- a/decision/routing/item_reader.h
+++ b/decision/routing/item_reader.h
@@ -62,7 +62,9 @@
     void restart(instant now);
 
     /// Whether the scope is watched; a watch under way goes on to its end.
-    void setWatching(bool isWatching, const retry_pace &retries);
+    void setWatching(instant now, bool isWatching, const retry_pace &retries);
+    /// True if the scope is watched and a read has ended well since that began.
+    bool isUpToDate() const { return m_isWatching && m_hasReadSinceWatching && m_wasComplete; }
     /// The store has changes up to this revision, as a gateway knows that the store answers. Asks
     /// for them unless they arrive soon; this also takes the place of a list after failed reads.
     void announce(instant now, std::uint64_t revision);
@@ -106,6 +108,7 @@
     std::uint64_t m_revision = 0;
     std::uint64_t m_changedRevision = 0;
     bool m_isWatching = true;
+    bool m_hasReadSinceWatching = false;
     /// Changes up to `m_announced` exist. They are asked for, or listed if a watch under way does
     /// not tell them by `m_announcedUntil`.
     bool m_isCatchingUp = false;
--- a/decision/routing/reader_group.cpp
+++ b/decision/routing/reader_group.cpp
@@ -15,37 +15,53 @@
     m_isCandidate = found != candidates.end();
     if (!m_isCandidate)
         return;
-    const auto score = [this](const reader_candidate &one) {
-        return rendezvousScore("readers/" + m_settings.failureDomain, one.vm);
-    };
-    const double ownScore = score(*found);
-    m_rank = static_cast<std::size_t>(
-        std::count_if(candidates.begin(), candidates.end(), [&](const reader_candidate &one) {
-            if (one.vm == found->vm)
-                return false;
-            if (one.capacity != found->capacity)
-                return one.capacity > found->capacity;
-            return score(one) > ownScore;
-        }));
+    m_ahead.clear();
+    for (const reader_candidate &one : candidates) {
+        if (isBefore(one, *found))
+            m_ahead.insert(one.vm);
+    }
+}
+
+bool reader_group::isBefore(const reader_candidate &left, const reader_candidate &right) const
+{
+    if (left.vm == right.vm)
+        return false;
+    if (left.capacity != right.capacity)
+        return left.capacity > right.capacity;
+    const std::string key = "readers/" + m_settings.failureDomain;
+    return rendezvousScore(key, left.vm) > rendezvousScore(key, right.vm);
 }
 
 void reader_group::reportArrived(instant now, const std::string &vm, bool isCurrent)
 {
+    std::erase_if(m_currentAt, [this, now](const std::pair<const std::string, instant> &entry) {
+        return now - entry.second > m_settings.silence;
+    });
+    const bool isAhead = m_ahead.contains(vm);
     if (isCurrent) {
         m_currentAt[vm] = now;
         m_lastCurrent = now;
-    } else if (m_currentAt.erase(vm) > 0 && m_currentAt.empty()) {
-        m_lastCurrent = std::min(m_lastCurrent, now - m_settings.substituteSilence);
+        if (isAhead)
+            m_lastCurrentAhead = now;
+        return;
     }
-    std::erase_if(m_currentAt, [this, now](const std::pair<const std::string, instant> &entry) {
-        return now - entry.second > m_settings.silence;
-    });
+    m_currentAt.erase(vm);
+    const instant silentSince = now - m_settings.substituteSilence;
+    if (m_currentAt.empty())
+        m_lastCurrent = std::min(m_lastCurrent, silentSince);
+    const bool hasAhead = std::any_of(m_currentAt.begin(), m_currentAt.end(),
+                                      [this](const std::pair<const std::string, instant> &entry) {
+                                          return m_ahead.contains(entry.first);
+                                      });
+    if (!hasAhead)
+        m_lastCurrentAhead = std::min(m_lastCurrentAhead, silentSince);
 }
 
 void reader_group::pauseDetected()
 {
     m_currentAt.clear();
     m_lastCurrent = instant();
+    m_lastCurrentAhead = instant();
 }
 
 void reader_group::storeAnswered(instant now)
@@ -55,21 +71,21 @@
 
 bool reader_group::isSubstitute() const
 {
-    return m_isCandidate && isShared() && m_rank >= m_settings.readers
-           && m_rank < m_settings.readers + m_settings.substitutes;
+    return m_isCandidate && isShared() && m_ahead.size() >= m_settings.readers
+           && m_ahead.size() < m_settings.readers + m_settings.substitutes;
 }
 
 bool reader_group::isReader(instant now) const
 {
     if (!m_isCandidate || !isShared())
         return false;
-    return m_rank < m_settings.readers
-           || (isSubstitute() && isSilent(now, m_settings.substituteSilence));
+    return m_ahead.size() < m_settings.readers
+           || (isSubstitute() && now - m_lastCurrentAhead >= m_settings.substituteSilence);
 }
 
 bool reader_group::mustRead(instant now) const
 {
-    return !isShared() || isReader(now) || isSilent(now, m_settings.silence);
+    return !isShared() || isReader(now) || now - m_lastCurrent >= m_settings.silence;
 }
 
 const retry_pace &reader_group::retryPace(instant now) const
@@ -132,7 +148,7 @@
     for (const std::pair<const std::string, instant> &entry : m_currentAt)
         readers[entry.first] = toMilliseconds(now - entry.second);
     return {{"candidates", m_candidates}, {"is_shared", isShared()},
-            {"is_reader", isReader(now)}, {"rank", m_rank},
+            {"is_reader", isReader(now)}, {"rank", m_ahead.size()},
             {"must_read", mustRead(now)}, {"store_answered_ms", toMilliseconds(now - m_answeredAt)},
             {"reports_age_ms", readers}};
 }
--- a/decision/routing/reader_group.h
+++ b/decision/routing/reader_group.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -88,8 +90,8 @@
     /// The store answers this gateway.
     bool isCurrent(instant now) const;
 
-    /// \param reads whether the gateway's own reads work. \return true if a report is due, which is
-    /// then taken as sent.
+    /// \param reads whether the gateway's own reads work and are complete. \return true if a report
+    /// is due, which is then taken as sent.
     bool takeReport(instant now, bool reads);
     /// The next report is due at once, since there is something to announce.
     void hastenReport(instant now);
@@ -102,17 +104,20 @@
 private:
     bool isShared() const { return m_candidates >= m_settings.gatewaysMin; }
     bool isSubstitute() const;
-    bool isSilent(instant now, duration limit) const { return now - m_lastCurrent >= limit; }
+    bool isBefore(const reader_candidate &left, const reader_candidate &right) const;
 
     reader_group_settings m_settings;
     std::size_t m_candidates = 0;
-    /// Gateways that come before this one as readers.
-    std::size_t m_rank = 0;
     bool m_isCandidate = false;
+    /// Gateways that come before this one; as a substitute it gives way to their reports only,
+    /// since substitutes that gave way to each other would all stop.
+    std::set<std::string, std::less<>> m_ahead;
     /// When each reader last reported that the store answers it.
     std::map<std::string, instant> m_currentAt;
-    /// When a reader last did; earlier if the last of them has lost the store since.
+    /// When a reader last did, and one that comes before this gateway; earlier if the last of them
+    /// has lost the store since.
     instant m_lastCurrent;
+    instant m_lastCurrentAhead;
     instant m_nextReport;
     instant m_nextCheck;
     instant m_answeredAt;
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -303,6 +303,8 @@
         peers.timerExpired(now, facts(now), actions);
         actions.push_back(write_log {log_level::info, "gateway", "The gateway is ready.", {}});
     }
+    if (hasJoined)
+        serveReaders(now, actions);
     runner.setGatewayCount(peers.gatewayCount(now));
 }
 
@@ -346,8 +348,8 @@
                                            : "Other gateways pass on the changes of the store.",
                                      {{"is_reader", readers.isReader(now) ? "true" : "false"}}});
     }
-    configReader.setWatching(reads, readers.retryPace(now));
-    workerReader.setWatching(reads, readers.retryPace(now));
+    configReader.setWatching(now, reads, readers.retryPace(now));
+    workerReader.setWatching(now, reads, readers.retryPace(now));
     configReader.timerExpired(now, nextRead, actions);
     workerReader.timerExpired(now, nextRead, actions);
 }
@@ -386,7 +388,7 @@
 void route_gateway::state::serveReaders(instant now, action_list &actions)
 {
     // A watch that was cut once is followed by a list; the next failure shows an ill store.
-    const bool reads = configReader.isComplete() && workerReader.isComplete()
+    const bool reads = configReader.isUpToDate() && workerReader.isUpToDate()
                        && configReader.failuresInARow() < 2 && workerReader.failuresInARow() < 2;
     if (readers.takeReport(now, reads)) {
         const reader_report report {reads && readers.isCurrent(now), configReader.changedRevision(),
--- a/tests/decision/routing/reader_group_test.cpp
+++ b/tests/decision/routing/reader_group_test.cpp
@@ -306,6 +306,43 @@
     BOOST_TEST(read->afterRevision == 0U);
 }
 
+// Guards against a substitute that is followed before it knows what changed since the readers died.
+BOOST_AUTO_TEST_CASE(aSubstituteReportsOnlyAfterItHasRead)
+{
+    reader_fixture world(20);
+    world.follow();
+    world.sent<reader_report>();
+    world.advance(milliseconds(1300));
+    BOOST_REQUIRE(world.isWatching());
+    BOOST_TEST(world.openRead(item_scope::workers)->wait < seconds(1));
+    BOOST_REQUIRE(!world.checks.empty());
+    world.answerCheck();
+    world.advance(milliseconds(100));
+    for (const reader_report &report : world.sent<reader_report>())
+        BOOST_TEST(!report.isCurrent);
+    world.endWatches();
+    world.advance(milliseconds(100));
+    const std::vector<reader_report> reports = world.sent<reader_report>();
+    BOOST_REQUIRE(!reports.empty());
+    BOOST_TEST(reports.back().isCurrent);
+}
+
+// Guards against substitutes that give way to each other, so that nobody reads.
+BOOST_AUTO_TEST_CASE(aSubstituteGivesWayOnlyToGatewaysThatComeBeforeIt)
+{
+    reader_fixture world(20);
+    world.follow();
+    world.advance(milliseconds(1300));
+    world.endWatches();
+    BOOST_REQUIRE(world.isWatching());
+    world.report(5);
+    world.endWatches();
+    BOOST_TEST(world.isWatching());
+    world.report(0);
+    world.endWatches();
+    BOOST_TEST(world.openRead(item_scope::workers) == nullptr);
+}
+
 // Guards against small failure domains that depend on one or two gateways to see changes.
 BOOST_AUTO_TEST_CASE(gatewaysOfASmallFailureDomainReadForThemselves)
 {
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import struct
@@ -17,9 +18,16 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
+    """Ports below those that the kernel gives to outgoing connections: a gateway's connection could
+    otherwise take the port of one that starts later."""
+    sockets = []
+    while len(sockets) < count:
+        one = socket.socket()
+        try:
+            one.bind(("127.0.0.1", random.randrange(15000, 32000)))
+            sockets.append(one)
+        except OSError:
+            one.close()
     ports = [one.getsockname()[1] for one in sockets]
     for one in sockets:
         one.close()
--- a/tests/platform/whole_path_test.py
+++ b/tests/platform/whole_path_test.py
@@ -170,6 +170,37 @@
         time.sleep(0.5)
         self.assertTrue(self.version_in_force(caller, 5))
 
+    def follows(self, gateway):
+        """The gateway's last word is that others pass on the changes of the store."""
+        lines = [line for line in gateway.output().splitlines() if "[store]" in line]
+        return bool(lines) and "pass on the changes" in lines[-1]
+
+    def test_readers(self):
+        """Guards against changes that are missing where two gateways read for the others, and after
+        both were killed at the moment of a change."""
+        self.start(9)
+        standins.wait_for(lambda: sum(map(self.follows, self.gateways)) >= 6, 15)
+        callers = {gateway: standins.Caller(gateway.entry) for gateway in self.gateways}
+        self.store.put("op/config", standins.routes(2, **self.route_for(2)))
+        standins.wait_for(lambda: all(self.version_in_force(caller, 2)
+                                      for caller in callers.values()), CONFIG_APPLY_SECONDS)
+        left = [gateway for gateway in self.gateways if self.follows(gateway)]
+        self.assertGreaterEqual(len(left), 6)
+        for gateway in self.gateways:
+            if gateway not in left:
+                gateway.process.kill()
+        self.store.put("op/config", standins.routes(3, **self.route_for(3)))
+        self.workers[0].register("draining")
+        changed = time.monotonic()
+        standins.wait_for(lambda: all(self.version_in_force(callers[gateway], 3)
+                                      for gateway in left), CONFIG_APPLY_SECONDS)
+        time.sleep(max(0.0, changed + DRAIN_SECONDS - time.monotonic()))
+        limit = time.monotonic()
+        for gateway in left:
+            for _ in range(10):
+                callers[gateway].send("GET", "/read/1", self.attempt())
+        self.assertTrue(all(run[4] < limit for run in self.workers[0].runs))
+
     def test_no_store_at_start(self):
         """Guards against a process that answers before it knows any route."""
         self.store.is_down = True
