Choose ports of all process tests in one place, and gather facts only when due

A timer gathered leaving workers and crash records for the exchange at every timer of every request, although the exchange is due once a second. They are gathered when it is.

Behaviour and assertions are unchanged.

--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -486,7 +486,9 @@
 {
     read(now, actions);
     if (hasJoined) {
-        peers.timerExpired(now, facts(now), actions);
+        // The facts are gathered only for an exchange that is due, not at every timer.
+        if (now >= peers.nextWake())
+            peers.timerExpired(now, facts(now), actions);
         serveReaders(now, actions);
     }
     if (now >= nextSweep) {
--- a/scripts/cluster/ports.py
+++ b/scripts/cluster/ports.py
@@ -1,6 +1,7 @@
 """Port ranges for runs that may go on side by side."""
 
 import os
+import random
 import socket
 
 # Below the kernel's ephemeral range (32768 and up), so that outgoing connections take none of them.
@@ -20,6 +21,17 @@
     raise RuntimeError(f"no {count} successive free ports")
 
 
+def free_ports(count):
+    """`count` different ports that can be bound now. Chosen at random, so that a process that has
+    not bound its own yet seldom meets another with the same."""
+    chosen = set()
+    while len(chosen) < count:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        if _is_free(port):
+            chosen.add(port)
+    return list(chosen)
+
+
 def _is_free(port):
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/tests/main/daemon/daemon_process_test.py
+++ b/tests/main/daemon/daemon_process_test.py
@@ -12,24 +12,18 @@
 import time
 import unittest
 
-DAEMON = sys.argv.pop(1)
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..", "..", "scripts"))
 
+from cluster import ports  # noqa: E402
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+DAEMON = sys.argv.pop(1)
 
 
 class DaemonProcess(unittest.TestCase):
     def setUp(self):
         self.directory = tempfile.TemporaryDirectory()
         self.process = None
-        self.entry, self.operator, self.peer, self.platform = free_ports(4)
+        self.entry, self.operator, self.peer, self.platform = ports.free_ports(4)
 
     def tearDown(self):
         if self.process and self.process.poll() is None:
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -3,35 +3,22 @@
 import http.client
 import json
 import os
-import random
 import signal
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
-HOST = "shop.example"
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..", "scripts"))
 
+from cluster import ports  # noqa: E402
 
-def free_ports(count):
-    """Ports below those that the kernel gives to outgoing connections: a gateway's connection could
-    otherwise take the port of one that starts later."""
-    sockets = []
-    while len(sockets) < count:
-        one = socket.socket()
-        try:
-            one.bind(("127.0.0.1", random.randrange(15000, 32000)))
-            sockets.append(one)
-        except OSError:
-            one.close()
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+HOST = "shop.example"
 
 
 class Handler(BaseHTTPRequestHandler):
@@ -269,7 +256,7 @@
     """A process of almondnotchd on loopback."""
 
     def __init__(self, daemon, store, name, seeds=None):
-        self.entry, self.ready, self.directory, self.peer, operator = free_ports(5)
+        self.entry, self.ready, self.directory, self.peer, operator = ports.free_ports(5)
         self.folder = tempfile.TemporaryDirectory()
         path = os.path.join(self.folder.name, "settings.toml")
         with open(path, "w", encoding="utf-8") as file:
