Lint a file again only if it or a header that it includes changed

Cause: the key of a file's lint result held the checksum of all headers, so that a change of one header linted all 180 sources, 34 processor minutes.

Change: the key holds the headers that the last build recorded for the source (ninja -t deps); a source that was not compiled still depends on all headers.

--- /dev/null
+++ b/scripts/lint_keys.py
@@ -0,0 +1,49 @@
+"""Prints "KEY FILE" for each given source file: a checksum of the file, the lint rules and the headers
+of the project that it includes. Usage: lint_keys.py BUILD FILE..."""
+
+import hashlib
+import os
+import subprocess
+import sys
+
+
+def included_files(build):
+    """Files of the project that each compiled source includes, as the last build recorded them."""
+    root = os.getcwd() + os.sep
+    listing = subprocess.run(["ninja", "-C", build, "-t", "deps"], check=True, capture_output=True,
+                             text=True).stdout
+    includes = {}
+    for block in listing.split("\n\n"):
+        paths = [os.path.normpath(os.path.join(build, line.strip()))
+                 for line in block.splitlines()[1:]]
+        own = [os.path.relpath(path) for path in paths if os.path.abspath(path).startswith(root)]
+        if own:
+            includes.setdefault(own[0], set()).update(own[1:])
+    return includes
+
+
+def all_headers():
+    """Stands in for the includes of a source that was not compiled."""
+    return set(subprocess.run(["git", "ls-files", "-co", "--exclude-standard", "--", "*.h"],
+                              check=True, capture_output=True, text=True).stdout.split())
+
+
+def key_of(source, headers):
+    digest = hashlib.sha256()
+    for path in [".clang-tidy", source, *sorted(headers)]:
+        digest.update(path.encode() + b"\0")
+        with open(path, "rb") as content:
+            digest.update(hashlib.sha256(content.read()).digest())
+    return digest.hexdigest()[:32]
+
+
+def main():
+    build, *sources = sys.argv[1:]
+    includes = included_files(build)
+    fallback = all_headers()
+    for source in sources:
+        print(key_of(source, includes.get(source, fallback)), source)
+
+
+if __name__ == "__main__":
+    main()
