Reserve the ports of process tests until their run ends

Cause: a run chose ports that were free and bound them later, so that two runs could choose the same. The first choice depended on the process number, modulo the range: numbers 90 apart gave the same ports. Seen once in 48 runs of process_rolling_replacement, 8 side by side ("configuration in force: not reached").

Change: ports are given out in blocks, and a file lock keeps a block from other runs for as long as the process lives. The lock ends with the process, also if it is killed.

--- a/scripts/cluster/ports.py
+++ b/scripts/cluster/ports.py
@@ -1,35 +1,69 @@
-"""Port ranges for runs that may go on side by side."""
+"""Ports for runs that may go on side by side.
 
+Ports are given out in blocks. A lock on a file keeps a block from other runs for as long as this
+process lives, also before the processes that use its ports have bound them."""
+
+import fcntl
 import os
 import random
 import socket
+import tempfile
 
 # Below the kernel's ephemeral range (32768 and up), so that outgoing connections take none of them.
 FIRST_PORT = 12000
-LAST_PORT = 31000
+BLOCK_PORTS = 50
+BLOCKS = 380
+
+_locks = []
+_left = []
 
 
 def free_base(count):
-    """First port of `count` successive ones that can all be bound now."""
-    base = FIRST_PORT + (os.getpid() * 211) % (LAST_PORT - FIRST_PORT - count)
-    for _ in range(200):
-        if all(_is_free(base + offset) for offset in range(count)):
-            return base
-        base += count + 7
-        if base + count > LAST_PORT:
-            base = FIRST_PORT
+    """First of `count` successive ports that no other run gets."""
+    blocks = -(-count // BLOCK_PORTS)
+    starts = range(BLOCKS - blocks + 1)
+    first = random.randrange(len(starts))
+    for offset in starts:
+        start = (first + offset) % len(starts)
+        if _reserve(range(start, start + blocks)):
+            return FIRST_PORT + start * BLOCK_PORTS
     raise RuntimeError(f"no {count} successive free ports")
 
 
 def free_ports(count):
-    """`count` different ports that can be bound now. Chosen at random, so that a process that has
-    not bound its own yet seldom meets another with the same."""
-    chosen = set()
-    while len(chosen) < count:
-        port = random.randrange(FIRST_PORT, LAST_PORT)
-        if _is_free(port):
-            chosen.add(port)
-    return list(chosen)
+    """`count` different ports that no other run gets."""
+    while len(_left) < count:
+        base = free_base(BLOCK_PORTS)
+        _left.extend(range(base, base + BLOCK_PORTS))
+    chosen = _left[:count]
+    del _left[:count]
+    return chosen
+
+
+def _reserve(blocks):
+    locks = [_lock(block) for block in blocks]
+    ports = range(FIRST_PORT + blocks[0] * BLOCK_PORTS, FIRST_PORT + (blocks[-1] + 1) * BLOCK_PORTS)
+    if None not in locks and all(_is_free(port) for port in ports):
+        _locks.extend(locks)
+        return True
+    for lock in locks:
+        if lock is not None:
+            lock.close()
+    return False
+
+
+def _lock(block):
+    """The locked file of a block; None if another run holds it."""
+    directory = os.path.join(tempfile.gettempdir(), f"almondnotch-ports-{os.getuid()}")
+    os.makedirs(directory, exist_ok=True)
+    # The file outlives the run: a removed one would be locked by two runs at once.
+    lock = open(os.path.join(directory, str(block)), "w", encoding="ascii")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        lock.close()
+        return None
+    return lock
 
 
 def _is_free(port):
