Let a substitute reader step in on time, and say repeated lines once

Cause: a substitute gives way only to gateways that come before it, but its wake time counted from the last report of any gateway.

Change: its wake time counts from the last report of one before it.

--- a/core/time.h
+++ b/core/time.h
@@ -53,6 +53,12 @@
     return std::chrono::duration_cast<milliseconds>(length).count();
 }
 
+/// A length times a factor, rounded towards zero.
+constexpr duration scaled(duration length, double factor)
+{
+    return duration(static_cast<std::int64_t>(static_cast<double>(length.count()) * factor));
+}
+
 /// A length in seconds, for rates.
 constexpr double toSeconds(duration length)
 {
--- a/decision/routing/item_reader.cpp
+++ b/decision/routing/item_reader.cpp
@@ -56,8 +56,7 @@
     if (!m_isWatching || !m_hasReadSinceWatching)
         return catchUpWait;
     // Spread, so that the watches of all gateways do not end together.
-    return duration(static_cast<std::int64_t>(static_cast<double>(m_settings.watch.count())
-                                              * (1.0 - 0.2 * m_random.uniform())));
+    return scaled(m_settings.watch, 1.0 - 0.2 * m_random.uniform());
 }
 
 void item_reader::setWatching(instant now, bool isWatching, const retry_pace &retries)
@@ -160,8 +159,7 @@
     m_hasReadSinceWatching = m_hasReadSinceWatching || m_isWatching;
     if (input.page->historyLost) {
         m_counters.add("store_history_lost_total");
-        m_mustList = true;
-        restart(now);
+        listAnew(now);
         return true;
     }
     if (m_isListing)
@@ -203,8 +201,7 @@
     if (fresh.empty() && isBehind()) {
         // The store dropped changes without saying so.
         m_counters.add("store_changes_missing_total");
-        m_mustList = true;
-        restart(now);
+        listAnew(now);
         return;
     }
     m_revision = std::max(m_revision, page.revision);
@@ -222,9 +219,13 @@
     ++m_failures;
     const duration pause = std::min<duration>(m_settings.retries.first * (1U << doublings),
                                               m_settings.retries.longest);
-    m_nextRead = now
-                 + duration(static_cast<std::int64_t>(static_cast<double>(pause.count())
-                                                      * (0.75 + 0.5 * m_random.uniform())));
+    m_nextRead = now + scaled(pause, 0.75 + 0.5 * m_random.uniform());
+}
+
+void item_reader::listAnew(instant now)
+{
+    m_mustList = true;
+    restart(now);
 }
 
 void item_reader::restart(instant now)
@@ -244,8 +245,7 @@
     if (m_underWay && !m_isListing && isBehind() && now >= m_announcedUntil) {
         // The connection of the watch may be dead.
         m_counters.add("store_watches_given_up_total");
-        m_mustList = true;
-        restart(now);
+        listAnew(now);
     }
     if (!m_underWay && isDue() && m_nextRead <= now)
         send(nextRead, actions);
--- a/decision/routing/item_reader.h
+++ b/decision/routing/item_reader.h
@@ -59,6 +59,8 @@
     instant nextWake() const;
 
     /// The process did not run, or the watch may be dead: all is read anew.
+    /// Changes were missed, so that only a list tells the state.
+    void listAnew(instant now);
     void restart(instant now);
 
     /// Whether the scope is watched; a watch under way goes on to its end.
--- a/decision/routing/peer_group.cpp
+++ b/decision/routing/peer_group.cpp
@@ -127,10 +127,8 @@
     const bool isGrowing = m_members.records().size() > m_knownAtExchange;
     m_knownAtExchange = m_members.records().size();
     const double factor = isGrowing ? growingIntervalPart : 1;
-    m_nextExchange = now
-                     + duration(static_cast<std::int64_t>(
-                         static_cast<double>(m_settings.exchangeInterval.count()) * factor
-                         * (0.8 + 0.4 * m_random.uniform())));
+    m_nextExchange
+        = now + scaled(m_settings.exchangeInterval, factor * (0.8 + 0.4 * m_random.uniform()));
 }
 
 void peer_group::digestArrived(instant now, const fleet_digest &digest, const peer_facts &facts,
--- a/decision/routing/placement.cpp
+++ b/decision/routing/placement.cpp
@@ -26,11 +26,6 @@
 /// Equal workers are told apart by chance, within this part of their cost.
 constexpr double jitterPart = 0.1;
 
-duration scaled(duration length, double factor)
-{
-    return duration(static_cast<std::int64_t>(static_cast<double>(length.count()) * factor));
-}
-
 } // namespace
 
 scored_worker placement::score(instant now, const placement_request &request,
--- a/decision/routing/reader_group.cpp
+++ b/decision/routing/reader_group.cpp
@@ -9,29 +9,22 @@
 void reader_group::setCandidates(const std::vector<reader_candidate> &candidates)
 {
     m_candidates = candidates.size();
-    const auto found
-        = std::find_if(candidates.begin(), candidates.end(),
-                       [this](const reader_candidate &one) { return one.vm == m_settings.vm; });
+    const auto found = std::find_if(candidates.begin(), candidates.end(),
+                                    [this](const reader_candidate &one) { return one.vm == m_vm; });
     m_isCandidate = found != candidates.end();
     if (!m_isCandidate)
         return;
     m_ahead.clear();
+    const std::string key = "readers/" + m_failureDomain;
+    const double ownScore = rendezvousScore(key, m_vm);
     for (const reader_candidate &one : candidates) {
-        if (isBefore(one, *found))
+        const bool isEqual = one.capacity == found->capacity;
+        if (one.vm != m_vm
+            && (isEqual ? rendezvousScore(key, one.vm) > ownScore : one.capacity > found->capacity))
             m_ahead.insert(one.vm);
     }
 }
 
-bool reader_group::isBefore(const reader_candidate &left, const reader_candidate &right) const
-{
-    if (left.vm == right.vm)
-        return false;
-    if (left.capacity != right.capacity)
-        return left.capacity > right.capacity;
-    const std::string key = "readers/" + m_settings.failureDomain;
-    return rendezvousScore(key, left.vm) > rendezvousScore(key, right.vm);
-}
-
 void reader_group::reportArrived(instant now, const std::string &vm, bool isCurrent)
 {
     std::erase_if(m_currentAt, [this, now](const std::pair<const std::string, instant> &entry) {
@@ -130,7 +123,9 @@
         // A gateway that reads for itself has nothing more to find out.
         if (mustRead(now))
             return instant::never();
-        return m_lastCurrent + (isSubstitute() ? m_settings.substituteSilence : m_settings.silence);
+        const instant wake = m_lastCurrent + m_settings.silence;
+        return isSubstitute() ? std::min(wake, m_lastCurrentAhead + m_settings.substituteSilence)
+                              : wake;
     }
     instant wake = m_nextCheck;
     if (m_reportedCurrent)
--- a/decision/routing/reader_group.h
+++ b/decision/routing/reader_group.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -35,9 +36,6 @@
 
 struct reader_group_settings
 {
-    /// This gateway's VM.
-    std::string vm;
-    std::string failureDomain;
     /// Gateways that read for a failure domain.
     unsigned readers = 2;
     /// Gateways of a failure domain below which each reads for itself.
@@ -70,7 +68,9 @@
 class reader_group
 {
 public:
-    explicit reader_group(reader_group_settings settings) : m_settings(std::move(settings)) { }
+    reader_group(reader_group_settings settings, std::string vm, std::string failureDomain)
+        : m_settings(settings), m_vm(std::move(vm)), m_failureDomain(std::move(failureDomain))
+    { }
 
     /// \param candidates gateways of the failure domain that serve, this one included if it does.
     void setCandidates(const std::vector<reader_candidate> &candidates);
@@ -104,9 +104,11 @@
 private:
     bool isShared() const { return m_candidates >= m_settings.gatewaysMin; }
     bool isSubstitute() const;
-    bool isBefore(const reader_candidate &left, const reader_candidate &right) const;
 
     reader_group_settings m_settings;
+    /// This gateway's VM and its failure domain.
+    std::string m_vm;
+    std::string m_failureDomain;
     std::size_t m_candidates = 0;
     bool m_isCandidate = false;
     /// Gateways that come before this one; as a substitute it gives way to their reports only,
--- a/decision/routing/request_runner.cpp
+++ b/decision/routing/request_runner.cpp
@@ -62,11 +62,6 @@
 constexpr int retryAfterPart = 3;
 constexpr duration retryAfterMin = milliseconds(20);
 
-duration scaled(duration length, double factor)
-{
-    return duration(static_cast<std::int64_t>(static_cast<double>(length.count()) * factor));
-}
-
 bool isServerFailure(const shared_response &response)
 {
     return response->status >= 500;
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -55,11 +55,6 @@
     return out;
 }
 
-duration part(duration whole, double share)
-{
-    return duration(static_cast<std::int64_t>(static_cast<double>(whole.count()) * share));
-}
-
 } // namespace
 
 /// The parts of the gateway and the rules that connect them.
@@ -142,7 +137,8 @@
     : settings(std::move(given)), random(settings.seed), pool(counters),
       quarantine(settings.bounds.quarantine, settings.bounds.crashRecordsMax, counters),
       runner(settings, {pool, quarantine, random, invariants, counters}),
-      peers(settings.peers, random, counters), readers(settings.readers),
+      peers(settings.peers, random, counters),
+      readers(settings.readers, settings.peers.self.vm, settings.peers.failureDomain),
       configReader(readerSettings(item_scope::configuration, settings), random, counters),
       workerReader(readerSettings(item_scope::workers, settings), random, counters)
 { }
@@ -472,10 +468,10 @@
 void route_gateway::state::continueLeaving(instant now, action_list &actions)
 {
     const duration age = now - leavingSince;
-    if (age >= part(settings.grace, refusePart))
+    if (age >= scaled(settings.grace, refusePart))
         runner.refuseNew();
-    const bool isDone = age >= part(settings.grace, serveOnPart) && runner.inProgress() == 0;
-    if (!isDone && age < part(settings.grace, endPart))
+    const bool isDone = age >= scaled(settings.grace, serveOnPart) && runner.inProgress() == 0;
+    if (!isDone && age < scaled(settings.grace, endPart))
         return;
     runner.endAll(now, actions);
     stage = life_stage::finished;
--- a/main/daemon/daemon_settings.cpp
+++ b/main/daemon/daemon_settings.cpp
@@ -267,8 +267,6 @@
     routing.peers.gatewaysAssumed = fleetPart.gatewaysAssumed;
     routing.peers.capacity
         = static_cast<std::uint32_t>(std::lround(100 * values.real("vm.processor_share")));
-    routing.readers.vm = fleetPart.self.vm;
-    routing.readers.failureDomain = fleetPart.failureDomain;
     routing.readers.readers = fleetPart.readers;
 }
 
--- a/tests/decision/routing/reader_group_test.cpp
+++ b/tests/decision/routing/reader_group_test.cpp
@@ -343,6 +343,21 @@
     BOOST_TEST(world.openRead(item_scope::workers) == nullptr);
 }
 
+// Guards against a substitute that steps in late because it still hears one behind it.
+BOOST_AUTO_TEST_CASE(aSubstituteStepsInOnTimeWhileOthersBehindItReport)
+{
+    reader_fixture world(20);
+    world.follow();
+    const instant silentFrom = world.now;
+    world.advance(milliseconds(800));
+    world.report(5);
+    world.advance(milliseconds(300));
+    BOOST_TEST(!world.isWatching());
+    world.advance(milliseconds(101));
+    BOOST_TEST(world.isWatching());
+    BOOST_TEST(toMilliseconds(world.now - silentFrom) == 1201);
+}
+
 // Guards against small failure domains that depend on one or two gateways to see changes.
 BOOST_AUTO_TEST_CASE(gatewaysOfASmallFailureDomainReadForThemselves)
 {
--- a/tests/decision/routing/routing_fixture.cpp
+++ b/tests/decision/routing/routing_fixture.cpp
@@ -16,8 +16,6 @@
     settings.budgets.retryShare = 0.1;
     settings.budgets.retrySlack = 320;
     settings.settling = duration {0};
-    settings.readers.vm = settings.peers.self.vm;
-    settings.readers.failureDomain = settings.peers.failureDomain;
     return settings;
 }
 
