Do not spin while a leaving gateway waits for calls, nor double the news of a fleet

Change: after that time only the calls wake the process. The end of joining spreads with the next contacts, like the number of calls in progress.

--- a/decision/fleet/membership.cpp
+++ b/decision/fleet/membership.cpp
@@ -29,14 +29,6 @@
     : m_settings(settings), m_self(std::move(self)), m_counters(counters)
 { }
 
-void membership::endJoining()
-{
-    if (!m_self.isJoining)
-        return;
-    m_self.isJoining = false;
-    ++m_self.incarnation;
-}
-
 void membership::beginLeaving()
 {
     m_self.state = gateway_state::leaving;
@@ -100,6 +92,7 @@
         --record.sendsLeft;
     if (update.process == record.update.process && heardAt > record.heardAt) {
         record.update.callsInProgress = update.callsInProgress;
+        record.update.isJoining = update.isJoining;
         record.update.clock = update.clock;
         record.clockAt = now;
         noteContact(record, heardAt);
--- a/decision/fleet/membership.h
+++ b/decision/fleet/membership.h
@@ -75,8 +75,10 @@
     void setCallsInProgress(std::uint32_t calls) { m_self.callsInProgress = calls; }
     bool isSuperseded() const { return m_superseded; }
 
-    /// This process serves callers from now on.
-    void endJoining();
+    /// This process serves callers from now on. Spreads with the next contacts, like the number of
+    /// calls in progress, since a change of state in each process at the start would double the
+    /// messages of a large fleet.
+    void endJoining() { m_self.isJoining = false; }
     /// This process leaves; it does not return to `alive`.
     void beginLeaving();
 
--- a/decision/gateway.cpp
+++ b/decision/gateway.cpp
@@ -223,7 +223,10 @@
     instant wake = std::min({calls.nextWake(), workers->nextWake(), members->nextWake(), nextSweep,
                              handoverOut.nextWake()});
     if (stage != life_stage::serving)
-        wake = std::min({wake, leaveDeadline, forwardingEnd});
+        wake = std::min(wake, leaveDeadline);
+    // Later the process waits for the calls in progress, which have times of their own.
+    if (stage == life_stage::forwarding && calls.inProgress() == 0)
+        wake = std::min(wake, forwardingEnd);
     return wake;
 }
 
