Refuse late requests while few workers are usable

A service counted as busy only if three requests waited at one gateway, which sees two of them a second.

Change: the pool learns from probes how slow machines usually are, and which share of a service's workers has room on an undisturbed machine. A worker of which nothing is known counts as slow as the mean; below a fifth of usable workers a request that would be late is refused as not run.

--- a/decision/routing/placement.cpp
+++ b/decision/routing/placement.cpp
@@ -11,12 +11,8 @@
 constexpr duration freshFor = milliseconds(20);
 /// Time in which a report loses most of its meaning.
 constexpr duration reportFade = milliseconds(400);
-/// Slowdown that is assumed of a worker of which nothing is known.
-constexpr double unknownSlowdown = 2.0;
 /// Slowdown of a worker that has just started.
 constexpr double coldSlowdown = 2.0;
-/// Slowdown up to which a machine counts as undisturbed.
-constexpr double usualSlowdown = 1.6;
 /// Slowdown of a worker whose slots are all in use, beside the wait for a slot.
 constexpr double crowding = 0.15;
 /// What the bytes between failure domains cost, as a share of a request's value.
@@ -42,8 +38,8 @@
 
     double slowdown = worker.report.slowdownPercent / 100.0;
     if (!out.isFresh)
-        slowdown = trust * slowdown + (1 - trust) * unknownSlowdown;
-    out.isUndisturbed = slowdown <= usualSlowdown;
+        slowdown = trust * slowdown + (1 - trust) * m_pool.usualSlowdown();
+    out.isUndisturbed = slowdown <= undisturbedSlowdown;
     if (now < worker.warmAt)
         slowdown = std::max(slowdown, coldSlowdown);
     const double reported = worker.report.running + worker.report.queued;
--- a/decision/routing/request_runner.cpp
+++ b/decision/routing/request_runner.cpp
@@ -33,6 +33,9 @@
 constexpr std::size_t nearRounds = 2;
 /// Requests that look for a worker of a service from which on the service counts as busy.
 constexpr std::size_t busySeekers = 3;
+/// Share of usable workers below which a service counts as busy: a late request would take a slot
+/// from one that can still be in time.
+constexpr double scarceShare = 0.2;
 /// Records of failed requests in a second; more are only counted.
 constexpr double failureLinesPerSecond = 20;
 /// Transmissions of one request, those that certainly did not run included.
@@ -191,7 +194,8 @@
         return;
     }
     const bool isLate = now + best.expected > record.objectiveAt;
-    const bool isBusy = !best.hasRoom || seekersAhead(record) >= busySeekers;
+    const bool isBusy = !best.hasRoom || seekersAhead(record) >= busySeekers
+                        || m_parts.pool.usableShare(record.service) < scarceShare;
     if (best.expected > timeLeft || (isLate && isBusy)) {
         giveUp(now, record, "no worker can answer in time", actions);
         return;
--- a/decision/routing/worker_pool.cpp
+++ b/decision/routing/worker_pool.cpp
@@ -10,6 +10,12 @@
 
 /// Weight of the newest outcome in the share of failures.
 constexpr double outcomeWeight = 0.3;
+/// Usable share of a service of which nothing is known, and the weight of one probe in it.
+constexpr double usableShareFirst = 0.6;
+constexpr double conditionWeight = 0.1;
+/// Weight of one probe in the usual slowdown, and the slowdown that counts at most.
+constexpr double slowdownWeight = 0.02;
+constexpr double slowdownMax = 10;
 /// Time in which the share of failures falls to 1/e without new outcomes.
 constexpr duration failureFade = seconds(4);
 /// Failures in a row after which a worker is left out for a time.
@@ -150,6 +156,23 @@
     worker.sentSinceReport = 0;
 }
 
+void worker_pool::learnCondition(const pooled_worker &worker)
+{
+    const load_report &report = worker.report;
+    const double slowdown = report.slowdownPercent / 100.0;
+    const bool isUsable = report.running + report.queued < report.slots
+                          && slowdown <= undisturbedSlowdown;
+    const auto share = m_usableShare.try_emplace(worker.entry.service, usableShareFirst).first;
+    share->second += conditionWeight * ((isUsable ? 1.0 : 0.0) - share->second);
+    m_usualSlowdown += slowdownWeight * (std::min(slowdown, slowdownMax) - m_usualSlowdown);
+}
+
+double worker_pool::usableShare(std::string_view service) const
+{
+    const auto found = m_usableShare.find(service);
+    return found == m_usableShare.end() ? usableShareFirst : found->second;
+}
+
 void worker_pool::noteSuccess(pooled_worker &worker)
 {
     worker.failuresInARow = 0;
@@ -211,6 +234,7 @@
         return;
     }
     takeReport(now, worker, *input.load);
+    learnCondition(worker);
 }
 
 bool worker_pool::hasLapse(instant now) const
--- a/decision/routing/worker_pool.h
+++ b/decision/routing/worker_pool.h
@@ -44,6 +44,9 @@
     bool isReplaced = false;
 };
 
+/// Slowdown up to which a machine counts as undisturbed.
+constexpr double undisturbedSlowdown = 1.6;
+
 /// The workers of all services.
 class worker_pool
 {
@@ -82,9 +85,15 @@
     /// Workers of a service, gone and leaving ones included.
     const std::vector<worker_index> &ofService(std::string_view service) const;
     std::size_t size() const { return m_byName.size(); }
+    /// Share of the workers of a service that lately had a free slot on an undisturbed machine, by
+    /// the probes of this gateway.
+    double usableShare(std::string_view service) const;
+    /// Slowdown of a machine of which nothing is known: the mean of what probes showed lately.
+    double usualSlowdown() const { return m_usualSlowdown; }
     nlohmann::json dump(instant now) const;
 
 private:
+    void learnCondition(const pooled_worker &worker);
     void add(instant now, const published_worker &entry);
     void remove(instant now, const std::string &name);
     static void noteSuccess(pooled_worker &worker);
@@ -101,6 +110,8 @@
     std::map<std::string, worker_index, std::less<>> m_byName;
     std::map<std::string, std::vector<worker_index>, std::less<>> m_byService;
     std::map<std::string, instant> m_leavingSince;
+    std::map<std::string, double, std::less<>> m_usableShare;
+    double m_usualSlowdown = 2.0;
 };
 
 } // namespace almondnotch
