Leave a slot free where full workers are slow

Workers that are always full answer 2.6 requests in the time in which three slots answer 3.

Change: crowding_estimate learns the factor from responses. Where the last quarter of the slots costs throughput, requests wait for a calm worker and take a crowded one while that can still be in time. The usual work of a route is learned from calm workers, faster at first.

--- a/decision/routing/placement.cpp
+++ b/decision/routing/placement.cpp
@@ -13,8 +13,9 @@
 constexpr duration reportFade = milliseconds(400);
 /// Slowdown of a worker that has just started.
 constexpr double coldSlowdown = 2.0;
-/// Slowdown of a worker whose slots are all in use, beside the wait for a slot.
-constexpr double crowding = 0.15;
+/// Slowdown that is assumed of a worker whose slots are all in use, beside that of crowding; tells
+/// workers apart.
+constexpr double occupancySlowdown = 0.15;
 /// What the bytes between failure domains cost, as a share of a request's value.
 constexpr double distanceShare = 0.2;
 /// Share of its value that a request loses if it misses its objective.
@@ -47,9 +48,15 @@
         = std::max<double>(trust * reported + worker.sentSinceReport, worker.inFlight);
     const double waiting = std::max(0.0, busy + 1 - slots) / slots;
     out.hasRoom = busy + 1 <= slots;
+    const unsigned wholeSlots = std::max(worker.report.slots, 1U);
+    out.isCrowded = busy + 1 > crowding_estimate::calmSlots(wholeSlots);
+    out.hasCalmRoom
+        = out.hasRoom && !(out.isCrowded && request.crowding.costsThroughput(wholeSlots));
     out.isIdle = 2 * (busy + 1) <= slots;
-    out.expected
-        = scaled(request.work, slowdown * (1 + crowding * std::min(1.0, busy / slots) + waiting));
+    if (out.isCrowded)
+        slowdown *= request.crowding.factor();
+    out.expected = scaled(
+        request.work, slowdown * (1 + occupancySlowdown * std::min(1.0, busy / slots) + waiting));
 
     const double failures
         = worker.failureShare * std::exp(-toSeconds(now - worker.failureAt) / 4.0);
--- a/decision/routing/placement.h
+++ b/decision/routing/placement.h
@@ -7,6 +7,7 @@
 
 #include "core/random_source.h"
 #include "core/time.h"
+#include "decision/routing/crowding.h"
 #include "decision/routing/worker_pool.h"
 
 namespace almondnotch {
@@ -22,6 +23,8 @@
     /// Time left of the objective and until the deadline.
     duration timeToObjective {0};
     duration timeToDeadline {0};
+    /// How crowding slows workers down.
+    crowding_estimate crowding;
     /// Workers that are not to be chosen again.
     std::vector<worker_index> tried;
 };
@@ -47,13 +50,17 @@
     bool isFresh = false;
     /// A slot is free for the request.
     bool hasRoom = false;
+    /// The request would start while nearly all slots are in use.
+    bool isCrowded = false;
+    /// A slot is free whose use costs no throughput.
+    bool hasCalmRoom = false;
     /// At most half of its slots are in use with the request.
     bool isIdle = false;
     /// Its machine runs at about its usual speed.
     bool isUndisturbed = false;
 
     /// The request may be sent there without looking further.
-    bool isGood() const { return isFresh && hasRoom && isUndisturbed; }
+    bool isGood() const { return isFresh && hasCalmRoom && isUndisturbed; }
 };
 
 /// Chooses workers.
--- a/decision/routing/request_runner.cpp
+++ b/decision/routing/request_runner.cpp
@@ -28,7 +28,7 @@
 /// between failure domains cost more than the probe.
 constexpr std::array<probe_round, 3> probeRounds {{{1, true}, {3, true}, {2, false}}};
 /// A request that is held asks distant workers again after this time.
-constexpr duration distantProbeInterval = milliseconds(150);
+constexpr duration distantProbeInterval = milliseconds(75);
 /// Rounds after which a distant worker may be taken.
 constexpr std::size_t nearRounds = 2;
 /// Requests that look for a worker of a service from which on the service counts as busy.
@@ -50,6 +50,8 @@
 constexpr double unknownWorkPart = 0.35;
 /// Weight of the newest sample in the usual work of a route.
 constexpr double workWeight = 0.05;
+/// Samples of a route's usual work from which on it shows how crowding slows workers down.
+constexpr unsigned crowdingSamplesMin = 5;
 /// A hedge is sent while it can still meet the objective, but not before the first attempt is
 /// late by this factor of the usual work.
 constexpr double hedgeLateness = 1.4;
@@ -130,6 +132,7 @@
 placement_request request_runner::wanted(instant now, const routed_request &record)
 {
     placement_request out;
+    out.crowding = m_crowding;
     out.service = record.service;
     out.work = workOf(*record.route);
     out.objective = record.route->latencyObjective;
@@ -276,9 +279,12 @@
 bool request_runner::mayHold(instant now, const routed_request &record, const scored_worker &best)
 {
     const duration work = workOf(*record.route);
-    if (best.isFresh && best.hasRoom && now + best.expected <= record.objectiveAt)
+    if (best.isFresh && best.hasCalmRoom && now + best.expected <= record.objectiveAt)
         return false;
-    const instant latest = record.objectiveAt - scaled(work, holdReserve);
+    // A crowded worker is taken while that can still be in time.
+    const bool isFallback = best.isFresh && best.hasRoom && best.isCrowded;
+    const double reserve = holdReserve * (isFallback ? m_crowding.factor() : 1.0);
+    const instant latest = record.objectiveAt - scaled(work, reserve);
     return now + holdStep < latest;
 }
 
@@ -384,8 +390,8 @@
     stopPlacing(record);
     m_services[record.service].launches.count(now);
     record.attempts.push_back({id, chosen.worker, now,
-                               chosen.isFresh ? worker.report.slowdownPercent : 0, std::nullopt,
-                               false});
+                               chosen.isFresh ? worker.report.slowdownPercent : 0, chosen.isCrowded,
+                               std::nullopt, false});
     m_attempts.emplace(id, std::pair(record.call, chosen.worker));
     m_parts.pool.attemptStarted(chosen.worker);
     start_attempt order;
@@ -540,11 +546,20 @@
     // A machine that changed its speed meanwhile tells little about the work.
     if (attempt.slowdownPercent == 0 || slowdown > 2)
         return;
-    const duration sample = scaled(now - attempt.startedAt, 1 / slowdown);
+    duration sample = scaled(now - attempt.startedAt, 1 / slowdown);
     route_history &history = m_routes[record.route->name];
     const duration known = workOf(*record.route);
+    if (attempt.isCrowded && history.samples >= crowdingSamplesMin) {
+        m_crowding.add(toSeconds(sample) / toSeconds(known));
+        return;
+    }
+    if (attempt.isCrowded)
+        sample = scaled(sample, 1 / m_crowding.factor());
+    ++history.samples;
+    // The first samples count more, since little is known before them.
+    const double weight = std::max(workWeight, 1.0 / (history.samples + 1));
     const duration bounded = std::min(sample, known * 3);
-    history.work = scaled(known, 1 - workWeight) + scaled(bounded, workWeight);
+    history.work = scaled(known, 1 - weight) + scaled(bounded, weight);
 }
 
 duration request_runner::workOf(const host_route &route)
@@ -762,7 +777,8 @@
     for (const std::pair<const std::string, service_state> &entry : m_services)
         services[entry.first] = {{"retry_tokens", entry.second.budget.tokens()},
                                  {"sent_per_second", entry.second.launches.perSecond(now)}};
-    return {{"in_progress", m_requests.size()},
+    return {{"crowding_factor", m_crowding.factor()},
+            {"in_progress", m_requests.size()},
             {"attempts_in_flight", m_attempts.size()},
             {"probes_in_flight", m_probes.size()},
             {"gateways", m_gateways},
--- a/decision/routing/request_runner.h
+++ b/decision/routing/request_runner.h
@@ -19,6 +19,7 @@
 #include "decision/actions.h"
 #include "decision/calls/quarantine_table.h"
 #include "decision/events.h"
+#include "decision/routing/crowding.h"
 #include "decision/routing/event_rate.h"
 #include "decision/routing/placement.h"
 #include "decision/routing/retry_budget.h"
@@ -97,6 +98,8 @@
     struct route_history
     {
         duration work {0};
+        /// Responses that `work` was learned from.
+        unsigned samples = 0;
     };
 
     std::optional<ending> admit(instant now, routed_request &record, route_table *table);
@@ -143,6 +146,7 @@
     const routing_settings &m_settings;
     request_runner_parts m_parts;
     placement m_placement;
+    crowding_estimate m_crowding;
     bool m_isLeaving = false;
     bool m_refusesNew = false;
     unsigned m_gateways = 1;
--- a/decision/routing/routed_request.h
+++ b/decision/routing/routed_request.h
@@ -22,6 +22,8 @@
     instant startedAt;
     /// Slowdown of the worker's machine when it was chosen, percent; 0 if unknown.
     unsigned slowdownPercent = 0;
+    /// Nearly all slots of the worker were in use when it was chosen.
+    bool isCrowded = false;
     /// Nothing while the attempt runs.
     std::optional<attempt_end> end;
     bool refusedNotRun = false;
--- a/decision/routing/worker_pool.cpp
+++ b/decision/routing/worker_pool.cpp
@@ -160,8 +160,8 @@
 {
     const load_report &report = worker.report;
     const double slowdown = report.slowdownPercent / 100.0;
-    const bool isUsable = report.running + report.queued < report.slots
-                          && slowdown <= undisturbedSlowdown;
+    const bool isUsable
+        = report.running + report.queued < report.slots && slowdown <= undisturbedSlowdown;
     const auto share = m_usableShare.try_emplace(worker.entry.service, usableShareFirst).first;
     share->second += conditionWeight * ((isUsable ? 1.0 : 0.0) - share->second);
     m_usualSlowdown += slowdownWeight * (std::min(slowdown, slowdownMax) - m_usualSlowdown);
--- /dev/null
+++ b/tests/decision/routing/overload_test.cpp
@@ -0,0 +1,142 @@
+#include <boost/test/unit_test.hpp>
+
+#include "decision/routing/crowding.h"
+#include "decision/routing/placement.h"
+#include "tests/decision/routing/routing_fixture.h"
+
+using namespace almondnotch;
+
+namespace {
+
+load_report machineAt(unsigned slowdownPercent, std::uint32_t running = 0)
+{
+    load_report report {running, 0, 4};
+    report.slowdownPercent = slowdownPercent;
+    return report;
+}
+
+const std::vector<published_worker> twoWorkers {workerEntry("b-1", "books"),
+                                                workerEntry("b-2", "books")};
+
+/// Sends one booking, which may be held first, and answers it after `length`.
+void serveOne(routing_fixture &world, duration length)
+{
+    world.call("POST", "/book/1");
+    std::vector<start_attempt> sent = world.take<start_attempt>();
+    for (int i = 0; i < 15 && sent.empty(); ++i) {
+        world.advance(milliseconds(10));
+        sent = world.take<start_attempt>();
+    }
+    BOOST_REQUIRE(sent.size() == 1U);
+    world.advance(length);
+    world.answer(sent.front());
+    world.take<send_response>();
+    world.advance(milliseconds(50));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(overload_suite)
+
+// Load pattern: a burst on a service whose workers are all slow or full, with few requests at each
+// gateway. Guards against late requests that hold slots for several times their work, so that
+// others are late as well.
+BOOST_AUTO_TEST_CASE(lateRequestsAreRefusedWhileFewWorkersAreUsable)
+{
+    routing_fixture world;
+    world.loads["b-1"] = machineAt(400);
+    world.loads["b-2"] = machineAt(400);
+    world.becomeReady(twoWorkers);
+    unsigned sentLater = 0;
+    for (int i = 0; i < 30; ++i) {
+        world.call("POST", "/book/1");
+        world.advance(milliseconds(200));
+        for (const start_attempt &attempt : world.take<start_attempt>()) {
+            sentLater += i >= 10 ? 1 : 0;
+            world.end(attempt, attempt_end::timed_out);
+        }
+    }
+    BOOST_TEST(sentLater == 0U);
+    for (const send_response &sent : world.take<send_response>())
+        BOOST_TEST((sent.response->status == 503 || sent.response->status == 504));
+
+    world.loads["b-2"] = machineAt(100);
+    world.advance(seconds(4));
+    world.call("POST", "/book/1");
+    BOOST_TEST(world.takeOne<start_attempt>().workerName == "b-2");
+}
+
+// Load pattern: most machines are slow. Guards against requests that go to workers of which nothing
+// is known, as if those were hardly slower than usual.
+BOOST_AUTO_TEST_CASE(unknownWorkersCountAsSlowAsTheOthers)
+{
+    counter_set counters;
+    random_source random(1);
+    worker_pool pool(counters);
+    const instant now {seconds(100)};
+    for (const char *name : {"seen", "slow", "unknown"})
+        pool.apply(now, workerItem(workerEntry(name, "books")));
+    const std::vector<worker_index> members = pool.ofService("books");
+    for (int i = 0; i < 200; ++i)
+        pool.probeFinished(now, members[1], {probe_id {1}, machineAt(700), 100});
+    pool.probeFinished(now, members[0], {probe_id {2}, machineAt(300), 100});
+    placement_request request;
+    request.service = "books";
+    request.work = milliseconds(70);
+    request.objective = milliseconds(200);
+    request.timeToObjective = milliseconds(200);
+    request.timeToDeadline = milliseconds(600);
+    const std::vector<scored_worker> ranked
+        = placement(pool, random, "near").rank(now, request, {});
+    BOOST_REQUIRE(ranked.size() == 3U);
+    BOOST_TEST((ranked.front().worker == members[0]));
+    BOOST_TEST(pool.usableShare("books") < 0.1);
+}
+
+// Guards against slots that are left free where full workers are as fast as others, and against an
+// estimate that follows single responses.
+BOOST_AUTO_TEST_CASE(slotsStayFreeOnlyWhereCrowdingCostsThroughput)
+{
+    crowding_estimate even;
+    crowding_estimate crowded;
+    BOOST_TEST(!even.costsThroughput(4));
+    crowded.add(3.0);
+    BOOST_TEST(!crowded.costsThroughput(1));
+    for (int i = 0; i < 60; ++i) {
+        even.add(i % 2 == 0 ? 0.7 : 1.3);
+        crowded.add(i % 2 == 0 ? 1.2 : 2.2);
+    }
+    BOOST_TEST(!even.costsThroughput(4));
+    BOOST_TEST(!even.costsThroughput(6));
+    BOOST_TEST(crowded.costsThroughput(4));
+    BOOST_TEST(!crowded.costsThroughput(1));
+}
+
+// Load pattern: a burst on workers that slow down when they are nearly full. Guards against the
+// last slot of each being taken at once, which lowers what all of them answer in a second.
+BOOST_AUTO_TEST_CASE(workersThatSlowDownWhenFullKeepASlotFree)
+{
+    routing_fixture world;
+    world.becomeReady(twoWorkers);
+    for (int i = 0; i < 10; ++i)
+        serveOne(world, milliseconds(70));
+    for (const char *name : {"b-1", "b-2"})
+        world.loads[name] = machineAt(100, 3);
+    for (int i = 0; i < 20; ++i)
+        serveOne(world, milliseconds(115));
+    world.call("POST", "/book/1");
+    world.advance(milliseconds(20));
+    BOOST_TEST(world.take<start_attempt>().empty());
+    world.loads["b-2"] = machineAt(100, 2);
+    world.advance(milliseconds(30));
+    BOOST_TEST(world.takeOne<start_attempt>().workerName == "b-2");
+
+    // A crowded worker is taken while that can still be in time.
+    world.loads["b-2"] = machineAt(100, 3);
+    world.advance(milliseconds(100));
+    world.call("POST", "/book/1");
+    world.advance(milliseconds(100));
+    BOOST_TEST(world.take<start_attempt>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
