Bound the probes of all gateways together

Change: setting routing.probes_per_worker, filled in by the platform; each gateway has a token bucket with its part.

probesStayWithinThisGatewaysShare failed before (162 probes, 45 allowed).

--- a/decision/routing/request_runner.cpp
+++ b/decision/routing/request_runner.cpp
@@ -61,7 +61,8 @@
 constexpr double hedgeReservePart = 0.2;
 /// The same for requests that have missed their objective.
 constexpr double lateReservePart = 0.5;
-/// Part of the slack that is given out, since the number of gateways is only known roughly.
+/// Part of the shared budgets that is given out, since the number of gateways is only known
+/// roughly.
 constexpr double slackPart = 0.8;
 /// Part of a caller's remaining time after which it no longer returns.
 constexpr int retryAfterPart = 3;
@@ -303,12 +304,15 @@
             record.distantProbesAt = now + distantProbeInterval;
         std::size_t left = round.workersMax;
         for (const scored_worker &candidate : ranked) {
-            if (left == 0 || m_probes.size() >= m_settings.bounds.probesMax)
+            if (left == 0)
                 break;
             if (candidate.isFresh || candidate.isNear != round.isNear)
                 continue;
-            if (!m_probeOf.contains(candidate.worker))
+            if (!m_probeOf.contains(candidate.worker)) {
+                if (!mayProbe(now))
+                    break;
                 startProbe(candidate.worker, path, actions);
+            }
             record.awaited.insert(candidate.worker);
             --left;
         }
@@ -320,6 +324,17 @@
     return false;
 }
 
+bool request_runner::mayProbe(instant now)
+{
+    const double workers = static_cast<double>(m_parts.pool.size());
+    m_probeAllowance.refill(now,
+                            slackPart * m_settings.budgets.probesPerWorker * workers / m_gateways);
+    if (m_probes.size() < m_settings.bounds.probesMax && m_probeAllowance.take())
+        return true;
+    m_parts.counters.add("probes_denied_total");
+    return false;
+}
+
 void request_runner::startProbe(worker_index worker, const std::string &healthPath,
                                 action_list &actions)
 {
@@ -470,14 +485,14 @@
     if (input.end != attempt_end::broken || record == nullptr)
         return;
     m_parts.quarantine.connectionBroke(now, digestOf(*record->request), name);
-    checkWorker(*record, worker, actions);
+    checkWorker(now, *record, worker, actions);
 }
 
 /// Probes a worker whose connection broke, to tell a crash from a lost connection.
-void request_runner::checkWorker(const routed_request &record, worker_index worker,
+void request_runner::checkWorker(instant now, const routed_request &record, worker_index worker,
                                  action_list &actions)
 {
-    if (m_probeOf.contains(worker) || m_probes.size() >= m_settings.bounds.probesMax)
+    if (m_probeOf.contains(worker) || !mayProbe(now))
         return;
     const auto spec = record.config->services.find(record.service);
     if (spec != record.config->services.end())
--- a/decision/routing/request_runner.h
+++ b/decision/routing/request_runner.h
@@ -22,6 +22,7 @@
 #include "decision/routing/crowding.h"
 #include "decision/routing/event_rate.h"
 #include "decision/routing/placement.h"
+#include "decision/routing/probe_allowance.h"
 #include "decision/routing/retry_budget.h"
 #include "decision/routing/route_table.h"
 #include "decision/routing/routed_request.h"
@@ -118,7 +119,9 @@
     bool probe(instant now, routed_request &record, const std::vector<scored_worker> &ranked,
                action_list &actions);
     void startProbe(worker_index worker, const std::string &healthPath, action_list &actions);
-    void checkWorker(const routed_request &record, worker_index worker, action_list &actions);
+    bool mayProbe(instant now);
+    void checkWorker(instant now, const routed_request &record, worker_index worker,
+                     action_list &actions);
     void launch(instant now, routed_request &record, const scored_worker &chosen,
                 action_list &actions);
     void noPlace(instant now, routed_request &record, std::string_view reason,
@@ -154,6 +157,7 @@
     std::unordered_map<call_id, std::unique_ptr<routed_request>> m_requests;
     /// Attempts under way; one may outlive its request.
     std::unordered_map<attempt_id, std::pair<call_id, worker_index>> m_attempts;
+    probe_allowance m_probeAllowance;
     std::map<probe_id, worker_index> m_probes;
     std::map<worker_index, probe_id> m_probeOf;
     /// When requests are due; an entry may be stale and is then skipped.
--- a/decision/routing/routing_settings.h
+++ b/decision/routing/routing_settings.h
@@ -15,6 +15,8 @@
     double retryShare = 0.1;
     /// Retries and hedges of a service in each window beyond that share.
     double retrySlack = 0;
+    /// Probes of a worker in a second, on the average over all workers.
+    double probesPerWorker = 60;
 };
 
 /// Bounds of requests in progress.
--- a/main/daemon/daemon_declarations.cpp
+++ b/main/daemon/daemon_declarations.cpp
@@ -129,6 +129,13 @@
     retryShare.maximum = 1;
     retryShare.doc = "Retries and hedges of a service by all gateways together, as a share of its "
                      "requests. The gateways stay well below it.";
+    setting_declaration probes;
+    probes.name = "routing.probes_per_worker";
+    probes.defaultValue = 60.0;
+    probes.minimum = 1;
+    probes.maximum = 100000;
+    probes.unit = "probes/s";
+    probes.doc = "Probes of a worker by all gateways together, on the average over all workers.";
     return {
         text("routing.configuration", "parts",
              "How the platform publishes the configuration: \"parts\" for a manifest and its "
@@ -145,6 +152,7 @@
         integer("routing.retry_slack", 50, 0, 1000000, "retries",
                 "Retries and hedges of a service by all gateways together in ten seconds, beyond "
                 "their share."),
+        probes,
     };
 }
 
--- a/main/daemon/daemon_settings.cpp
+++ b/main/daemon/daemon_settings.cpp
@@ -250,6 +250,7 @@
         = parseDuration(values.text("routing.entry_keep")).value_or(routing.entryKeep);
     routing.budgets.retryShare = retrySharePart * values.real("routing.retry_share");
     reader.read("routing.retry_slack", routing.budgets.retrySlack);
+    routing.budgets.probesPerWorker = values.real("routing.probes_per_worker");
     routing.pauseThreshold = common.pauseThreshold;
     routing.bounds.inProgressMax = common.calls.inProgressMax;
     routing.bounds.quarantine = common.calls.quarantineTime;
--- a/tests/decision/routing/overload_test.cpp
+++ b/tests/decision/routing/overload_test.cpp
@@ -93,6 +93,28 @@
     BOOST_TEST(pool.usableShare("books") < 0.1);
 }
 
+// Load pattern: a burst that is held. Guards against more probes than the workers bear: 16 gateways
+// that know two workers may send 60 a second to each, and one gateway its part of them.
+BOOST_AUTO_TEST_CASE(probesStayWithinThisGatewaysShare)
+{
+    routing_settings settings = nearGateway();
+    settings.peers.gatewaysAssumed = 16;
+    routing_fixture world(settings);
+    world.loads["b-1"] = machineAt(700, 4);
+    world.loads["b-2"] = machineAt(700, 4);
+    world.becomeReady(twoWorkers);
+    for (int i = 0; i < 200; ++i) {
+        world.call("POST", "/book/1");
+        world.advance(milliseconds(10));
+        for (const start_attempt &attempt : world.take<start_attempt>())
+            world.end(attempt, attempt_end::timed_out);
+    }
+    const double allowed = 2 * 60.0 * 2 / 16;
+    const double burst = 4 * 60.0 * 2 / 16;
+    BOOST_TEST(static_cast<double>(world.probes.size()) <= allowed + burst);
+    BOOST_TEST(!world.probes.empty());
+}
+
 // Guards against slots that are left free where full workers are as fast as others, and against an
 // estimate that follows single responses.
 BOOST_AUTO_TEST_CASE(slotsStayFreeOnlyWhereCrowdingCostsThroughput)
