--- a/decision/routing/placement.cpp
+++ b/decision/routing/placement.cpp
@@ -20,6 +20,10 @@
 constexpr double distanceShare = 0.2;
 /// Share of its value that a request loses if it misses its objective.
 constexpr double lateShare = 0.9;
+/// Time since the last report for which a connection to the worker is probably open, and what a new
+/// one costs, as a part of the worker's cost.
+constexpr duration connectionKept = seconds(5);
+constexpr double connectionPart = 0.06;
 /// Equal workers are told apart by chance, within this part of their cost.
 constexpr double jitterPart = 0.1;
 
@@ -62,8 +66,9 @@
         = worker.failureShare * std::exp(-toSeconds(now - worker.failureAt) / 4.0);
     const double risk = failures + (out.isNear ? 0.0 : distanceShare)
                         + (out.expected > request.timeToObjective ? lateShare : 0.0);
+    const bool isConnected = worker.hasReport && age < connectionKept;
     out.cost = scaled(out.expected + scaled(request.objective, risk),
-                      1 + jitterPart * m_random.uniform());
+                      1 + jitterPart * m_random.uniform() + (isConnected ? 0.0 : connectionPart));
     return out;
 }
 
--- a/tests/decision/routing/overload_test.cpp
+++ b/tests/decision/routing/overload_test.cpp
@@ -93,6 +93,32 @@
     BOOST_TEST(pool.usableShare("books") < 0.1);
 }
 
+// Guards against a new connection for nearly each request in a large failure domain, where a
+// gateway seldom meets a worker twice.
+BOOST_AUTO_TEST_CASE(connectedWorkersGoFirstAmongEquals)
+{
+    counter_set counters;
+    random_source random(1);
+    worker_pool pool(counters);
+    instant now {seconds(100)};
+    for (const char *name : {"connected", "new"})
+        pool.apply(now, workerItem(workerEntry(name, "books")));
+    const std::vector<worker_index> members = pool.ofService("books");
+    pool.probeFinished(now, members[0], {probe_id {1}, machineAt(200), 100});
+    now = now + seconds(3);
+    placement_request request;
+    request.service = "books";
+    request.work = milliseconds(70);
+    request.timeToObjective = milliseconds(200);
+    const placement tested(pool, random, "near");
+    int first = 0;
+    for (int i = 0; i < 200; ++i)
+        first += tested.rank(now, request, {}).front().worker == members[0] ? 1 : 0;
+    BOOST_TEST(first >= 150);
+    // Others get requests too, so that a worker that joins is not left out.
+    BOOST_TEST(first < 200);
+}
+
 // Load pattern: a burst that is held. Guards against more probes than the workers bear: 16 gateways
 // that know two workers may send 60 a second to each, and one gateway its part of them.
 BOOST_AUTO_TEST_CASE(probesStayWithinThisGatewaysShare)
