--- a/scripts/platform_soak.sh
+++ b/scripts/platform_soak.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the fault soak of the platform's whole path: scripts/platform_soak.sh [--seed N] [--seeds N] [--seconds S]
+# Runs the fault soak of the platform's whole path: scripts/platform_soak.sh [--seed N] [--seeds N] [--seconds S] [--gateways N]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/build.sh >/dev/null
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -1,16 +1,20 @@
 """Randomized fault soak of the platform's whole path with real processes.
 
-Usage: soak.py PATH_OF_ALMONDNOTCHD [--seed N] [--seconds S] [--seeds COUNT]
+Usage: soak.py PATH_OF_ALMONDNOTCHD [--seed N] [--seconds S] [--seeds COUNT] [--gateways N]
+
+With 8 gateways or more two of them read the store for the others.
 
 Faults come from outside: gateways are killed, paused and told to leave, and start again; workers
 misbehave, leave and are replaced; the store is down, loses its history or turns to other versions.
 Callers keep their connections. Checked while it runs, from what callers and workers see:
   - a booking runs at most once, and never if it was refused as not run;
   - an answer is the one that a worker gave to this attempt;
-  - after the last fault requests are served again.
+  - after the last fault requests are served again, and the newest configuration is in force in each
+    gateway.
 """
 import argparse
 import http.client
+import json
 import os
 import random
 import signal
@@ -23,13 +27,14 @@
 
 MODES = ("sound", "sound", "extra", "extra-late", "unframed", "unframed-reset", "unsealed", "reset",
          "shed", "early", "failing", "mute")
-GATEWAYS, CALLERS = 3, 8
+CALLERS = 8
 RECOVERY_SECONDS = 15
+CONFIG_SECONDS = 5
 SERVED_SHARE_MIN = 0.9
 
 
 class Soak:
-    def __init__(self, daemon, seed, seconds):
+    def __init__(self, daemon, seed, seconds, gateways):
         self.random = random.Random(seed)
         self.daemon, self.seconds = daemon, seconds
         self.store = standins.Store()
@@ -39,7 +44,7 @@
         for service in ("reads", "books") * 3:
             self.add_worker(service)
         self.gateways = []
-        for i in range(GATEWAYS):
+        for i in range(gateways):
             self.gateways.append(self.new_gateway(i))
         self.stop = threading.Event()
         self.lock = threading.Lock()
@@ -82,7 +87,7 @@
     def fault(self):
         kind = self.random.choice(("kill", "pause", "leave", "mode", "mode", "mode", "drain",
                                    "remove", "replace", "down", "compact", "config", "forge"))
-        number = self.random.randrange(GATEWAYS)
+        number = self.random.randrange(len(self.gateways))
         gateway, worker = self.gateways[number], self.random.choice(self.workers)
         self.faults.append((kind, number, worker.name))
         if kind in ("kill", "leave"):
@@ -161,15 +166,35 @@
         for worker in self.workers:
             worker.mode, worker.slowdown = "sound", 100
         recovered = self.wait_for_recovery()
+        outdated = self.outdated_gateways()
         self.stop.set()
         for thread in callers:
             thread.join()
         failures = self.check()
         if not recovered:
             failures.append(f"not recovered {RECOVERY_SECONDS} s after the last fault")
+        failures += outdated
         self.close(failures)
         return failures
 
+    def outdated_gateways(self):
+        """Gateways in which the newest configuration is not in force in time."""
+        end = time.monotonic() + CONFIG_SECONDS
+        while True:
+            versions = list(map(self.version_of, self.gateways))
+            wrong = [f"vm-{number} has configuration {version} instead of {self.version}"
+                     for number, version in enumerate(versions) if version != self.version]
+            if not wrong or time.monotonic() > end:
+                return wrong
+            time.sleep(0.2)
+
+    @staticmethod
+    def version_of(gateway):
+        try:
+            return json.loads(gateway.get(gateway.operator, "/dump")[1])["config_version"]
+        except (OSError, http.client.HTTPException) as error:
+            return repr(error)
+
     def wait_for_recovery(self):
         end = time.monotonic() + RECOVERY_SECONDS
         while time.monotonic() < end:
@@ -198,10 +223,11 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--gateways", type=int, default=3)
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
-        soak = Soak(options.daemon, seed, options.seconds)
+        soak = Soak(options.daemon, seed, options.seconds, options.gateways)
         failures = soak.run()
         served = sum(outcome[0] == 200 for _, outcome, _ in soak.answers.values())
         print(f"seed {seed}: {len(soak.answers)} requests, {served} served, "
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -256,7 +256,7 @@
     """A process of almondnotchd on loopback."""
 
     def __init__(self, daemon, store, name, seeds=None):
-        self.entry, self.ready, self.directory, self.peer, operator = ports.free_ports(5)
+        self.entry, self.ready, self.directory, self.peer, self.operator = ports.free_ports(5)
         self.folder = tempfile.TemporaryDirectory()
         path = os.path.join(self.folder.name, "settings.toml")
         with open(path, "w", encoding="utf-8") as file:
@@ -266,7 +266,7 @@
 [entry]
 address = "127.0.0.1:{self.entry}"
 [operator]
-address = "127.0.0.1:{operator}"
+address = "127.0.0.1:{self.operator}"
 [peer]
 address = "127.0.0.1:{self.peer}"
 seeds = "{seeds or ''}"
