--- a/decision/routing/worker_pool.cpp
+++ b/decision/routing/worker_pool.cpp
@@ -162,8 +162,8 @@
     const double slowdown = report.slowdownPercent / 100.0;
     const bool isUsable
         = report.running + report.queued < report.slots && slowdown <= undisturbedSlowdown;
-    const auto share = m_usableShare.try_emplace(worker.entry.service, usableShareFirst).first;
-    share->second += conditionWeight * ((isUsable ? 1.0 : 0.0) - share->second);
+    double &share = m_usableShare.try_emplace(worker.entry.service, usableShareFirst).first->second;
+    share += conditionWeight * ((isUsable ? 1.0 : 0.0) - share);
     m_usualSlowdown += slowdownWeight * (std::min(slowdown, slowdownMax) - m_usualSlowdown);
 }
 
--- a/tests/decision/routing/routing_fixture.cpp
+++ b/tests/decision/routing/routing_fixture.cpp
@@ -113,6 +113,10 @@
         probes.push_back(probe);
         if (!answersProbes)
             continue;
+        if (deadWorkers.contains(probe.workerName)) {
+            answerProbe(probe, std::nullopt);
+            continue;
+        }
         const auto load = loads.find(probe.workerName);
         answerProbe(probe, load == loads.end() ? load_report {0, 0, 4} : load->second);
     }
--- a/tests/decision/routing/routing_fixture.h
+++ b/tests/decision/routing/routing_fixture.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -89,6 +90,8 @@
     bool answersProbes = true;
     /// Load by worker; an idle machine at its usual speed if it is not here.
     std::map<std::string, load_report> loads;
+    /// Workers that refuse connections.
+    std::set<std::string> deadWorkers;
     std::vector<start_probe> probes;
     /// Checks whether the store answers.
     std::vector<read_items> checks;
