Name the routing's protective mechanisms, so that their tests can be checked

Ten mechanisms more: routed_at_most_once, routed_retry_budget, routed_quarantine, probe_allowance, scarce_refusal, calm_slots, substitute_readers, list_after_cut, forward_after_handover, joining_not_named.

--- a/decision/fleet/fleet.cpp
+++ b/decision/fleet/fleet.cpp
@@ -455,7 +455,8 @@
 bool fleet::state::isNameable(const member_update &update) const
 {
     return (update.state == gateway_state::alive || !isMechanismEnabled("entry_skips_leaving"))
-           && !update.isJoining && !isListedLeaving(update.process);
+           && (!update.isJoining || !isMechanismEnabled("joining_not_named"))
+           && !isListedLeaving(update.process);
 }
 
 void fleet::state::noteVmList(fleet_changes &changes)
--- a/decision/gateway.cpp
+++ b/decision/gateway.cpp
@@ -492,7 +492,8 @@
             return;
         stage = life_stage::forwarding;
         const duration length = settings.fleetPart.exchangeInterval * forwardingExchanges;
-        const bool hasPeers = !members->livePeers().empty();
+        const bool hasPeers
+            = !members->livePeers().empty() && isMechanismEnabled("forward_after_handover");
         forwardingEnd = hasPeers ? std::min(leaveDeadline, now + length) : now;
         publishFacts(now);
     }
--- a/decision/routing/item_reader.cpp
+++ b/decision/routing/item_reader.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/mechanisms.h"
+
 namespace almondnotch {
 
 namespace {
@@ -151,7 +153,7 @@
         failed(now);
         // A store that drops its history cuts its watches: a watch that resumes in that moment
         // would wait for the next change and miss those that were dropped.
-        if (!m_isListing)
+        if (!m_isListing && isMechanismEnabled("list_after_cut"))
             restart(m_nextRead);
         return true;
     }
--- a/decision/routing/placement.cpp
+++ b/decision/routing/placement.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/mechanisms.h"
+
 namespace almondnotch {
 
 namespace {
@@ -54,8 +56,9 @@
     out.hasRoom = busy + 1 <= slots;
     const unsigned wholeSlots = std::max(worker.report.slots, 1U);
     out.isCrowded = busy + 1 > crowding_estimate::calmSlots(wholeSlots);
-    out.hasCalmRoom
-        = out.hasRoom && !(out.isCrowded && request.crowding.costsThroughput(wholeSlots));
+    out.hasCalmRoom = out.hasRoom
+                      && !(out.isCrowded && request.crowding.costsThroughput(wholeSlots)
+                           && isMechanismEnabled("calm_slots"));
     out.isIdle = 2 * (busy + 1) <= slots;
     if (out.isCrowded)
         slowdown *= request.crowding.factor();
--- a/decision/routing/reader_group.cpp
+++ b/decision/routing/reader_group.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/mechanisms.h"
 #include "decision/fleet/rendezvous.h"
 
 namespace almondnotch {
@@ -73,7 +74,8 @@
     if (!m_isCandidate || !isShared())
         return false;
     return m_ahead.size() < m_settings.readers
-           || (isSubstitute() && now - m_lastCurrentAhead >= m_settings.substituteSilence);
+           || (isSubstitute() && isMechanismEnabled("substitute_readers")
+               && now - m_lastCurrentAhead >= m_settings.substituteSilence);
 }
 
 bool reader_group::mustRead(instant now) const
--- a/decision/routing/request_runner.cpp
+++ b/decision/routing/request_runner.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <utility>
 
+#include "core/mechanisms.h"
 #include "decision/calls/call_record.h"
 
 namespace almondnotch {
@@ -101,7 +102,7 @@
     record.objectiveAt = now + std::min(record.route->latencyObjective, allowed);
     if (allowed < timeLeftMin)
         return ending {503, "no-time-left", "No time is left for the request", "admit", ""};
-    if (m_parts.quarantine.isActive()
+    if (m_parts.quarantine.isActive() && isMechanismEnabled("routed_quarantine")
         && m_parts.quarantine.isQuarantined(now, digestOf(*record.request)))
         return ending {503, "request-quarantined", "The request crashed workers", "admit", ""};
     return std::nullopt;
@@ -199,7 +200,8 @@
     }
     const bool isLate = now + best.expected > record.objectiveAt;
     const bool isBusy = !best.hasRoom || seekersAhead(record) >= busySeekers
-                        || m_parts.pool.usableShare(record.service) < scarceShare;
+                        || (m_parts.pool.usableShare(record.service) < scarceShare
+                            && isMechanismEnabled("scarce_refusal"));
     if (best.expected > timeLeft || (isLate && isBusy)) {
         giveUp(now, record, "no worker can answer in time", actions);
         return;
@@ -329,7 +331,8 @@
     const double workers = static_cast<double>(m_parts.pool.size());
     m_probeAllowance.refill(now,
                             slackPart * m_settings.budgets.probesPerWorker * workers / m_gateways);
-    if (m_probes.size() < m_settings.bounds.probesMax && m_probeAllowance.take())
+    if (m_probes.size() < m_settings.bounds.probesMax
+        && (m_probeAllowance.take() || !isMechanismEnabled("probe_allowance")))
         return true;
     m_parts.counters.add("probes_denied_total");
     return false;
@@ -507,14 +510,14 @@
     if (input.end == attempt_end::not_sent)
         return true;
     const bool didNotRun = input.end == attempt_end::answered && input.refusedNotRun;
-    if (!didNotRun && !record.isIdempotent())
+    if (!didNotRun && !record.isIdempotent() && isMechanismEnabled("routed_at_most_once"))
         return false;
     if (record.spentAttempts() >= record.route->attemptsMax)
         return false;
     if (m_parts.quarantine.isActive()
         && m_parts.quarantine.isQuarantined(now, digestOf(*record.request)))
         return false;
-    if (m_services[record.service].budget.take()) {
+    if (m_services[record.service].budget.take() || !isMechanismEnabled("routed_retry_budget")) {
         m_parts.counters.add("retries_total");
         return true;
     }
