--- a/decision/routing/item_reader.h
+++ b/decision/routing/item_reader.h
@@ -59,8 +59,6 @@
     instant nextWake() const;
 
     /// The process did not run, or the watch may be dead: all is read anew.
-    /// Changes were missed, so that only a list tells the state.
-    void listAnew(instant now);
     void restart(instant now);
 
     /// Whether the scope is watched; a watch under way goes on to its end.
@@ -93,6 +91,8 @@
     void listed(instant now, const item_page &page, std::vector<reader_news> &news);
     void watched(instant now, const item_page &page, std::vector<reader_news> &news);
     void failed(instant now);
+    /// Changes were missed, so that only a list tells the state.
+    void listAnew(instant now);
 
     item_reader_settings m_settings;
     random_source &m_random;
--- a/decision/routing/placement.cpp
+++ b/decision/routing/placement.cpp
@@ -35,7 +35,8 @@
                                worker_index index) const
 {
     const pooled_worker &worker = m_pool.at(index);
-    const double slots = std::max(worker.report.slots, 1U);
+    const unsigned wholeSlots = std::max(worker.report.slots, 1U);
+    const double slots = wholeSlots;
     const duration age = worker.hasReport ? now - worker.reportedAt : seconds(60);
     const double trust = std::exp(-toSeconds(age) / toSeconds(reportFade));
     scored_worker out;
@@ -54,14 +55,13 @@
         = std::max<double>(trust * reported + worker.sentSinceReport, worker.inFlight);
     const double waiting = std::max(0.0, busy + 1 - slots) / slots;
     out.hasRoom = busy + 1 <= slots;
-    const unsigned wholeSlots = std::max(worker.report.slots, 1U);
     out.isCrowded = busy + 1 > crowding_estimate::calmSlots(wholeSlots);
     out.hasCalmRoom = out.hasRoom
-                      && !(out.isCrowded && request.crowding.costsThroughput(wholeSlots)
+                      && !(out.isCrowded && m_pool.crowding().costsThroughput(wholeSlots)
                            && isMechanismEnabled("calm_slots"));
     out.isIdle = 2 * (busy + 1) <= slots;
     if (out.isCrowded)
-        slowdown *= request.crowding.factor();
+        slowdown *= m_pool.crowding().factor();
     out.expected = scaled(
         request.work, slowdown * (1 + occupancySlowdown * std::min(1.0, busy / slots) + waiting));
 
--- a/decision/routing/placement.h
+++ b/decision/routing/placement.h
@@ -7,7 +7,6 @@
 
 #include "core/random_source.h"
 #include "core/time.h"
-#include "decision/routing/crowding.h"
 #include "decision/routing/worker_pool.h"
 
 namespace almondnotch {
@@ -23,8 +22,6 @@
     /// Time left of the objective and until the deadline.
     duration timeToObjective {0};
     duration timeToDeadline {0};
-    /// How crowding slows workers down.
-    crowding_estimate crowding;
     /// Workers that are not to be chosen again.
     std::vector<worker_index> tried;
 };
--- a/decision/routing/request_runner.cpp
+++ b/decision/routing/request_runner.cpp
@@ -102,12 +102,18 @@
     record.objectiveAt = now + std::min(record.route->latencyObjective, allowed);
     if (allowed < timeLeftMin)
         return ending {503, "no-time-left", "No time is left for the request", "admit", ""};
-    if (m_parts.quarantine.isActive() && isMechanismEnabled("routed_quarantine")
-        && m_parts.quarantine.isQuarantined(now, digestOf(*record.request)))
+    if (isQuarantined(now, *record.request))
         return ending {503, "request-quarantined", "The request crashed workers", "admit", ""};
     return std::nullopt;
 }
 
+bool request_runner::isQuarantined(instant now, const call_request &request) const
+{
+    // The digest is worked out only while there is something to compare it with.
+    return m_parts.quarantine.isActive() && isMechanismEnabled("routed_quarantine")
+           && m_parts.quarantine.isQuarantined(now, digestOf(request));
+}
+
 void request_runner::callReceived(instant now, const call_received &input, route_table *table,
                                   action_list &actions)
 {
@@ -134,7 +140,6 @@
 placement_request request_runner::wanted(instant now, const routed_request &record)
 {
     placement_request out;
-    out.crowding = m_crowding;
     out.service = record.service;
     out.work = workOf(*record.route);
     out.objective = record.route->latencyObjective;
@@ -286,7 +291,7 @@
         return false;
     // A crowded worker is taken while that can still be in time.
     const bool isFallback = best.isFresh && best.hasRoom && best.isCrowded;
-    const double reserve = holdReserve * (isFallback ? m_crowding.factor() : 1.0);
+    const double reserve = holdReserve * (isFallback ? m_parts.pool.crowding().factor() : 1.0);
     const instant latest = record.objectiveAt - scaled(work, reserve);
     return now + holdStep < latest;
 }
@@ -514,8 +519,7 @@
         return false;
     if (record.spentAttempts() >= record.route->attemptsMax)
         return false;
-    if (m_parts.quarantine.isActive()
-        && m_parts.quarantine.isQuarantined(now, digestOf(*record.request)))
+    if (isQuarantined(now, *record.request))
         return false;
     if (m_services[record.service].budget.take() || !isMechanismEnabled("routed_retry_budget")) {
         m_parts.counters.add("retries_total");
@@ -568,11 +572,11 @@
     route_history &history = m_routes[record.route->name];
     const duration known = workOf(*record.route);
     if (attempt.isCrowded && history.samples >= crowdingSamplesMin) {
-        m_crowding.add(toSeconds(sample) / toSeconds(known));
+        m_parts.pool.learnCrowding(toSeconds(sample) / toSeconds(known));
         return;
     }
     if (attempt.isCrowded)
-        sample = scaled(sample, 1 / m_crowding.factor());
+        sample = scaled(sample, 1 / m_parts.pool.crowding().factor());
     ++history.samples;
     // The first samples count more, since little is known before them.
     const double weight = std::max(workWeight, 1.0 / (history.samples + 1));
@@ -795,7 +799,7 @@
     for (const std::pair<const std::string, service_state> &entry : m_services)
         services[entry.first] = {{"retry_tokens", entry.second.budget.tokens()},
                                  {"sent_per_second", entry.second.launches.perSecond(now)}};
-    return {{"crowding_factor", m_crowding.factor()},
+    return {{"crowding_factor", m_parts.pool.crowding().factor()},
             {"in_progress", m_requests.size()},
             {"attempts_in_flight", m_attempts.size()},
             {"probes_in_flight", m_probes.size()},
--- a/decision/routing/request_runner.h
+++ b/decision/routing/request_runner.h
@@ -19,7 +19,6 @@
 #include "decision/actions.h"
 #include "decision/calls/quarantine_table.h"
 #include "decision/events.h"
-#include "decision/routing/crowding.h"
 #include "decision/routing/event_rate.h"
 #include "decision/routing/placement.h"
 #include "decision/routing/probe_allowance.h"
@@ -104,6 +103,7 @@
     };
 
     std::optional<ending> admit(instant now, routed_request &record, route_table *table);
+    bool isQuarantined(instant now, const call_request &request) const;
     void place(instant now, routed_request &record, action_list &actions);
     void placeLater(instant now, routed_request &record, const scored_worker &best,
                     action_list &actions);
@@ -149,7 +149,6 @@
     const routing_settings &m_settings;
     request_runner_parts m_parts;
     placement m_placement;
-    crowding_estimate m_crowding;
     bool m_isLeaving = false;
     bool m_refusesNew = false;
     unsigned m_gateways = 1;
--- a/decision/routing/worker_pool.h
+++ b/decision/routing/worker_pool.h
@@ -12,6 +12,7 @@
 #include "core/counters.h"
 #include "core/time.h"
 #include "decision/events.h"
+#include "decision/routing/crowding.h"
 #include "decision/routing/published.h"
 #include "decision/types.h"
 
@@ -90,6 +91,10 @@
     double usableShare(std::string_view service) const;
     /// Slowdown of a machine of which nothing is known: the mean of what probes showed lately.
     double usualSlowdown() const { return m_usualSlowdown; }
+    /// How crowding slows workers down.
+    const crowding_estimate &crowding() const { return m_crowding; }
+    /// \param ratio see `crowding_estimate::add`.
+    void learnCrowding(double ratio) { m_crowding.add(ratio); }
     nlohmann::json dump(instant now) const;
 
 private:
@@ -112,6 +117,7 @@
     std::map<std::string, instant> m_leavingSince;
     std::map<std::string, double, std::less<>> m_usableShare;
     double m_usualSlowdown = 2.0;
+    crowding_estimate m_crowding;
 };
 
 } // namespace almondnotch
--- a/main/daemon/daemon_declarations.cpp
+++ b/main/daemon/daemon_declarations.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-setting_declaration integer(std::string name, std::int64_t value, double minimum, double maximum,
-                            std::string unit, std::string doc)
+template <typename Number>
+setting_declaration number(std::string name, Number value, double minimum, double maximum,
+                           std::string unit, std::string doc)
 {
     setting_declaration declaration;
     declaration.name = std::move(name);
@@ -20,6 +21,18 @@
     return declaration;
 }
 
+setting_declaration integer(std::string name, std::int64_t value, double minimum, double maximum,
+                            std::string unit, std::string doc)
+{
+    return number(std::move(name), value, minimum, maximum, std::move(unit), std::move(doc));
+}
+
+setting_declaration real(std::string name, double value, double minimum, double maximum,
+                         std::string unit, std::string doc)
+{
+    return number(std::move(name), value, minimum, maximum, std::move(unit), std::move(doc));
+}
+
 setting_declaration text(std::string name, std::string value, std::string doc)
 {
     setting_declaration declaration;
@@ -44,21 +57,16 @@
 
 std::vector<setting_declaration> processDeclarations()
 {
-    setting_declaration processorShare;
-    processorShare.name = "vm.processor_share";
-    processorShare.defaultValue = 0.0;
-    processorShare.minimum = 0;
-    processorShare.maximum = 1024;
-    processorShare.unit = "cores";
-    processorShare.doc = "Processor share of this VM, 0 if unknown. Larger VMs read the platform "
-                         "for the others of their failure domain.";
     return {
         integer("seed", 0, 0, 4294967295.0, "",
                 "Seed of the random source, for repeatable runs; 0 takes a random one."),
         requiredText("vm.name", "Name of this VM, as on the platform's VM list."),
         requiredText("vm.failure_domain",
                      "Failure domain of this VM, as in the published configuration."),
-        processorShare,
+        real(
+            "vm.processor_share", 0, 0, 1024, "cores",
+            "Processor share of this VM, 0 if unknown. Larger VMs read the platform for the others "
+            "of their failure domain."),
         requiredText("entry.address",
                      "Address that callers connect to, as ip:port. Entry responses name it, so it "
                      "must be one that callers reach."),
@@ -122,20 +130,6 @@
 
 std::vector<setting_declaration> routingDeclarations()
 {
-    setting_declaration retryShare;
-    retryShare.name = "routing.retry_share";
-    retryShare.defaultValue = 0.2;
-    retryShare.minimum = 0;
-    retryShare.maximum = 1;
-    retryShare.doc = "Retries and hedges of a service by all gateways together, as a share of its "
-                     "requests. The gateways stay well below it.";
-    setting_declaration probes;
-    probes.name = "routing.probes_per_worker";
-    probes.defaultValue = 60.0;
-    probes.minimum = 1;
-    probes.maximum = 100000;
-    probes.unit = "probes/s";
-    probes.doc = "Probes of a worker by all gateways together, on the average over all workers.";
     return {
         text("routing.configuration", "parts",
              "How the platform publishes the configuration: \"parts\" for a manifest and its "
@@ -148,11 +142,14 @@
              "Time from SIGTERM to the end of the process, as a number with the unit ms or s."),
         text("routing.entry_keep", "4s",
              "How long callers may use an answer to which addresses to use."),
-        retryShare,
+        real("routing.retry_share", 0.2, 0, 1, "",
+             "Retries and hedges of a service by all gateways together, as a share of its "
+             "requests. The gateways stay well below it."),
         integer("routing.retry_slack", 50, 0, 1000000, "retries",
                 "Retries and hedges of a service by all gateways together in ten seconds, beyond "
                 "their share."),
-        probes,
+        real("routing.probes_per_worker", 60, 1, 100000, "probes/s",
+             "Probes of a worker by all gateways together, on the average over all workers."),
     };
 }
 
--- a/scripts/lint_keys.py
+++ b/scripts/lint_keys.py
@@ -1,6 +1,7 @@
 """Prints "KEY FILE" for each given source file: a checksum of the file, the lint rules and the headers
 of the project that it includes. Usage: lint_keys.py BUILD FILE..."""
 
+import functools
 import hashlib
 import os
 import subprocess
@@ -28,12 +29,16 @@
                               check=True, capture_output=True, text=True).stdout.split())
 
 
+@functools.lru_cache(maxsize=None)
+def checksum(path):
+    with open(path, "rb") as content:
+        return hashlib.sha256(content.read()).digest()
+
+
 def key_of(source, headers):
     digest = hashlib.sha256()
     for path in [".clang-tidy", source, *sorted(headers)]:
-        digest.update(path.encode() + b"\0")
-        with open(path, "rb") as content:
-            digest.update(hashlib.sha256(content.read()).digest())
+        digest.update(path.encode() + b"\0" + checksum(path))
     return digest.hexdigest()[:32]
 
 
--- a/servers/http_entry/http_entry.cpp
+++ b/servers/http_entry/http_entry.cpp
@@ -83,10 +83,7 @@
         return tl::unexpected(daemon.error());
     m_daemon = std::move(*daemon);
 
-    m_flushTimer = std::make_unique<timer_watcher>(*m_loop, [this] {
-        if (m_flushDone)
-            std::exchange(m_flushDone, nullptr)();
-    });
+    m_flush = std::make_unique<flush_wait>(*m_loop);
     m_sweepTimer = std::make_unique<timer_watcher>(*m_loop, [this] { sweep(); });
     m_sweepTimer->startRepeating(
         std::clamp<duration>(m_settings.receiveTimeMax / 4, milliseconds(50), seconds(1)));
@@ -97,8 +94,7 @@
 {
     m_stopping = true;
     m_sweepTimer.reset();
-    m_flushTimer.reset();
-    m_flushDone = nullptr;
+    m_flush.reset();
     while (!m_waiting.empty())
         abandon(*m_waiting.begin()->second);
     m_daemon.reset();
@@ -462,15 +458,14 @@
     if (!exchange->isUnsent)
         return;
     --m_unsent;
-    if (m_unsent == 0 && m_flushDone)
-        m_flushTimer->start(duration(0));
+    if (m_unsent == 0 && m_flush)
+        m_flush->emptied();
 }
 
 void http_entry::flush(duration timeLimit, std::function<void()> done)
 {
-    m_flushDone = std::move(done);
     m_daemon->stopAccepting();
-    m_flushTimer->start(m_unsent == 0 ? duration(0) : timeLimit);
+    m_flush->begin(m_unsent == 0, timeLimit, std::move(done));
 }
 
 void *http_entry::openConnection(MHD_Connection *connection)
--- a/servers/http_entry/http_entry.h
+++ b/servers/http_entry/http_entry.h
@@ -13,6 +13,7 @@
 #include "core/counters.h"
 #include "core/random_source.h"
 #include "servers/event_loop/event_loop.h"
+#include "servers/event_loop/flush_wait.h"
 #include "servers/event_loop/timer_watcher.h"
 #include "servers/http_daemon/http_daemon.h"
 #include "servers/http_entry/caller_dialect.h"
@@ -100,8 +101,7 @@
     event_sink *m_decision = nullptr;
     std::unique_ptr<http_daemon> m_daemon;
     std::unique_ptr<timer_watcher> m_sweepTimer;
-    std::unique_ptr<timer_watcher> m_flushTimer;
-    std::function<void()> m_flushDone;
+    std::unique_ptr<flush_wait> m_flush;
     /// The only binding of calls and queries to connections. An exchange is in it exactly while it
     /// is `waiting`.
     std::unordered_map<std::uint64_t, caller_exchange *> m_waiting;
--- a/servers/peer_link/peer_link.cpp
+++ b/servers/peer_link/peer_link.cpp
@@ -72,10 +72,7 @@
     m_deferredTimer = std::make_unique<timer_watcher>(*m_loop, [this]() { deliverDeferred(); });
     m_idleTimer = std::make_unique<timer_watcher>(*m_loop, [this]() { dropIdleChannels(); });
     m_idleTimer->startRepeating(m_bounds.channelIdleMax / 4);
-    m_flushTimer = std::make_unique<timer_watcher>(*m_loop, [this]() {
-        if (m_flushDone)
-            std::exchange(m_flushDone, nullptr)();
-    });
+    m_flush = std::make_unique<flush_wait>(*m_loop);
     const std::weak_ptr<bool> running = m_running;
     peer_rpc::handlers callbacks;
     callbacks.onMessage = [this, running](std::shared_ptr<const peer::v1::Envelope> envelope) {
@@ -110,8 +107,7 @@
     m_rpc.reset();
     m_idleTimer.reset();
     m_deferredTimer.reset();
-    m_flushTimer.reset();
-    m_flushDone = nullptr;
+    m_flush.reset();
     m_deferred.clear();
     m_sending.clear();
 }
@@ -155,8 +151,7 @@
 void peer_link::flush(duration timeLimit, std::function<void()> done)
 {
     m_rpc->refuseMessages();
-    m_flushDone = std::move(done);
-    m_flushTimer->start(m_sending.empty() ? duration(0) : timeLimit);
+    m_flush->begin(m_sending.empty(), timeLimit, std::move(done));
 }
 
 peer_link::peer_channel *peer_link::channelTo(const std::string &peerAddress)
@@ -209,8 +204,8 @@
         to->second.lastUsed = m_loop->now();
     }
     updateGauges();
-    if (m_sending.empty() && m_flushDone)
-        m_flushTimer->start(duration(0));
+    if (m_sending.empty())
+        m_flush->emptied();
     if (failure.empty())
         return;
     m_counters.add("peer_sends_failed_total{reason=\"rpc\"}");
--- a/servers/peer_link/peer_link.h
+++ b/servers/peer_link/peer_link.h
@@ -11,6 +11,7 @@
 
 #include "core/counters.h"
 #include "servers/event_loop/event_loop.h"
+#include "servers/event_loop/flush_wait.h"
 #include "servers/event_loop/timer_watcher.h"
 #include "servers/peer_link/envelope_seal.h"
 #include "servers/peer_link/peer_link_settings.h"
@@ -92,8 +93,7 @@
     std::vector<peer_send_failed> m_deferred;
     std::unique_ptr<timer_watcher> m_deferredTimer;
     std::unique_ptr<timer_watcher> m_idleTimer;
-    std::function<void()> m_flushDone;
-    std::unique_ptr<timer_watcher> m_flushTimer;
+    std::unique_ptr<flush_wait> m_flush;
 };
 
 } // namespace almondnotch
--- a/tests/decision/routing/overload_test.cpp
+++ b/tests/decision/routing/overload_test.cpp
@@ -18,6 +18,37 @@
 const std::vector<published_worker> twoWorkers {workerEntry("b-1", "books"),
                                                 workerEntry("b-2", "books")};
 
+/// Placement of one booking among workers of which only some reported.
+struct placement_fixture
+{
+    placement_fixture()
+    {
+        request.service = "books";
+        request.work = milliseconds(70);
+        request.objective = milliseconds(200);
+        request.timeToObjective = milliseconds(200);
+        request.timeToDeadline = milliseconds(600);
+    }
+
+    worker_index add(const std::string &name)
+    {
+        pool.apply(now, workerItem(workerEntry(name, "books")));
+        return pool.ofService("books").back();
+    }
+    void report(worker_index worker, const load_report &load)
+    {
+        pool.probeFinished(now, worker, {probe_id {1}, load, 100});
+    }
+    std::vector<scored_worker> rank() { return tested.rank(now, request, {}); }
+
+    counter_set counters;
+    random_source random {1};
+    worker_pool pool {counters};
+    placement tested {pool, random, "near"};
+    placement_request request;
+    instant now {seconds(100)};
+};
+
 /// Sends one booking, which may be held first, and answers it after `length`.
 void serveOne(routing_fixture &world, duration length)
 {
@@ -68,52 +99,31 @@
 
 // Load pattern: most machines are slow. Guards against requests that go to workers of which nothing
 // is known, as if those were hardly slower than usual.
-BOOST_AUTO_TEST_CASE(unknownWorkersCountAsSlowAsTheOthers)
+BOOST_FIXTURE_TEST_CASE(unknownWorkersCountAsSlowAsTheOthers, placement_fixture)
 {
-    counter_set counters;
-    random_source random(1);
-    worker_pool pool(counters);
-    const instant now {seconds(100)};
-    for (const char *name : {"seen", "slow", "unknown"})
-        pool.apply(now, workerItem(workerEntry(name, "books")));
-    const std::vector<worker_index> members = pool.ofService("books");
+    const worker_index seen = add("seen");
+    const worker_index slow = add("slow");
+    add("unknown");
     for (int i = 0; i < 200; ++i)
-        pool.probeFinished(now, members[1], {probe_id {1}, machineAt(700), 100});
-    pool.probeFinished(now, members[0], {probe_id {2}, machineAt(300), 100});
-    placement_request request;
-    request.service = "books";
-    request.work = milliseconds(70);
-    request.objective = milliseconds(200);
-    request.timeToObjective = milliseconds(200);
-    request.timeToDeadline = milliseconds(600);
-    const std::vector<scored_worker> ranked
-        = placement(pool, random, "near").rank(now, request, {});
+        report(slow, machineAt(700));
+    report(seen, machineAt(300));
+    const std::vector<scored_worker> ranked = rank();
     BOOST_REQUIRE(ranked.size() == 3U);
-    BOOST_TEST((ranked.front().worker == members[0]));
+    BOOST_TEST((ranked.front().worker == seen));
     BOOST_TEST(pool.usableShare("books") < 0.1);
 }
 
 // Guards against a new connection for nearly each request in a large failure domain, where a
 // gateway seldom meets a worker twice.
-BOOST_AUTO_TEST_CASE(connectedWorkersGoFirstAmongEquals)
+BOOST_FIXTURE_TEST_CASE(connectedWorkersGoFirstAmongEquals, placement_fixture)
 {
-    counter_set counters;
-    random_source random(1);
-    worker_pool pool(counters);
-    instant now {seconds(100)};
-    for (const char *name : {"connected", "new"})
-        pool.apply(now, workerItem(workerEntry(name, "books")));
-    const std::vector<worker_index> members = pool.ofService("books");
-    pool.probeFinished(now, members[0], {probe_id {1}, machineAt(200), 100});
+    const worker_index connected = add("connected");
+    add("new");
+    report(connected, machineAt(200));
     now = now + seconds(3);
-    placement_request request;
-    request.service = "books";
-    request.work = milliseconds(70);
-    request.timeToObjective = milliseconds(200);
-    const placement tested(pool, random, "near");
     int first = 0;
     for (int i = 0; i < 200; ++i)
-        first += tested.rank(now, request, {}).front().worker == members[0] ? 1 : 0;
+        first += rank().front().worker == connected ? 1 : 0;
     BOOST_TEST(first >= 150);
     // Others get requests too, so that a worker that joins is not left out.
     BOOST_TEST(first < 200);
--- a/tests/decision/routing/reader_group_test.cpp
+++ b/tests/decision/routing/reader_group_test.cpp
@@ -75,6 +75,17 @@
         endWatches();
     }
 
+    /// Sends and answers reads, which must all go to this worker.
+    void expectReadsAt(const std::string &worker, unsigned count)
+    {
+        for (unsigned i = 0; i < count; ++i) {
+            call("GET", "/read/x");
+            const start_attempt attempt = takeOne<start_attempt>();
+            BOOST_TEST(attempt.workerName == worker);
+            answer(attempt);
+        }
+    }
+
     bool isWatching() const
     {
         return openRead(item_scope::configuration) != nullptr
@@ -142,12 +153,7 @@
     reader_fixture world;
     world.follow();
     world.passOn(10, 12, {leaving("w-1", 12)});
-    for (unsigned i = 0; i < 20; ++i) {
-        world.call("GET", "/read/x");
-        const start_attempt attempt = world.takeOne<start_attempt>();
-        BOOST_TEST(attempt.workerName == "w-2");
-        world.answer(attempt);
-    }
+    world.expectReadsAt("w-2", 20);
 }
 
 // Guards against changes that nobody reads after all readers of a failure domain were killed.
@@ -279,12 +285,7 @@
     reader_fixture world(1);
     world.answerRead(item_scope::workers, fail(error_code::unavailable, "read", "", "cut off"));
     world.passOn(10, 12, {leaving("w-1", 12)});
-    for (unsigned i = 0; i < 10; ++i) {
-        world.call("GET", "/read/x");
-        const start_attempt attempt = world.takeOne<start_attempt>();
-        BOOST_TEST(attempt.workerName == "w-2");
-        world.answer(attempt);
-    }
+    world.expectReadsAt("w-2", 10);
 }
 
 // Guards against changes that are unknown 3 s after a gateway reaches the store again.
