Log when and from where a gateway learns of a worker's drain

Change: a record for each drain, removal and return of a worker with its source and revision (20 a second at most), one for a watch that is given up, and the age of the reads in flight in the dump. No decision changes.

--- a/decision/routing/item_reader.cpp
+++ b/decision/routing/item_reader.cpp
@@ -35,12 +35,13 @@
 void item_reader::start(instant now, std::uint64_t &nextReadId, action_list &actions)
 {
     m_watchHoldoffUntil = now + m_settings.startupWatchHoldoff;
-    sendRead(nextReadId, actions);
+    sendRead(now, nextReadId, actions);
 }
 
-void item_reader::sendRead(std::uint64_t &nextReadId, action_list &actions)
+void item_reader::sendRead(instant now, std::uint64_t &nextReadId, action_list &actions)
 {
     m_isReadInFlight = true;
+    m_sentAt = now;
     m_nextReadAt = instant::never();
     m_readId = read_id {nextReadId++};
     read_items command;
@@ -260,10 +261,22 @@
     if (m_isReadInFlight && !m_isListing && isBehind() && now >= m_catchUpDeadline) {
         // The watch may hang on a dead connection.
         m_counters.add("store_watches_given_up_total");
+        logGivenUpWatch(now, actions);
         relist(now);
     }
     if (!m_isReadInFlight && needsRead() && m_nextReadAt <= now)
-        sendRead(nextReadId, actions);
+        sendRead(now, nextReadId, actions);
+}
+
+void item_reader::logGivenUpWatch(instant now, action_list &actions) const
+{
+    const bool isConfig = m_settings.scope == item_scope::configuration;
+    actions.push_back(write_log {log_level::warning,
+                                 "store",
+                                 "A watch got no answer in time and is replaced by a list.",
+                                 {{"scope", isConfig ? "configuration" : "workers"},
+                                  {"age_ms", std::to_string(toMilliseconds(readAge(now)))},
+                                  {"revision", std::to_string(m_revision)}}});
 }
 
 } // namespace almondnotch
--- a/decision/routing/item_reader.h
+++ b/decision/routing/item_reader.h
@@ -97,6 +97,8 @@
     bool hasSynced() const { return m_hasSynced; }
     /// Number of failed reads since the last successful one; 0 while the store answers.
     unsigned consecutiveFailures() const { return m_failures; }
+    /// How long the read in flight has been waiting for its answer; 0 if there is none.
+    duration readAge(instant now) const { return m_isReadInFlight ? now - m_sentAt : duration {0}; }
     /// Revision of the store up to which all changes are known.
     std::uint64_t revision() const { return m_revision; }
     /// Revision of the last known change.
@@ -108,7 +110,8 @@
     duration nextWatchDuration();
     std::vector<published_item> newItems(const std::vector<published_item> &items) const;
     bool applyUpdate(const items_update &update, std::vector<item_batch> &batches);
-    void sendRead(std::uint64_t &nextReadId, action_list &actions);
+    void sendRead(instant now, std::uint64_t &nextReadId, action_list &actions);
+    void logGivenUpWatch(instant now, action_list &actions) const;
     void listPageReceived(instant now, const item_page &page, std::vector<item_batch> &batches);
     void watchFinished(instant now, const item_page &page, std::vector<item_batch> &batches);
     void readFailed(instant now);
@@ -120,6 +123,8 @@
     counter_set &m_counters;
     bool m_isReadInFlight = false;
     read_id m_readId {};
+    /// When the last read was sent.
+    instant m_sentAt;
     instant m_nextReadAt = instant::never();
     instant m_watchHoldoffUntil;
     /// True from the time a list becomes necessary until its last page was read.
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -7,6 +7,7 @@
 
 #include "core/random_source.h"
 #include "decision/calls/quarantine_table.h"
+#include "decision/routing/event_rate.h"
 #include "decision/routing/item_reader.h"
 #include "decision/routing/peer_group.h"
 #include "decision/routing/reader_group.h"
@@ -26,6 +27,9 @@
 /// How long a worker stays usable after its entry disappeared from the store if no other worker of
 /// the service is usable.
 constexpr duration lastResortGracePeriod = milliseconds(1200);
+/// Maximum number of log records per second about changes of workers; further changes are only
+/// counted.
+constexpr double workerLogsPerSecondMax = 20;
 /// How long the drain or removal of a worker is reported to other gateways by gossip.
 constexpr duration drainGossipTime = seconds(3);
 /// Phases of the drain, as fractions of the drain timeout. A draining gateway serves callers that
@@ -96,7 +100,8 @@
     {
         counters.add("peer_messages_ignored_total");
     }
-    void applyBatch(instant now, item_scope scope, const item_batch &batch, action_list &actions);
+    void applyBatch(instant now, item_scope scope, const item_batch &batch, std::string_view source,
+                    action_list &actions);
     void logStoreState(bool wasFailing, const items_read_finished &input, action_list &actions);
     bool areReadsFailing() const;
     void startDueReads(instant now, action_list &actions);
@@ -104,7 +109,9 @@
     void sendDueReports(instant now, action_list &actions);
     void relayChanges(instant now, item_scope scope, const item_batch &batch, action_list &actions);
     void applyConfig(const item_batch &batch, action_list &actions);
-    void applyWorkers(instant now, const item_batch &batch, action_list &actions);
+    void applyWorkers(instant now, const item_batch &batch, std::string_view source,
+                      action_list &actions);
+    void logWorkerChanges(instant now, std::string_view source, action_list &actions);
     void updateRemovalGracePeriods(instant now);
     void logUnusable(const published_item &item, action_list &actions);
     gossip_payload gossipPayload(instant now) const;
@@ -129,6 +136,7 @@
     /// Value of `reader_group::mustWatchStore` when the reads were last started.
     bool wasWatching = true;
     instant nextSweep;
+    event_rate workerLogRate;
     /// `nextWake()` after the last event. If the next event arrives much later, the process was
     /// paused.
     instant expectedWake = instant::never();
@@ -250,6 +258,7 @@
         if (isStoreUnreachable)
             pool.applyDrain(now, drain.worker, drain.age);
     }
+    logWorkerChanges(now, "gossip", actions);
     for (const crash_record &crash : digest.crashes)
         quarantine.addRemoteCrash(now, crash);
     peers.digestArrived(now, digest, gossipPayload(now), actions);
@@ -272,7 +281,7 @@
 {
     item_reader &reader = update.scope == item_scope::configuration ? configReader : workerReader;
     for (const item_batch &batch : reader.updateReceived(now, update))
-        applyBatch(now, update.scope, batch, actions);
+        applyBatch(now, update.scope, batch, "relay", actions);
     startDueReads(now, actions);
 }
 
@@ -297,7 +306,7 @@
         workerReader.readFinished(now, input, batches);
     const item_scope scope = isConfig ? item_scope::configuration : item_scope::workers;
     for (const item_batch &fetched : batches) {
-        applyBatch(now, scope, fetched, actions);
+        applyBatch(now, scope, fetched, fetched.isSnapshot ? "list" : "watch", actions);
         relayChanges(now, scope, fetched, actions);
     }
     logStoreState(wasFailing, input, actions);
@@ -332,13 +341,14 @@
         isFailing ? "The store does not answer." : "The store answers again.", std::move(fields)});
 }
 
+/// \param source how the batch was obtained: "list", "watch" or "relay".
 void route_gateway::state::applyBatch(instant now, item_scope scope, const item_batch &batch,
-                                      action_list &actions)
+                                      std::string_view source, action_list &actions)
 {
     if (scope == item_scope::configuration)
         applyConfig(batch, actions);
     else
-        applyWorkers(now, batch, actions);
+        applyWorkers(now, batch, source, actions);
 }
 
 /// Starts the reads of the store that are due. Lists are always read; changes only if no other
@@ -440,7 +450,8 @@
     }
 }
 
-void route_gateway::state::applyWorkers(instant now, const item_batch &batch, action_list &actions)
+void route_gateway::state::applyWorkers(instant now, const item_batch &batch,
+                                        std::string_view source, action_list &actions)
 {
     for (const published_item &item : batch.items)
         logUnusable(item, actions);
@@ -452,6 +463,29 @@
     }
     counters.set("workers_known", static_cast<double>(pool.size()));
     updateRemovalGracePeriods(now);
+    logWorkerChanges(now, source, actions);
+}
+
+/// Logs the changes that were just applied to the pool, with the revision up to which this gateway
+/// knows the workers.
+/// \param source see `applyBatch`; also "gossip".
+void route_gateway::state::logWorkerChanges(instant now, std::string_view source,
+                                            action_list &actions)
+{
+    for (const worker_change &change : pool.takeChanges()) {
+        if (workerLogRate.perSecond(now) >= workerLogsPerSecondMax) {
+            counters.add("log_lines_left_out_total");
+            continue;
+        }
+        workerLogRate.count(now);
+        actions.push_back(write_log {log_level::info,
+                                     "workers",
+                                     "A worker has changed.",
+                                     {{"worker", change.worker},
+                                      {"change", std::string(toString(change.kind))},
+                                      {"source", std::string(source)},
+                                      {"revision", std::to_string(workerReader.revision())}}});
+    }
 }
 
 void route_gateway::state::updateRemovalGracePeriods(instant now)
@@ -570,7 +604,9 @@
              {{"config_revision", all.configReader.revision()},
               {"config_failures", all.configReader.consecutiveFailures()},
               {"workers_revision", all.workerReader.revision()},
-              {"workers_failures", all.workerReader.consecutiveFailures()}}},
+              {"workers_failures", all.workerReader.consecutiveFailures()},
+              {"config_read_age_ms", toMilliseconds(all.configReader.readAge(now))},
+              {"workers_read_age_ms", toMilliseconds(all.workerReader.readAge(now))}}},
             {"requests", all.runner.dump(now)},
             {"workers", all.pool.dump(now)},
             {"quarantine", all.quarantine.dump(now)},
--- a/decision/routing/worker_pool.cpp
+++ b/decision/routing/worker_pool.cpp
@@ -1,6 +1,7 @@
 #include "decision/routing/worker_pool.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <set>
 
@@ -33,6 +34,13 @@
 
 } // namespace
 
+std::string_view toString(worker_change_kind kind)
+{
+    static constexpr std::array<std::string_view, 3> names {"draining", "removed",
+                                                            "available again"};
+    return names.at(static_cast<std::size_t>(kind));
+}
+
 void worker_pool::apply(instant now, const published_item &item)
 {
     if (!item.removed && !item.worker)
@@ -60,6 +68,15 @@
         remove(now, name);
 }
 
+void worker_pool::recordChange(const pooled_worker &known, const published_worker &entry)
+{
+    const bool wasAvailable = !known.entry.leaving && known.removedAt == instant::never();
+    if (wasAvailable == !entry.leaving)
+        return;
+    m_changes.push_back({entry.name, entry.leaving ? worker_change_kind::drain_started
+                                                   : worker_change_kind::available_again});
+}
+
 void worker_pool::add(instant now, const published_worker &entry)
 {
     const auto found = m_byName.find(entry.name);
@@ -69,6 +86,7 @@
                                && known.entry.address == entry.address
                                && known.entry.service == entry.service;
         if (isSameRun) {
+            recordChange(known, entry);
             if (!entry.leaving)
                 m_drainOrRemovalAt.erase(entry.name);
             else if (!known.entry.leaving)
@@ -113,6 +131,7 @@
         return;
     worker.removedAt = now;
     m_drainOrRemovalAt.emplace(name, now);
+    m_changes.push_back({name, worker_change_kind::removed});
 }
 
 void worker_pool::applyDrain(instant now, const std::string &name, duration age)
@@ -125,6 +144,7 @@
         return;
     worker.entry.leaving = true;
     m_drainOrRemovalAt.emplace(name, now - age);
+    m_changes.push_back({name, worker_change_kind::drain_started});
     m_counters.add("worker_drains_learned_total");
 }
 
--- a/decision/routing/worker_pool.h
+++ b/decision/routing/worker_pool.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -49,6 +50,21 @@
     bool isReplaced = false;
 };
 
+/// How the availability of a worker changed.
+enum class worker_change_kind { drain_started, removed, available_again };
+
+/// Name of the kind in log records.
+std::string_view toString(worker_change_kind kind);
+
+/// A change of whether a worker gets new requests.
+struct worker_change
+{
+    std::string worker;
+    worker_change_kind kind = worker_change_kind::removed;
+
+    bool operator==(const worker_change &) const = default;
+};
+
 /// Maximum slowdown with which a machine counts as running at full speed, as a multiple of the
 /// usual execution time.
 constexpr double fullSpeedSlowdownMax = 1.6;
@@ -73,6 +89,9 @@
     /// then.
     std::vector<std::pair<std::string, duration>> recentDrains(instant now, duration window) const;
 
+    /// Changes of known workers since the last call, in the order in which they were applied.
+    std::vector<worker_change> takeChanges() { return std::exchange(m_changes, {}); }
+
     void attemptStarted(worker_index worker);
     void attemptFinished(instant now, worker_index worker, const attempt_finished &input);
     void probeFinished(instant now, worker_index worker, const probe_finished &input);
@@ -114,6 +133,7 @@
 private:
     void updateAverages(const pooled_worker &worker);
     void add(instant now, const published_worker &entry);
+    void recordChange(const pooled_worker &known, const published_worker &entry);
     void remove(instant now, const std::string &name);
     static void recordSuccess(pooled_worker &worker);
     void recordFailure(instant now, pooled_worker &worker, bool ejectsImmediately);
@@ -130,6 +150,7 @@
     std::map<std::string, std::vector<worker_index>, std::less<>> m_byService;
     /// When each worker began to drain or was removed, by its name.
     std::map<std::string, instant> m_drainOrRemovalAt;
+    std::vector<worker_change> m_changes;
     /// See `usableFraction`, by service.
     std::map<std::string, double, std::less<>> m_usableFraction;
     double m_meanSlowdown = 2.0;
--- a/tests/decision/routing/published_items_test.cpp
+++ b/tests/decision/routing/published_items_test.cpp
@@ -41,6 +41,25 @@
     }
 }
 
+// Guards against a log from which it cannot be seen when and from where a gateway learned of the
+// drain or removal of a worker.
+BOOST_AUTO_TEST_CASE(drainsAndRemovalsAreLogged)
+{
+    routing_fixture fixture;
+    fixture.becomeReady({workerEntry("b-1", "books"), workerEntry("b-2", "books")});
+    fixture.take<write_log>();
+    published_worker leaving = workerEntry("b-1", "books");
+    leaving.leaving = true;
+    fixture.answerRead(item_scope::workers, pageOf({workerItem(leaving), removedItem("b-2")}, 11));
+    const std::vector<write_log> records = fixture.take<write_log>();
+    BOOST_REQUIRE_EQUAL(records.size(), 2U);
+    BOOST_TEST(
+        (records[0].fields
+         == std::vector<header_field> {
+             {"worker", "b-1"}, {"change", "draining"}, {"source", "watch"}, {"revision", "11"}}));
+    BOOST_TEST(records[1].fields[1].value == "removed");
+}
+
 // Guards against a service without usable workers while the workers renew their expired entries.
 BOOST_AUTO_TEST_CASE(recentlyRemovedWorkersServeAsLastResort)
 {
