Replace a watch that the store does not answer in time

Cause: the liveness of a long poll was taken from its connection. A watch of the workers that was sent while the store was silent is lost, but its connection stays open, so neither keep-alive nor TCP_USER_TIMEOUT ends it. The gateway abandoned it only after the wait that it had asked for (20 to 25 s) and 2 s more. Until then it knew no drain, removal or new worker, and ignored those told by gossip, since its reads had not failed. The same held for the configuration, and for readers that other gateways follow.

Evidence: in the records, the ten gateways whose watch of the workers was sent in second 18 got no answer to it and did not read the workers again until 32; the six that were restarted after the outage read them at 30 and obeyed the drain.

Change: item_reader expects the answer of a watch 0.4 s after its wait and otherwise lists the scope at once; watches last 4 s at most (routing.watch_s), so that a lost one is found 4.4 s after the outage, 5 s being allowed. It counts as a failed read, so that gossip is heeded.

The soak loses requests of the store and checks a drain after the last fault.

--- a/decision/routing/item_reader.cpp
+++ b/decision/routing/item_reader.cpp
@@ -14,6 +14,8 @@
 /// Time for which the store may hold a watch open that requests advertised changes, or that is the
 /// first one after watching began.
 constexpr duration catchUpWatchDuration = milliseconds(50);
+/// Maximum random reduction of the duration of a watch, as a fraction of it.
+constexpr double watchJitterFraction = 0.1;
 /// How long advertised changes may take to arrive from another gateway before they are requested
 /// from the store.
 constexpr duration catchUpDelay = milliseconds(150);
@@ -21,6 +23,10 @@
 /// store delivers existing changes immediately, so a watch that exceeds this time is assumed to
 /// hang on a dead connection.
 constexpr duration catchUpTimeLimit = milliseconds(600);
+/// How much longer than its requested wait a watch may take until its answer arrives. A watch that
+/// exceeds this time is assumed to be lost: the store may have failed after it received the watch,
+/// while the connection stays open.
+constexpr duration watchAnswerMargin = milliseconds(400);
 /// Maximum number of updates that are buffered until the changes before them arrive.
 constexpr std::size_t outOfOrderUpdatesMax = 8;
 
@@ -53,6 +59,7 @@
     } else {
         command.afterRevision = m_revision;
         command.wait = nextWatchDuration();
+        m_answerDeadline = now + command.wait + watchAnswerMargin;
     }
     m_isCatchingUp = false;
     actions.push_back(std::move(command));
@@ -63,7 +70,7 @@
     if (!m_isWatching || !m_hasReadSinceWatching)
         return catchUpWatchDuration;
     // Jitter, so that the watches of the gateways do not all end at the same time.
-    return scaled(m_settings.watchTimeout, 1.0 - 0.2 * m_random.uniform());
+    return scaled(m_settings.watchTimeout, 1.0 - watchJitterFraction * m_random.uniform());
 }
 
 void item_reader::setWatching(instant now, bool isWatching, const backoff_settings &backoff)
@@ -99,10 +106,16 @@
 instant item_reader::nextWake() const
 {
     if (m_isReadInFlight)
-        return isBehind() && !m_isListing ? m_catchUpDeadline : instant::never();
+        return m_isListing ? instant::never() : watchDeadline();
     return needsRead() ? m_nextReadAt : instant::never();
 }
 
+/// Time by which the watch in flight has to be answered.
+instant item_reader::watchDeadline() const
+{
+    return isBehind() ? std::min(m_catchUpDeadline, m_answerDeadline) : m_answerDeadline;
+}
+
 std::vector<published_item> item_reader::newItems(const std::vector<published_item> &items) const
 {
     std::vector<published_item> out;
@@ -258,10 +271,10 @@
 
 void item_reader::timerExpired(instant now, std::uint64_t &nextReadId, action_list &actions)
 {
-    if (m_isReadInFlight && !m_isListing && isBehind() && now >= m_catchUpDeadline) {
-        // The watch may hang on a dead connection.
+    if (isWatchInFlight() && now >= watchDeadline()) {
         m_counters.add("store_watches_given_up_total");
         logGivenUpWatch(now, actions);
+        readFailed(now);
         relist(now);
     }
     if (!m_isReadInFlight && needsRead() && m_nextReadAt <= now)
--- a/decision/routing/item_reader.h
+++ b/decision/routing/item_reader.h
@@ -17,8 +17,10 @@
 struct item_reader_settings
 {
     item_scope scope = item_scope::configuration;
-    /// Maximum time for which the store may hold a watch open.
-    duration watchTimeout {seconds(25)};
+    /// Maximum time for which the store may hold a watch open. Also bounds the time for which a
+    /// lost watch stays undetected, since only the end of a watch shows that the store still
+    /// serves it.
+    duration watchTimeout {seconds(4)};
     /// Delay between the end of a watch that reported changes and the start of the next one, so
     /// that changes in quick succession are fetched with a single request to the store.
     duration watchDelay {0};
@@ -45,8 +47,8 @@
 };
 
 /// Reads one scope of the platform's store: lists it page by page and then watches it. Lists it
-/// again if it may have missed changes, for example because the store has compacted its history. At
-/// most one read is in flight.
+/// again if it may have missed changes, for example because the store has compacted its history or
+/// has not answered a watch in time. At most one read is in flight.
 ///
 /// If another gateway watches the scope and relays its changes, the reader does not watch. It then
 /// lists the scope once and requests changes only when some are missing.
@@ -65,7 +67,7 @@
     bool readFinished(instant now, const items_read_finished &input,
                       std::vector<item_batch> &batches);
     /// Sends the read that is due, if any. Lists the scope again if the watch in flight has not
-    /// delivered advertised changes in time.
+    /// been answered, or has not delivered advertised changes, in time.
     /// \param nextReadId see `start`.
     void timerExpired(instant now, std::uint64_t &nextReadId, action_list &actions);
     instant nextWake() const;
@@ -108,6 +110,8 @@
     bool needsRead() const { return m_isListing || m_isWatching || m_isCatchingUp; }
     bool isBehind() const { return m_advertisedRevision > m_revision; }
     duration nextWatchDuration();
+    bool isWatchInFlight() const { return m_isReadInFlight && !m_isListing; }
+    instant watchDeadline() const;
     std::vector<published_item> newItems(const std::vector<published_item> &items) const;
     bool applyUpdate(const items_update &update, std::vector<item_batch> &batches);
     void sendRead(instant now, std::uint64_t &nextReadId, action_list &actions);
@@ -146,6 +150,8 @@
     /// If a watch in flight has not delivered the advertised changes by this time, the scope is
     /// listed again.
     instant m_catchUpDeadline;
+    /// If the watch in flight has not been answered by this time, the scope is listed again.
+    instant m_answerDeadline;
     /// The scope has to be listed before changes can be requested: it was never listed, the store
     /// has compacted the changes since `m_revision`, or a watch missed changes or hung.
     bool m_mustRelist = true;
--- a/decision/routing/routing_settings.h
+++ b/decision/routing/routing_settings.h
@@ -44,8 +44,9 @@
     duration drainTimeout {seconds(6)};
     /// How long callers may cache the entry addresses.
     duration entryCacheTime {seconds(4)};
-    /// Maximum time for which the store may hold a watch open.
-    duration watchTimeout {seconds(25)};
+    /// Maximum time for which the store may hold a watch open; see
+    /// `item_reader_settings::watchTimeout`.
+    duration watchTimeout {seconds(4)};
     /// A watch that follows one that reported changes starts no earlier than this long after the
     /// start of the gateway. In the meantime the gateway learns whether other gateways relay the
     /// changes, so that it need not watch itself. Must be less than 3 s, since a gateway has to
--- a/main/daemon/daemon_declarations.cpp
+++ b/main/daemon/daemon_declarations.cpp
@@ -124,7 +124,8 @@
                 "Time without a successful read of the platform by any reader, after which other "
                 "gateways act as backup readers."),
         integer("fleet.watch_s", 10, 1, 60, "s",
-                "Maximum duration of one watch (long poll) for changes on the platform."),
+                "Maximum duration of one watch (long poll) for changes on the platform. If "
+                "routing.configuration is \"items\", routing.watch_s applies instead."),
         integer("fleet.suspect_after_s", 3, 1, 60, "s",
                 "Time without direct or indirect contact after which a gateway is suspected."),
         integer("fleet.gone_after_s", 10, 1, 600, "s",
@@ -160,6 +161,11 @@
             "s."),
         text("routing.entry_keep", "4s",
              "How long callers may cache the entry addresses, as a number with the unit ms or s."),
+        integer("routing.watch_s", 4, 1, 60, "s",
+                "Maximum duration of one watch (long poll) for changes of the platform's store. A "
+                "watch that the store has lost is detected 0.4 s after its end, so a shorter "
+                "duration bounds the age of the configuration and of the workers, and a longer "
+                "one saves calls to the platform."),
         real("routing.retry_share", 0.2, 0, 1, "",
              "Maximum number of retries and hedges of a service, summed over all gateways, as a "
              "fraction of its requests. The gateways enforce a lower limit as a safety margin."),
--- a/main/daemon/daemon_settings.cpp
+++ b/main/daemon/daemon_settings.cpp
@@ -256,6 +256,7 @@
         = parseDuration(values.text("routing.grace")).value_or(routing.drainTimeout);
     routing.entryCacheTime
         = parseDuration(values.text("routing.entry_keep")).value_or(routing.entryCacheTime);
+    reader.readSeconds("routing.watch_s", routing.watchTimeout);
     routing.budgets.retryFraction = retrySafetyFactor * values.real("routing.retry_share");
     reader.read("routing.retry_slack", routing.budgets.retryBurst);
     routing.budgets.probesPerWorker = values.real("routing.probes_per_worker");
@@ -264,7 +265,6 @@
     routing.bounds.quarantineTime = gatewaySettings.calls.quarantineTime;
     routing.bounds.crashRecordsMax = gatewaySettings.calls.crashRecordsMax;
     const fleet_settings &fleetSettings = gatewaySettings.fleetSettings;
-    routing.watchTimeout = fleetSettings.watchTimeout;
     routing.peers.failureDomain = fleetSettings.failureDomain;
     routing.peers.entryAddress = fleetSettings.entryAddress;
     routing.peers.peerAddress = fleetSettings.peerAddress;
--- a/tests/platform/end_to_end_test.py
+++ b/tests/platform/end_to_end_test.py
@@ -18,6 +18,8 @@
 # The platform's time limits, measured from the store's acknowledgement of a change.
 CONFIG_APPLY_SECONDS = 2.0
 DRAIN_SECONDS = 2.0
+# Time after an outage of the store from which these limits hold again.
+STABLE_SECONDS = 3.0
 
 
 class EndToEndTest(unittest.TestCase):
@@ -134,6 +136,27 @@
         for worker in (self.workers[0], self.workers[2]):
             self.assertTrue(all(run[4] < drained_at for run in worker.runs))
 
+    def test_silent_store(self):
+        """Guards against requests to a draining worker because the watch of the workers was lost
+        while the store did not answer."""
+        gateway = self.start()
+        caller = standins.Caller(gateway.entry_port)
+        # A new gateway delays its next watch (startupWatchHoldoff). After that, the watch that
+        # follows this change is sent while the store is silent.
+        time.sleep(3)
+        self.workers.append(standins.Worker(self.store, "r-2", "reads"))
+        time.sleep(0.3)
+        self.store.is_silent = True
+        time.sleep(2)
+        self.store.is_silent = False
+        time.sleep(STABLE_SECONDS)
+        self.workers[0].register("draining")
+        time.sleep(DRAIN_SECONDS)
+        drained_at = time.monotonic()
+        for _ in range(40):
+            self.check_response(caller.send("GET", "/read/1", self.attempt()), f"{self.attempts:016x}")
+        self.assertTrue(all(run[4] < drained_at for run in self.workers[0].runs))
+
     def version_in_force(self, caller, version):
         status, _, _ = caller.send("GET", f"/v{version}/x", self.attempt())
         return status == 200
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -5,13 +5,14 @@
 With 8 gateways or more, two of them read the store for the others.
 
 Injected faults: gateways are killed, paused or shut down, and restarted; workers misbehave, drain,
-disappear and are replaced; the store is down, compacts its history or publishes another
-configuration; a malformed registration is written to the store. Callers reuse their connections.
+disappear and are replaced; the store is down, loses requests, compacts its history or publishes
+another configuration; a malformed registration is written to the store. Callers reuse their connections.
 The test checks, from the records of callers and workers:
   - A booking runs at most once, and does not run if the response says that it did not.
   - A response is the one that a worker sent for this attempt.
   - After the last fault, requests are served again, and the newest configuration is in force in
     every gateway.
+  - After that, a worker that drains gets no more requests.
 """
 import argparse
 import http.client
@@ -31,6 +32,9 @@
 CALLERS = 8
 RECOVERY_SECONDS = 15
 CONFIG_SECONDS = 5
+# Time after the last fault from which drains have to be obeyed, and the time limit for a drain.
+STABLE_SECONDS = 3
+DRAIN_SECONDS = 2
 SERVED_SHARE_MIN = 0.9
 
 
@@ -87,7 +91,8 @@
 
     def inject_fault(self):
         kind = self.random.choice(("kill", "pause", "leave", "mode", "mode", "mode", "drain",
-                                   "remove", "replace", "down", "compact", "config", "forge"))
+                                   "remove", "replace", "down", "silence", "compact", "config",
+                                   "forge"))
         number = self.random.randrange(len(self.gateways))
         gateway, worker = self.gateways[number], self.random.choice(self.workers)
         self.faults.append((kind, number, worker.name))
@@ -107,6 +112,10 @@
             self.store.is_down = True
             time.sleep(self.random.uniform(0.2, 2))
             self.store.is_down = False
+        elif kind == "silence":
+            self.store.is_silent = True
+            time.sleep(self.random.uniform(0.2, 2))
+            self.store.is_silent = False
         elif kind == "compact":
             self.store.compact()
         elif kind == "config":
@@ -170,6 +179,7 @@
             worker.mode, worker.slowdown = "healthy", 100
         recovered = self.wait_for_recovery()
         outdated = self.outdated_gateways()
+        outdated += self.requests_to_draining_worker()
         self.stop.set()
         for thread in callers:
             thread.join()
@@ -193,6 +203,17 @@
                 return wrong
             time.sleep(0.2)
 
+    def requests_to_draining_worker(self):
+        """Drains a worker. Returns an error text if it gets requests after DRAIN_SECONDS."""
+        time.sleep(STABLE_SECONDS)
+        worker = self.random.choice(self.workers)
+        worker.register("draining")
+        time.sleep(DRAIN_SECONDS)
+        drained_at = time.monotonic()
+        time.sleep(1)
+        late = sum(run[4] > drained_at for run in worker.runs)
+        return [f"{worker.name} got {late} requests after its drain"] if late else []
+
     @staticmethod
     def version_of(gateway):
         try:
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -60,13 +60,15 @@
 
 class Store:
     """A fake of the platform's key-value store with revisions, lists, watches, compaction and
-    outages."""
+    outages. `is_down` rejects requests; `is_silent` loses those that arrive, also after it ends."""
+
+    LOST_REQUEST_SECONDS = 30
 
     def __init__(self):
         self.changed = threading.Condition()
         self.items, self.events = {}, []
         self.revision, self.compacted, self.request_count = 1, 0, 0
-        self.is_down, self.interruptions = False, 0
+        self.is_down, self.is_silent, self.interruptions = False, False, 0
         store = self
 
         class StoreHandler(Handler):
@@ -107,7 +109,11 @@
         target = urlsplit(handler.path)
         query = {name: values[0] for name, values in parse_qs(target.query).items()}
         self.request_count += 1
-        if self.is_down:
+        if self.is_silent:
+            # The request is lost, but its connection stays open.
+            time.sleep(self.LOST_REQUEST_SECONDS)
+            handler.close_connection = True
+        elif self.is_down:
             handler.reply(503)
         elif target.path == "/v1/kv-range":
             self._list(handler, query)
