Decode and log the request limit that a worker names

Change: platform/ decodes Server-Limit once into requests per second (malformed or repeated: ignored and counted); the worker pool keeps it, logs its start and end, and the dump shows it. No decision changes. Result: requestLimitIsParsed.

--- a/decision/events.h
+++ b/decision/events.h
@@ -45,6 +45,9 @@
     std::string detail;
     /// The address now belongs to another worker, which did not execute the call.
     bool wrongInstance = false;
+    /// Requests per second that the worker accepts from all gateways together; infinity if its
+    /// response names no limit. Empty if there is no valid response or the limit is malformed.
+    std::optional<double> requestRateMax = std::nullopt;
 };
 
 /// A probe of a load endpoint or health check ended. Arrives exactly once for each `start_probe`.
@@ -59,6 +62,8 @@
     /// the parser of the probe response (platform/workers.cpp) uses it to set `load` to a default
     /// `load_report` if the worker reports no load.
     bool healthy = true;
+    /// As in `attempt_finished`.
+    std::optional<double> requestRateMax = std::nullopt;
 };
 
 /// A caller requested the entry addresses for a service, that is, the addresses at which gateways
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <optional>
 #include <utility>
 
@@ -224,11 +225,13 @@
 void route_gateway::state::on(instant now, const attempt_finished &input, action_list &actions)
 {
     runner.attemptFinished(now, input, actions);
+    logWorkerChanges(now, "response", actions);
 }
 
 void route_gateway::state::on(instant now, const probe_finished &input, action_list &actions)
 {
     runner.probeFinished(now, input, actions);
+    logWorkerChanges(now, "probe", actions);
 }
 
 gossip_payload route_gateway::state::gossipPayload(instant now) const
@@ -468,7 +471,7 @@
 
 /// Logs the changes that were just applied to the pool, with the revision up to which this gateway
 /// knows the workers.
-/// \param source see `applyBatch`; also "gossip".
+/// \param source see `applyBatch`; also "gossip", "response" or "probe".
 void route_gateway::state::logWorkerChanges(instant now, std::string_view source,
                                             action_list &actions)
 {
@@ -478,13 +481,14 @@
             continue;
         }
         workerLogRate.count(now);
-        actions.push_back(write_log {log_level::info,
-                                     "workers",
-                                     "A worker has changed.",
-                                     {{"worker", change.worker},
-                                      {"change", std::string(toString(change.kind))},
-                                      {"source", std::string(source)},
-                                      {"revision", std::to_string(workerReader.revision())}}});
+        std::vector<header_field> fields {{"worker", change.worker},
+                                          {"change", std::string(toString(change.kind))},
+                                          {"source", std::string(source)},
+                                          {"revision", std::to_string(workerReader.revision())}};
+        if (std::isfinite(change.requestRateMax))
+            fields.push_back({"requests_per_s", std::to_string(change.requestRateMax)});
+        actions.push_back(
+            write_log {log_level::info, "workers", "A worker has changed.", std::move(fields)});
     }
 }
 
--- a/decision/routing/worker_pool.cpp
+++ b/decision/routing/worker_pool.cpp
@@ -36,8 +36,8 @@
 
 std::string_view toString(worker_change_kind kind)
 {
-    static constexpr std::array<std::string_view, 3> names {"draining", "removed",
-                                                            "available again"};
+    static constexpr std::array<std::string_view, 5> names {
+        "draining", "removed", "available again", "limits its requests", "limit ended"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -177,6 +177,17 @@
     worker.sentSinceReport = 0;
 }
 
+void worker_pool::applyRequestLimit(pooled_worker &worker, double requestRateMax)
+{
+    const bool wasLimited = std::isfinite(worker.requestRateMax);
+    worker.requestRateMax = requestRateMax;
+    if (wasLimited == std::isfinite(requestRateMax))
+        return;
+    m_changes.push_back({worker.entry.name,
+                         wasLimited ? worker_change_kind::limit_ended : worker_change_kind::limited,
+                         requestRateMax});
+}
+
 void worker_pool::updateAverages(const pooled_worker &worker)
 {
     const load_report &report = worker.report;
@@ -225,6 +236,8 @@
     worker.sentSinceReport = std::min(worker.sentSinceReport, worker.inFlight);
     if (input.load)
         applyReport(now, worker, *input.load);
+    if (input.requestRateMax)
+        applyRequestLimit(worker, *input.requestRateMax);
     if (input.wrongInstance) {
         worker.isReplaced = true;
         return;
@@ -251,6 +264,8 @@
 void worker_pool::probeFinished(instant now, worker_index index, const probe_finished &input)
 {
     pooled_worker &worker = mutableAt(index);
+    if (input.requestRateMax)
+        applyRequestLimit(worker, *input.requestRateMax);
     if (!input.load) {
         recordFailure(now, worker, true);
         return;
@@ -324,6 +339,9 @@
              {"slowdown_percent", worker.report.slowdownPercent},
              {"report_age_ms", worker.hasReport ? toMilliseconds(now - worker.reportedAt) : -1},
              {"in_flight", worker.inFlight},
+             {"limit_per_s", std::isfinite(worker.requestRateMax)
+                                 ? nlohmann::json(worker.requestRateMax)
+                                 : nlohmann::json()},
              {"failure_share", worker.failureRate},
              {"shunned_ms", std::max<std::int64_t>(0, toMilliseconds(worker.ejectedUntil - now))}});
     }
--- a/decision/routing/worker_pool.h
+++ b/decision/routing/worker_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -46,21 +47,26 @@
     instant ejectedUntil;
     /// Duration of the last ejection; 0 after a success.
     duration ejectionTime {0};
+    /// Requests per second that the worker accepts from all gateways together, by its last
+    /// response; infinity if it has named no limit.
+    double requestRateMax = std::numeric_limits<double>::infinity();
     /// A different worker has answered at this address, so this one gets no more requests.
     bool isReplaced = false;
 };
 
 /// How the availability of a worker changed.
-enum class worker_change_kind { drain_started, removed, available_again };
+enum class worker_change_kind { drain_started, removed, available_again, limited, limit_ended };
 
 /// Name of the kind in log records.
 std::string_view toString(worker_change_kind kind);
 
-/// A change of whether a worker gets new requests.
+/// A change of whether, or how often, a worker gets new requests.
 struct worker_change
 {
     std::string worker;
     worker_change_kind kind = worker_change_kind::removed;
+    /// Requests per second that the worker accepts from all gateways together, for `limited`.
+    double requestRateMax = std::numeric_limits<double>::infinity();
 
     bool operator==(const worker_change &) const = default;
 };
@@ -138,6 +144,7 @@
     static void recordSuccess(pooled_worker &worker);
     void recordFailure(instant now, pooled_worker &worker, bool ejectsImmediately);
     void applyReport(instant now, pooled_worker &worker, const load_report &report);
+    void applyRequestLimit(pooled_worker &worker, double requestRateMax);
     pooled_worker &mutableAt(worker_index worker)
     {
         return m_workers.at(static_cast<std::size_t>(worker));
--- a/servers/worker_transport/worker_transport.cpp
+++ b/servers/worker_transport/worker_transport.cpp
@@ -309,6 +309,8 @@
         outcome.end = attempt_end::answered;
         if (m_protocol.isLoadMalformed(reader))
             m_counters.add("worker_load_headers_malformed_total");
+        if (m_protocol.isLimitMalformed(reader))
+            m_counters.add("worker_limit_headers_malformed_total");
         m_protocol.parseResponse(reader, ended->command, outcome);
     } else if (exchange.transmissions() == 0) {
         outcome.end = attempt_end::not_sent;
--- a/tests/platform/protocols_test.cpp
+++ b/tests/platform/protocols_test.cpp
@@ -1,3 +1,4 @@
+#include <cmath>
 #include <string>
 #include <vector>
 
@@ -135,6 +136,32 @@
     BOOST_TEST(!outcome.healthy);
 }
 
+// Guards against a malformed limit that is taken for a number or for the absence of a limit, and
+// against a limit of another worker.
+BOOST_AUTO_TEST_CASE(requestLimitIsParsed)
+{
+    const std::vector<std::string> head {"X-Almondnotch-Attempt-Id: id-1",
+                                         "X-Almondnotch-Server-Seal: s", "Content-Length: 0"};
+    const auto limitOf = [&head](const std::vector<std::string> &values) {
+        std::vector<std::string> lines = head;
+        for (const std::string &value : values)
+            lines.push_back("Server-Limit: " + value);
+        return readOutcome(response(200, lines)).requestRateMax;
+    };
+    BOOST_TEST(limitOf({"2.5"}).value() == 2.5);
+    BOOST_TEST(limitOf({"0"}).value() == 0.0);
+    BOOST_TEST(std::isinf(limitOf({}).value()));
+    for (const char *const text : {"-1", "-0", "nan", "inf", "1e3", "2x", "", "1e999", "99999999",
+                                   "99999999999999999999999999999999"})
+        BOOST_TEST(!limitOf({text}).has_value(), "accepted " << text);
+    BOOST_TEST(!limitOf({"2", "3"}).has_value());
+    BOOST_TEST(!readOutcome(response(421, {"X-Almondnotch-Instance-Id: i-2", "Server-Limit: 1"}))
+                    .requestRateMax.has_value());
+    BOOST_TEST(!readOutcome(response(200, {"X-Almondnotch-Attempt-Id: id-0",
+                                           "X-Almondnotch-Server-Seal: s", "Server-Limit: 1"}))
+                    .requestRateMax.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(callerHeadersGiveHostIdAndDeadline)
 {
     request_head head;
