Keep the request limits that workers name

Cause: the product had no notion of a limit on requests. Its selection balances by load, and a worker that limits its requests looks idle.

Change: the gateways of the worker's failure domain divide its limit; each paces first attempts, retries and hedges alike (request_pacer) and does not select a worker whose turn has not come. For a low limit only some gateways, by rendezvous hashing, use the worker, so that the sum holds in any 4 s. A limit ends with the first response that does not name it; workers that get no requests are probed every 2 s for that.

--- a/decision/routing/peer_group.cpp
+++ b/decision/routing/peer_group.cpp
@@ -185,9 +185,22 @@
 unsigned peer_group::gatewayCount(instant now) const
 {
     const unsigned known = 1 + static_cast<unsigned>(m_members.contactableMembers().size());
-    if (now - m_startedAt < m_settings.discoveryTime)
-        return std::max(known, m_settings.assumedGatewayCount);
-    return known;
+    return std::max(known, gatewayCountMin(now));
+}
+
+/// Number of gateways to assume at least.
+unsigned peer_group::gatewayCountMin(instant now) const
+{
+    return now - m_startedAt < m_settings.discoveryTime ? m_settings.assumedGatewayCount : 1;
+}
+
+gateway_group peer_group::gatewayGroup(instant now) const
+{
+    gateway_group out {m_settings.self.vm, {}, gatewayCountMin(now)};
+    out.gateways.push_back({m_settings.self.vm, m_settings.failureDomain});
+    for (const member_record *record : m_members.contactableMembers())
+        out.gateways.push_back({record->update.process.vm, record->update.failureDomain});
+    return out;
 }
 
 std::vector<std::string> peer_group::entryAddresses(const std::string &failureDomain,
--- a/decision/routing/peer_group.h
+++ b/decision/routing/peer_group.h
@@ -12,6 +12,7 @@
 #include "decision/fleet/membership.h"
 #include "decision/peer_messages.h"
 #include "decision/routing/reader_group.h"
+#include "decision/routing/request_limit_share.h"
 
 namespace almondnotch {
 
@@ -77,6 +78,9 @@
     /// is, also suspect and leaving ones. Until `discoveryTime` has passed, at least
     /// `assumedGatewayCount`.
     unsigned gatewayCount(instant now) const;
+    /// This gateway and all others that may still run, among which the request limits of workers
+    /// are divided.
+    gateway_group gatewayGroup(instant now) const;
     /// Entry addresses of the serving gateways of `failureDomain`. If there are fewer than two,
     /// they are followed by those of the serving gateways of other failure domains.
     /// \param includeSelf whether to include this gateway's own address.
@@ -97,6 +101,7 @@
     fleet_digest makeDigest(instant now, const gossip_payload &payload, bool replyRequested);
     void send(instant now, const std::string &address, const gossip_payload &payload,
               bool replyRequested, action_list &actions);
+    unsigned gatewayCountMin(instant now) const;
     std::string removeRandom(std::vector<std::string> &addresses);
     peer_addresses contactAddresses() const;
     std::vector<std::string> chooseExchangeTargets();
--- a/decision/routing/request_runner.cpp
+++ b/decision/routing/request_runner.cpp
@@ -42,6 +42,8 @@
 /// Sending a request that misses its objective would then take a slot from one that can still meet
 /// it.
 constexpr double usableFractionMin = 0.2;
+/// Interval at which a worker that limits its requests is probed while nothing else is sent to it.
+constexpr duration limitProbeInterval = seconds(2);
 /// Maximum number of log records per second about failed requests; further failures are only
 /// counted.
 constexpr double failureLogsPerSecondMax = 20;
@@ -450,7 +452,7 @@
                                chosen.hasFreshReport ? worker.report.slowdownPercent : 0,
                                chosen.isNearSaturation, std::nullopt, false});
     m_attempts.emplace(id, std::pair(record.call, chosen.worker));
-    m_dependencies.pool.attemptStarted(chosen.worker);
+    m_dependencies.pool.attemptStarted(now, chosen.worker);
     start_attempt command;
     command.attempt = id;
     command.request = record.request;
@@ -536,11 +538,24 @@
 void request_runner::probeAfterDisconnect(instant now, const routed_request &record,
                                           worker_index worker, action_list &actions)
 {
-    if (m_probeByWorker.contains(worker) || !acquireProbeToken(now))
+    tryProbe(now, worker, *record.config, actions);
+}
+
+void request_runner::tryProbe(instant now, worker_index worker, const route_config &config,
+                              action_list &actions)
+{
+    const auto spec = config.services.find(m_dependencies.pool.at(worker).entry.service);
+    if (spec == config.services.end() || m_probeByWorker.contains(worker)
+        || !acquireProbeToken(now))
         return;
-    const auto spec = record.config->services.find(record.service);
-    if (spec != record.config->services.end())
-        startProbe(worker, spec->second.healthPath, actions);
+    startProbe(worker, spec->second.healthPath, actions);
+}
+
+void request_runner::probeLimitedWorkers(instant now, const route_config &config,
+                                         action_list &actions)
+{
+    for (const worker_index worker : m_dependencies.pool.limitedWorkers(now - limitProbeInterval))
+        tryProbe(now, worker, config, actions);
 }
 
 bool request_runner::tryAcquireRetry(instant now, const routed_request &record,
--- a/decision/routing/request_runner.h
+++ b/decision/routing/request_runner.h
@@ -54,6 +54,10 @@
     void attemptFinished(instant now, const attempt_finished &input, action_list &actions);
     void probeFinished(instant now, const probe_finished &input, action_list &actions);
     void timerExpired(instant now, action_list &actions);
+    /// Probes limited workers that have not named their limit recently, since a gateway that sends
+    /// no requests to a worker would not learn that its limit has ended.
+    /// \param config configuration in force.
+    void probeLimitedWorkers(instant now, const route_config &config, action_list &actions);
     /// Ends all requests with an error response, for example when little of the drain timeout is
     /// left.
     void terminateAll(instant now, action_list &actions);
@@ -128,6 +132,10 @@
     bool probeCandidates(instant now, routed_request &record,
                          const std::vector<scored_worker> &ranked, action_list &actions);
     void startProbe(worker_index worker, const std::string &healthPath, action_list &actions);
+    /// Probes the worker unless a probe of it is in flight, the probe budget is used up or the
+    /// configuration does not know its service.
+    void tryProbe(instant now, worker_index worker, const route_config &config,
+                  action_list &actions);
     bool acquireProbeToken(instant now);
     void probeAfterDisconnect(instant now, const routed_request &record, worker_index worker,
                               action_list &actions);
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -156,7 +156,10 @@
       readers(settings.readers, settings.peers.self.vm, settings.peers.failureDomain),
       configReader(readerSettings(item_scope::configuration, settings), random, counters),
       workerReader(readerSettings(item_scope::workers, settings), random, counters)
-{ }
+{
+    // Until the process has joined the exchange, it assumes that it knows few of the gateways.
+    pool.setGatewayGroup(instant(), peers.gatewayGroup(instant()));
+}
 
 void route_gateway::state::handle(instant now, const event &input, action_list &actions)
 {
@@ -551,6 +554,9 @@
         quarantine.expire(now);
         readers.setCandidates(peers.readerCandidates());
         runner.setGatewayCount(peers.gatewayCount(now));
+        pool.setGatewayGroup(now, peers.gatewayGroup(now));
+        if (table != nullptr)
+            runner.probeLimitedWorkers(now, *table->config(), actions);
     }
 }
 
--- a/decision/routing/worker_pool.cpp
+++ b/decision/routing/worker_pool.cpp
@@ -160,9 +160,10 @@
     return out;
 }
 
-void worker_pool::attemptStarted(worker_index worker)
+void worker_pool::attemptStarted(instant now, worker_index worker)
 {
     pooled_worker &target = mutableAt(worker);
+    target.pacer.requestSent(now);
     ++target.inFlight;
     ++target.sentSinceReport;
 }
@@ -177,10 +178,14 @@
     worker.sentSinceReport = 0;
 }
 
-void worker_pool::applyRequestLimit(pooled_worker &worker, double requestRateMax)
+void worker_pool::applyRequestLimit(instant now, pooled_worker &worker, double requestRateMax)
 {
     const bool wasLimited = std::isfinite(worker.requestRateMax);
+    const bool hasChanged = worker.requestRateMax != requestRateMax;
     worker.requestRateMax = requestRateMax;
+    worker.limitNamedAt = now;
+    if (hasChanged)
+        updatePacer(now, worker);
     if (wasLimited == std::isfinite(requestRateMax))
         return;
     m_changes.push_back({worker.entry.name,
@@ -188,6 +193,34 @@
                          requestRateMax});
 }
 
+void worker_pool::updatePacer(instant now, pooled_worker &worker) const
+{
+    worker.pacer.setRate(now, std::isfinite(worker.requestRateMax) ? shareOfRequestLimit(
+                                  worker.requestRateMax, worker.entry, m_gatewayGroup)
+                                                                   : worker.requestRateMax);
+}
+
+void worker_pool::setGatewayGroup(instant now, const gateway_group &group)
+{
+    if (group == m_gatewayGroup)
+        return;
+    m_gatewayGroup = group;
+    for (pooled_worker &worker : m_workers)
+        updatePacer(now, worker);
+}
+
+std::vector<worker_index> worker_pool::limitedWorkers(instant before) const
+{
+    std::vector<worker_index> out;
+    for (const std::pair<const std::string, worker_index> &named : m_byName) {
+        const pooled_worker &worker = at(named.second);
+        if (std::isfinite(worker.requestRateMax) && worker.limitNamedAt < before
+            && !worker.entry.leaving && !worker.isReplaced && worker.removedAt == instant::never())
+            out.push_back(named.second);
+    }
+    return out;
+}
+
 void worker_pool::updateAverages(const pooled_worker &worker)
 {
     const load_report &report = worker.report;
@@ -237,7 +270,7 @@
     if (input.load)
         applyReport(now, worker, *input.load);
     if (input.requestRateMax)
-        applyRequestLimit(worker, *input.requestRateMax);
+        applyRequestLimit(now, worker, *input.requestRateMax);
     if (input.wrongInstance) {
         worker.isReplaced = true;
         return;
@@ -265,7 +298,7 @@
 {
     pooled_worker &worker = mutableAt(index);
     if (input.requestRateMax)
-        applyRequestLimit(worker, *input.requestRateMax);
+        applyRequestLimit(now, worker, *input.requestRateMax);
     if (!input.load) {
         recordFailure(now, worker, true);
         return;
--- a/decision/routing/worker_pool.h
+++ b/decision/routing/worker_pool.h
@@ -15,6 +15,8 @@
 #include "core/time.h"
 #include "decision/events.h"
 #include "decision/routing/published.h"
+#include "decision/routing/request_limit_share.h"
+#include "decision/routing/request_pacer.h"
 #include "decision/routing/saturation_slowdown.h"
 #include "decision/types.h"
 
@@ -50,6 +52,10 @@
     /// Requests per second that the worker accepts from all gateways together, by its last
     /// response; infinity if it has named no limit.
     double requestRateMax = std::numeric_limits<double>::infinity();
+    /// When a response last named `requestRateMax`.
+    instant limitNamedAt;
+    /// Keeps this gateway's share of `requestRateMax`.
+    request_pacer pacer;
     /// A different worker has answered at this address, so this one gets no more requests.
     bool isReplaced = false;
 };
@@ -98,7 +104,7 @@
     /// Changes of known workers since the last call, in the order in which they were applied.
     std::vector<worker_change> takeChanges() { return std::exchange(m_changes, {}); }
 
-    void attemptStarted(worker_index worker);
+    void attemptStarted(instant now, worker_index worker);
     void attemptFinished(instant now, worker_index worker, const attempt_finished &input);
     void probeFinished(instant now, worker_index worker, const probe_finished &input);
 
@@ -110,6 +116,11 @@
     /// which they renew their entries has elapsed.
     bool hasMassExpiry(instant now) const;
 
+    /// Sets the gateways among which the request limits of workers are divided.
+    void setGatewayGroup(instant now, const gateway_group &group);
+    /// Workers in use that limit their requests and have not named the limit since `before`.
+    std::vector<worker_index> limitedWorkers(instant before) const;
+
     /// Discards all load reports, since they are outdated after a pause of the process.
     void invalidateReports();
     /// Drops workers that were removed at least 20 s ago and have no attempt in flight, and forgets
@@ -144,7 +155,8 @@
     static void recordSuccess(pooled_worker &worker);
     void recordFailure(instant now, pooled_worker &worker, bool ejectsImmediately);
     void applyReport(instant now, pooled_worker &worker, const load_report &report);
-    void applyRequestLimit(pooled_worker &worker, double requestRateMax);
+    void applyRequestLimit(instant now, pooled_worker &worker, double requestRateMax);
+    void updatePacer(instant now, pooled_worker &worker) const;
     pooled_worker &mutableAt(worker_index worker)
     {
         return m_workers.at(static_cast<std::size_t>(worker));
@@ -158,6 +170,7 @@
     /// When each worker began to drain or was removed, by its name.
     std::map<std::string, instant> m_drainOrRemovalAt;
     std::vector<worker_change> m_changes;
+    gateway_group m_gatewayGroup;
     /// See `usableFraction`, by service.
     std::map<std::string, double, std::less<>> m_usableFraction;
     double m_meanSlowdown = 2.0;
--- a/decision/routing/worker_selector.cpp
+++ b/decision/routing/worker_selector.cpp
@@ -96,7 +96,7 @@
     const bool isRemoved
         = worker.removedAt != instant::never() && now - worker.removedAt >= gracePeriod;
     return worker.entry.service == criteria.service && !worker.isReplaced && !worker.entry.leaving
-           && !isExcluded && !isRemoved;
+           && !isExcluded && !isRemoved && worker.pacer.allows(now);
 }
 
 void worker_selector::appendUsable(instant now, const selection_criteria &criteria,
--- a/tests/decision/routing/request_limit_test.cpp
+++ b/tests/decision/routing/request_limit_test.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -26,21 +25,6 @@
 {
     using Base::Base;
 
-    /// Ends an attempt with a response of a worker that names its limit.
-    void answerWithLimit(const start_attempt &attempt)
-    {
-        attempt_finished outcome;
-        outcome.attempt = attempt.attempt;
-        outcome.end = attempt_end::answered;
-        std::shared_ptr<call_response> response = std::make_shared<call_response>();
-        response->status = 200;
-        outcome.response = std::move(response);
-        const auto limit = limits.find(attempt.workerName);
-        outcome.requestRateMax
-            = limit == limits.end() ? std::numeric_limits<double>::infinity() : limit->second;
-        this->handle(outcome);
-    }
-
     /// Sends requests for `length`. Each is answered 10 ms after it arrived.
     void sendRequests(duration length)
     {
@@ -51,10 +35,10 @@
                 sentAt[attempt.workerName].push_back(this->now);
             this->advance(milliseconds(10));
             for (const start_attempt &attempt : started)
-                answerWithLimit(attempt);
+                this->answer(attempt);
             for (const start_attempt &attempt : this->template take<start_attempt>()) {
                 sentAt[attempt.workerName].push_back(this->now);
-                answerWithLimit(attempt);
+                this->answer(attempt);
             }
             this->advance(milliseconds(10));
         }
@@ -84,7 +68,6 @@
             all.begin(), all.end(), [from](const instant &at) { return at >= from; }));
     }
 
-    std::map<std::string, double> limits;
     std::map<std::string, std::vector<instant>> sentAt;
 };
 
@@ -98,7 +81,7 @@
 {
     limit_fixture<routing_fixture> fixture;
     fixture.becomeReady({workerEntry("w-1", "reads"), workerEntry("w-2", "reads")});
-    fixture.limits["w-1"] = limitPerSecond;
+    fixture.requestLimits["w-1"] = limitPerSecond;
     fixture.sendRequests(seconds(1));
     const instant toldAt = fixture.now;
     fixture.sendRequests(seconds(12));
@@ -113,7 +96,7 @@
 BOOST_AUTO_TEST_CASE(gatewaysShareTheLimitOfAWorker)
 {
     limit_fixture<reader_fixture> fixture;
-    fixture.limits = {{"w-1", limitPerSecond}, {"w-2", limitPerSecond}};
+    fixture.requestLimits = {{"w-1", limitPerSecond}, {"w-2", limitPerSecond}};
     fixture.sendRequests(seconds(1));
     const instant toldAt = fixture.now;
     for (int second = 0; second < 12; ++second) {
@@ -132,7 +115,7 @@
 {
     limit_fixture<routing_fixture> fixture;
     fixture.becomeReady({workerEntry("w-1", "reads")});
-    fixture.limits["w-1"] = limitPerSecond;
+    fixture.requestLimits["w-1"] = limitPerSecond;
     fixture.sendRequests(seconds(8));
     fixture.take<send_response>();
     const instant sentAt = fixture.now;
@@ -153,9 +136,9 @@
 {
     limit_fixture<routing_fixture> fixture;
     fixture.becomeReady({workerEntry("w-1", "reads")});
-    fixture.limits["w-1"] = limitPerSecond;
+    fixture.requestLimits["w-1"] = limitPerSecond;
     fixture.sendRequests(seconds(4));
-    fixture.limits.clear();
+    fixture.requestLimits.clear();
     // The gateway learns of the end by its next request or probe.
     fixture.sendRequests(seconds(3));
     const instant from = fixture.now;
--- a/tests/decision/routing/routing_fixture.cpp
+++ b/tests/decision/routing/routing_fixture.cpp
@@ -1,5 +1,6 @@
 #include "tests/decision/routing/routing_fixture.h"
 
+#include <limits>
 #include <stdexcept>
 #include <utility>
 
@@ -167,6 +168,12 @@
     return id;
 }
 
+double routing_fixture::requestLimitOf(const std::string &worker) const
+{
+    const auto found = requestLimits.find(worker);
+    return found == requestLimits.end() ? std::numeric_limits<double>::infinity() : found->second;
+}
+
 void routing_fixture::answer(const start_attempt &attempt, int status)
 {
     attempt_finished outcome;
@@ -176,6 +183,7 @@
     response->status = status;
     response->body = attempt.workerName;
     outcome.response = std::move(response);
+    outcome.requestRateMax = requestLimitOf(attempt.workerName);
     handle(outcome);
 }
 
@@ -220,6 +228,8 @@
     probe_finished outcome;
     outcome.probe = probe.probe;
     outcome.load = load;
+    if (load)
+        outcome.requestRateMax = requestLimitOf(probe.workerName);
     handle(outcome);
 }
 
--- a/tests/decision/routing/routing_fixture.h
+++ b/tests/decision/routing/routing_fixture.h
@@ -100,6 +100,9 @@
     bool answersProbes = true;
     /// Load by worker name. Workers that are not in the map report no load and normal speed.
     std::map<std::string, load_report> loads;
+    /// Request limits by worker name, which the workers name in their responses to requests and
+    /// probes, in requests per second.
+    std::map<std::string, double> requestLimits;
     /// Workers whose probes fail. Attempts to them must be ended by the test.
     std::set<std::string> unreachableWorkers;
     /// All probes that the gateway has started.
@@ -110,6 +113,7 @@
     std::uint64_t listRevision = 10;
 
 private:
+    double requestLimitOf(const std::string &worker) const;
     void dispatchActions(action_list &newActions);
 
     std::map<item_scope, read_items> m_inFlightReads;
