Use the request limits of workers more fully

Cause: with one request at a time and no preference, limited workers got fewer requests than they accept, while the others were saturated. Change: a gateway may save up two requests for a worker, the number of gateways for a low limit falls accordingly, and a worker whose bucket is full is preferred. The test of shared limits now runs ten gateways side by side and counts the sum at limits of 0.5, 2 and 10, in place of a tenth of the tolerance at one of them, which a gateway may exceed where only some use the worker.

--- a/decision/routing/request_limit_share.cpp
+++ b/decision/routing/request_limit_share.cpp
@@ -2,17 +2,19 @@
 
 #include <algorithm>
 
+#include "core/mechanisms.h"
 #include "decision/fleet/rendezvous.h"
+#include "decision/routing/request_pacer.h"
 
 namespace almondnotch {
 
 namespace {
 
 /// Number of gateways that may use a worker: this many in any case, and this many more for each
-/// request per second of its limit. With k gateways, limit L and no bursts, a worker gets at most
-/// 4 L + k requests in 4 s; it has to bear 6 L + 5.
-constexpr double gatewaysMin = 5;
-constexpr double gatewaysPerRequestRate = 2;
+/// request per second of its limit. With k gateways and limit L, a worker gets at most
+/// 4 L + k * request_pacer::capacity requests in 4 s; it has to bear 6 L + 5.
+constexpr double gatewaysMin = 5 / request_pacer::capacity;
+constexpr double gatewaysPerRequestRate = 2 / request_pacer::capacity;
 
 /// VMs of the gateways in a failure domain, or of all gateways if it has none.
 std::vector<std::string> candidates(const gateway_group &group, const std::string &failureDomain)
@@ -31,6 +33,8 @@
 
 double shareOfRequestLimit(double limit, const published_worker &worker, const gateway_group &group)
 {
+    if (!isMechanismEnabled("request_limit_share"))
+        return limit;
     const std::vector<std::string> users = candidates(group, worker.failureDomain);
     if (std::find(users.begin(), users.end(), group.self) == users.end())
         return 0;
--- a/decision/routing/request_limit_share.h
+++ b/decision/routing/request_limit_share.h
@@ -33,8 +33,8 @@
 /// second.
 ///
 /// The gateways of the worker's failure domain divide the limit equally; if there are none, all
-/// gateways do. Each gateway can send one request at the same moment, so for a low limit only some
-/// of them, selected by rendezvous hashing, use the worker. The others get 0.
+/// gateways do. All of them may send a burst at the same moment, so for a low limit only some of
+/// them, selected by rendezvous hashing, use the worker. The others get 0.
 /// \param limit requests per second that the worker accepts from all gateways together.
 double shareOfRequestLimit(double limit, const published_worker &worker,
                            const gateway_group &group);
--- a/decision/routing/request_pacer.h
+++ b/decision/routing/request_pacer.h
@@ -1,37 +1,53 @@
 #pragma once
 
+#include <algorithm>
 #include <limits>
 
 #include "core/time.h"
 
 namespace almondnotch {
 
-/// Spaces the requests of this gateway to one worker, so that their rate stays below a limit in
-/// intervals of any length. There is no burst: unused time is not saved up.
+/// Keeps this gateway's share of the request rate that one worker accepts.
+///
+/// Token bucket: in any interval, at most `capacity` requests plus those added by the rate are
+/// sent.
 class request_pacer
 {
 public:
-    /// \param requestsPerSecond infinity for no limit; 0 to send nothing. The first request after a
-    /// limit was set waits as if one had just been sent.
+    /// Capacity of the bucket, in requests.
+    static constexpr double capacity = 2;
+
+    /// \param requestsPerSecond infinity for no limit; 0 to send nothing. The bucket is empty when
+    /// a limit begins, since requests may just have been sent.
     void setRate(instant now, double requestsPerSecond)
     {
-        if (!isLimited())
-            m_lastSentAt = now;
+        m_tokens = isLimited() ? tokens(now) : 0;
+        m_updatedAt = now;
         m_requestsPerSecond = requestsPerSecond;
     }
 
     bool isLimited() const { return m_requestsPerSecond < std::numeric_limits<double>::infinity(); }
+    bool allows(instant now) const { return !isLimited() || tokens(now) >= 1; }
+    /// True if the bucket is full, so that requests that the worker would accept go unused.
+    bool isFull(instant now) const { return isLimited() && tokens(now) >= capacity; }
 
-    bool allows(instant now) const
+    void requestSent(instant now)
     {
-        return !isLimited() || toSeconds(now - m_lastSentAt) * m_requestsPerSecond >= 1;
+        if (!isLimited())
+            return;
+        m_tokens = std::max(0.0, tokens(now) - 1);
+        m_updatedAt = now;
     }
 
-    void requestSent(instant now) { m_lastSentAt = now; }
-
 private:
+    double tokens(instant now) const
+    {
+        return std::min(capacity, m_tokens + toSeconds(now - m_updatedAt) * m_requestsPerSecond);
+    }
+
     double m_requestsPerSecond = std::numeric_limits<double>::infinity();
-    instant m_lastSentAt;
+    double m_tokens = 0;
+    instant m_updatedAt;
 };
 
 } // namespace almondnotch
--- a/decision/routing/worker_selector.cpp
+++ b/decision/routing/worker_selector.cpp
@@ -29,6 +29,9 @@
 /// the cost of a new connection as a fraction of the worker's cost.
 constexpr duration connectionKeepAlive = seconds(5);
 constexpr double newConnectionCostFraction = 0.06;
+/// Reduction of the cost of a worker that accepts more requests than it has got, as a fraction of
+/// the cost. Such a worker can serve requests that would otherwise load unlimited ones.
+constexpr double unusedLimitDiscount = 0.3;
 /// Maximum random increase of the cost, as a fraction of it, so that workers of equal cost are
 /// selected in random order.
 constexpr double jitterFraction = 0.1;
@@ -80,7 +83,8 @@
     const bool isConnected = worker.hasReport && age < connectionKeepAlive;
     out.cost = scaled(out.expectedTime + scaled(criteria.objective, penalty),
                       1 + jitterFraction * m_random.uniform()
-                          + (isConnected ? 0.0 : newConnectionCostFraction));
+                          + (isConnected ? 0.0 : newConnectionCostFraction)
+                          - (worker.pacer.isFull(now) ? unusedLimitDiscount : 0.0));
     return out;
 }
 
@@ -96,7 +100,8 @@
     const bool isRemoved
         = worker.removedAt != instant::never() && now - worker.removedAt >= gracePeriod;
     return worker.entry.service == criteria.service && !worker.isReplaced && !worker.entry.leaving
-           && !isExcluded && !isRemoved && worker.pacer.allows(now);
+           && !isExcluded && !isRemoved
+           && (worker.pacer.allows(now) || !isMechanismEnabled("request_pacing"));
 }
 
 void worker_selector::appendUsable(instant now, const selection_criteria &criteria,
--- a/tests/decision/routing/request_limit_test.cpp
+++ b/tests/decision/routing/request_limit_test.cpp
@@ -1,11 +1,12 @@
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
 
-#include "tests/decision/routing/reader_fixture.h"
+#include "tests/decision/routing/routing_fixture.h"
 
 namespace almondnotch {
 
@@ -19,56 +20,113 @@
 constexpr double extraRequests = 5;
 constexpr double limitPerSecond = 2;
 
+/// Largest number of requests in any window that begins after `from`.
+/// \param sentAt times at which the requests were sent, in ascending order.
+std::size_t mostInWindow(const std::vector<instant> &sentAt, instant from)
+{
+    std::size_t most = 0;
+    for (auto first = sentAt.begin(); first != sentAt.end(); ++first) {
+        const auto last = std::lower_bound(first, sentAt.end(), *first + window);
+        if (*first >= from)
+            most = std::max(most, static_cast<std::size_t>(last - first));
+    }
+    return most;
+}
+
+std::size_t countSince(const std::vector<instant> &sentAt, instant from)
+{
+    return static_cast<std::size_t>(sentAt.end()
+                                    - std::lower_bound(sentAt.begin(), sentAt.end(), from));
+}
+
 /// A gateway whose workers name limits in their responses. Requests arrive every 20 ms.
-template <typename Base>
-struct limit_fixture : Base
+struct limit_fixture : routing_fixture
 {
-    using Base::Base;
+    using routing_fixture::routing_fixture;
 
     /// Sends requests for `length`. Each is answered 10 ms after it arrived.
     void sendRequests(duration length)
     {
         for (duration passed {0}; passed < length; passed += milliseconds(20)) {
-            this->call("GET", "/read/x");
-            const std::vector<start_attempt> started = this->template take<start_attempt>();
+            call("GET", "/read/x");
+            const std::vector<start_attempt> started = take<start_attempt>();
             for (const start_attempt &attempt : started)
-                sentAt[attempt.workerName].push_back(this->now);
-            this->advance(milliseconds(10));
+                sentAt[attempt.workerName].push_back(now);
+            advance(milliseconds(10));
             for (const start_attempt &attempt : started)
-                this->answer(attempt);
-            for (const start_attempt &attempt : this->template take<start_attempt>()) {
-                sentAt[attempt.workerName].push_back(this->now);
-                this->answer(attempt);
+                answer(attempt);
+            for (const start_attempt &attempt : take<start_attempt>()) {
+                sentAt[attempt.workerName].push_back(now);
+                answer(attempt);
             }
-            this->advance(milliseconds(10));
+            advance(milliseconds(10));
         }
     }
 
-    /// Largest number of requests that the worker got in any window that ends after `from`.
-    std::size_t mostInWindow(const std::string &worker, instant from) const
+    std::map<std::string, std::vector<instant>> sentAt;
+};
+
+/// Gateways of one failure domain that know each other and serve the same workers.
+class gateway_fleet
+{
+public:
+    explicit gateway_fleet(unsigned count)
     {
-        const auto found = sentAt.find(worker);
-        std::size_t most = 0;
-        if (found == sentAt.end())
-            return most;
-        for (const instant &end : found->second) {
-            const auto isInWindow
-                = [end](const instant &at) { return at <= end && end - at < window; };
-            if (end >= from + window)
-                most = std::max(most, static_cast<std::size_t>(std::count_if(
-                                          found->second.begin(), found->second.end(), isInWindow)));
+        for (unsigned i = 0; i < count; ++i) {
+            routing_settings settings = localGatewaySettings(i + 1);
+            settings.peers.self = {"vm-" + std::to_string(i), 1};
+            m_gateways.push_back(std::make_unique<limit_fixture>(settings));
+            m_gateways.back()->becomeReady(
+                {workerEntry("w-1", "reads"), workerEntry("w-2", "reads")});
         }
-        return most;
     }
 
-    std::size_t sentSince(const std::string &worker, instant from)
+    void setLimits(const std::map<std::string, double> &limits)
     {
-        const std::vector<instant> &all = sentAt[worker];
-        return static_cast<std::size_t>(std::count_if(
-            all.begin(), all.end(), [from](const instant &at) { return at >= from; }));
+        for (const std::unique_ptr<limit_fixture> &gateway : m_gateways)
+            gateway->requestLimits = limits;
     }
 
-    std::map<std::string, std::vector<instant>> sentAt;
+    /// Lets each gateway receive requests for `length`, and digests of the others each second.
+    void sendRequests(duration length)
+    {
+        for (duration passed {0}; passed < length; passed += seconds(1)) {
+            for (const std::unique_ptr<limit_fixture> &gateway : m_gateways) {
+                receiveDigests(*gateway);
+                gateway->sendRequests(seconds(1));
+            }
+        }
+    }
+
+    instant now() const { return m_gateways.front()->now; }
+
+    /// Times at which the worker got requests from any of the gateways, in ascending order.
+    std::vector<instant> sentAt(const std::string &worker) const
+    {
+        std::vector<instant> out;
+        for (const std::unique_ptr<limit_fixture> &gateway : m_gateways) {
+            const std::vector<instant> &sent = gateway->sentAt[worker];
+            out.insert(out.end(), sent.begin(), sent.end());
+        }
+        std::sort(out.begin(), out.end());
+        return out;
+    }
+
+private:
+    void receiveDigests(limit_fixture &gateway) const
+    {
+        for (std::size_t i = 0; i < m_gateways.size(); ++i) {
+            fleet_digest digest;
+            digest.self.process = {"vm-" + std::to_string(i), 1};
+            digest.self.failureDomain = "near";
+            digest.self.entryAddress = "10.0.1." + std::to_string(i) + ":80";
+            digest.self.peerAddress = "10.0.1." + std::to_string(i) + ":90";
+            if (m_gateways[i].get() != &gateway)
+                gateway.handle(peer_message_received {digest.self.process, digest});
+        }
+    }
+
+    std::vector<std::unique_ptr<limit_fixture>> m_gateways;
 };
 
 } // namespace
@@ -79,41 +137,45 @@
 // while others are free.
 BOOST_AUTO_TEST_CASE(workerGetsNoMoreThanItsLimit)
 {
-    limit_fixture<routing_fixture> fixture;
+    limit_fixture fixture;
     fixture.becomeReady({workerEntry("w-1", "reads"), workerEntry("w-2", "reads")});
     fixture.requestLimits["w-1"] = limitPerSecond;
     fixture.sendRequests(seconds(1));
     const instant toldAt = fixture.now;
     fixture.sendRequests(seconds(12));
     const double allowed = limitTolerance * limitPerSecond * toSeconds(window) + extraRequests;
-    BOOST_TEST(static_cast<double>(fixture.mostInWindow("w-1", toldAt)) <= allowed);
+    BOOST_TEST(static_cast<double>(mostInWindow(fixture.sentAt["w-1"], toldAt)) <= allowed);
     // The worker must not be left idle either.
-    BOOST_TEST(static_cast<double>(fixture.sentSince("w-1", toldAt))
+    BOOST_TEST(static_cast<double>(countSince(fixture.sentAt["w-1"], toldAt))
                >= 0.5 * limitPerSecond * toSeconds(seconds(12)));
 }
 
-// Guards against gateways that each send the whole limit: nine others may do the same.
+// Guards against gateways that together send more than the limit, for example because each of them
+// sends the whole limit.
 BOOST_AUTO_TEST_CASE(gatewaysShareTheLimitOfAWorker)
 {
-    limit_fixture<reader_fixture> fixture;
-    fixture.requestLimits = {{"w-1", limitPerSecond}, {"w-2", limitPerSecond}};
-    fixture.sendRequests(seconds(1));
-    const instant toldAt = fixture.now;
-    for (int second = 0; second < 12; ++second) {
-        fixture.receiveDigestsFromOthers();
-        fixture.sendRequests(seconds(1));
+    for (const double limit : {0.5, limitPerSecond, 10.0}) {
+        gateway_fleet fleet(10);
+        fleet.setLimits({{"w-1", limit}, {"w-2", limit}});
+        // The gateways learn of each other and of the limits.
+        fleet.sendRequests(seconds(4));
+        const instant toldAt = fleet.now();
+        fleet.sendRequests(seconds(16));
+        const double allowed = limitTolerance * limit * toSeconds(window) + extraRequests;
+        for (const char *const worker : {"w-1", "w-2"}) {
+            const std::vector<instant> sent = fleet.sentAt(worker);
+            BOOST_TEST(static_cast<double>(mostInWindow(sent, toldAt)) <= allowed);
+            BOOST_TEST(static_cast<double>(countSince(sent, toldAt))
+                       >= 0.5 * limit * toSeconds(seconds(16)));
+        }
     }
-    const double allowed = limitTolerance * limitPerSecond * toSeconds(window) + extraRequests;
-    for (const char *const worker : {"w-1", "w-2"})
-        BOOST_TEST(static_cast<double>(fixture.mostInWindow(worker, toldAt))
-                   <= allowed / (otherGatewayCount + 1));
 }
 
 // Guards against requests that wait for their deadline, or are sent all the same, if all workers of
 // their service have reached their limits.
 BOOST_AUTO_TEST_CASE(requestsBeyondAllLimitsAreRefusedEarly)
 {
-    limit_fixture<routing_fixture> fixture;
+    limit_fixture fixture;
     fixture.becomeReady({workerEntry("w-1", "reads")});
     fixture.requestLimits["w-1"] = limitPerSecond;
     fixture.sendRequests(seconds(8));
@@ -127,14 +189,15 @@
     BOOST_REQUIRE(refused.size() >= 2U);
     for (const send_response &one : refused)
         BOOST_TEST(one.response->status == 503);
-    BOOST_TEST(fixture.sentSince("w-1", sentAt) + fixture.take<start_attempt>().size() <= 1U);
+    BOOST_TEST(countSince(fixture.sentAt["w-1"], sentAt) + fixture.take<start_attempt>().size()
+               <= 1U);
 }
 
 // Guards against a worker that stays limited although it names a limit no more, or has started
 // again.
 BOOST_AUTO_TEST_CASE(limitEndsWithTheResponsesThatNameIt)
 {
-    limit_fixture<routing_fixture> fixture;
+    limit_fixture fixture;
     fixture.becomeReady({workerEntry("w-1", "reads")});
     fixture.requestLimits["w-1"] = limitPerSecond;
     fixture.sendRequests(seconds(4));
@@ -143,7 +206,7 @@
     fixture.sendRequests(seconds(3));
     const instant from = fixture.now;
     fixture.sendRequests(seconds(1));
-    BOOST_TEST(fixture.sentSince("w-1", from) == 50U);
+    BOOST_TEST(countSince(fixture.sentAt["w-1"], from) == 50U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
