--- a/tests/platform/end_to_end_test.py
+++ b/tests/platform/end_to_end_test.py
@@ -136,6 +136,21 @@
         for worker in (self.workers[0], self.workers[2]):
             self.assertTrue(all(run[4] < drained_at for run in worker.runs))
 
+    def test_odd_registrations(self):
+        """Guards against a registration of another writer that ends the gateway, stops it from
+        following the list of workers, or gets requests."""
+        gateway = self.start()
+        caller = standins.Caller(gateway.entry_port)
+        for number, registration in enumerate(standins.odd_registrations()):
+            self.store.put(f"servers/odd-{number}", registration)
+        self.workers.append(standins.Worker(self.store, "r-2", "reads"))
+        time.sleep(DRAIN_SECONDS)
+        dump = json.loads(gateway.get(gateway.operator_port, "/dump")[1])
+        self.assertEqual({row["name"] for row in dump["workers"]},
+                         {worker.name for worker in self.workers})
+        for _ in range(20):
+            self.check_response(caller.send("GET", "/read/1", self.attempt()), f"{self.attempts:016x}")
+
     def test_silent_store(self):
         """Guards against requests to a draining worker because the watch of the workers was lost
         while the store did not answer."""
--- a/tests/platform/item_decoder_test.cpp
+++ b/tests/platform/item_decoder_test.cpp
@@ -90,6 +90,44 @@
     }
 }
 
+// Guards against a registration of another writer that is accepted as a worker although nothing can
+// be sent to it, and against one that ends the gateway because its text exhausts the stack or a
+// number does not fit.
+BOOST_AUTO_TEST_CASE(unusableRegistrationIsRejected)
+{
+    constexpr std::size_t depth = 200'000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    const std::string address = "10.128.0.9:8080";
+    const std::vector<std::string> texts {
+        replaced(worker, address, "10.128.0.9:99999"),
+        replaced(worker, address, "10.128.0.9:0"),
+        replaced(worker, address, "10.128.0.9:-1"),
+        replaced(worker, address, "10.128.0.9"),
+        replaced(worker, address, "worker.example:8080"),
+        replaced(worker, address, "10.128.0.9:8080/x"),
+        replaced(worker, "1700000000123", "18446744073709551615"),
+        replaced(worker, "1700000000123", "1e999"),
+        replaced(worker, "\"slots\":6", "\"slots\":1e999"),
+        replaced(worker, "\"seq\":4", "\"seq\":1e999"),
+        replaced(worker, "1500ms", "99999999999999999999999ms"),
+        replaced(worker, "\"info\":{", "\"info\":" + nested + ",\"x\":{"),
+        nested,
+        std::string(depth, '['),
+    };
+    for (const std::string &text : texts) {
+        const published_item item = decodedWorker(text);
+        BOOST_TEST(!item.worker.has_value(), "accepted " << text.substr(0, 200));
+        BOOST_TEST(!item.fault.empty());
+    }
+    published_item item;
+    item.name = "i-1\r\nHost: other";
+    platform::decodeWorker(worker, item);
+    BOOST_TEST(!item.worker.has_value());
+    // A field that is not used may hold anything.
+    BOOST_TEST(decodedWorker(replaced(worker, "\"born\"", "\"x\":" + nested + ",\"born\""))
+                   .worker.has_value());
+}
+
 // Guards against fields of a configuration that are lost or misinterpreted, and against a missing
 // latency objective that is not replaced by the timeout.
 BOOST_AUTO_TEST_CASE(configurationIsDecoded)
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -122,7 +122,8 @@
             self.version += self.random.randrange(1, 5)
             self.store.put("op/config", standins.configuration(self.version))
         else:
-            self.store.put("servers/forged", self.random.randbytes(40))
+            self.store.put("servers/forged", self.random.choice(
+                standins.odd_registrations() + [self.random.randbytes(40)]))
 
     def restart_gateway(self, number):
         ended = self.gateways[number]
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -153,6 +153,20 @@
         handler.reply(200, body=json.dumps(body).encode())
 
 
+def odd_registrations():
+    """Returns registrations that another writer may have left: not JSON, deeply nested, with numbers
+    that do not fit, and with an address that nothing can be sent to."""
+    def registration(address="127.0.0.1:99999", born="1", slots="4"):
+        return (f'{{"address":"{address}","born":{born},"info":{{"service":"reads","version":"v1",'
+                f'"zone":"a","slots":{slots}}},"status":{{"state":"ready","seq":1,'
+                f'"warmupLeft":"0ms"}}}}').encode()
+    nested = b"[" * 100000
+    return [b"\xff\x00", nested, nested + b"]" * 100000, registration(),
+            registration("worker.example:80"), registration("127.0.0.1:80", "1e999"),
+            registration("127.0.0.1:80", "18446744073709551615"),
+            registration("127.0.0.1:80", "1", "1e999")]
+
+
 class Worker:
     """A fake worker that registers itself in the store. `mode` selects its behaviour:
 
