--- a/tests/platform/end_to_end_test.py
+++ b/tests/platform/end_to_end_test.py
@@ -136,11 +136,33 @@
         for worker in (self.workers[0], self.workers[2]):
             self.assertTrue(all(run[4] < drained_at for run in worker.runs))
 
+    def test_repeated_refusals(self):
+        """Guards against an earlier rejection, which a worker sends once more on a kept connection,
+        that is taken for the rejection of a request that ran."""
+        gateway = self.start()
+        caller = standins.Caller(gateway.entry_port)
+        for mode in ("refusal-again", "unnamed-refusal-again"):
+            for worker in self.workers:
+                worker.mode = mode
+            for _ in range(30):
+                for method, path in (("GET", "/read/1"), ("POST", "/book/1")):
+                    attempt = self.attempt()
+                    status, headers, text = caller.send(method, path, attempt)
+                    runs = self.runs(attempt)
+                    if status == 200:
+                        self.check_response((status, headers, text), attempt)
+                    if method == "POST":
+                        self.assertLessEqual(len(runs), 1, f"{mode}: {attempt} ran twice")
+                    if status in (429, 503):
+                        self.assertEqual(runs, [], f"{mode}: {attempt} ran, but the response says that it did not")
+
     def test_odd_registrations(self):
         """Guards against a registration of another writer that ends the gateway, stops it from
         following the list of workers, or gets requests."""
         gateway = self.start()
         caller = standins.Caller(gateway.entry_port)
+        # A new gateway delays its next watch (startupWatchHoldoff), so that changes take longer.
+        time.sleep(STABLE_SECONDS)
         for number, registration in enumerate(standins.odd_registrations()):
             self.store.put(f"servers/odd-{number}", registration)
         self.workers.append(standins.Worker(self.store, "r-2", "reads"))
