--- a/tests/platform/end_to_end_test.py
+++ b/tests/platform/end_to_end_test.py
@@ -18,6 +18,8 @@
 # The platform's time limits, measured from the store's acknowledgement of a change.
 CONFIG_APPLY_SECONDS = 2.0
 DRAIN_SECONDS = 2.0
+# Memory of a gateway's VM on the small sites, 260 MB.
+MEMORY_KIB_MAX = 260_000_000 // 1024
 # Time after an outage of the store from which these limits hold again.
 STABLE_SECONDS = 3.0
 
@@ -156,6 +158,36 @@
                     if status in (429, 503):
                         self.assertEqual(runs, [], f"{mode}: {attempt} ran, but the response says that it did not")
 
+    def test_endless_responses(self):
+        """Guards against a gateway whose memory grows, or that stops serving, while a worker sends a
+        head, a body or noise without end."""
+        gateway = self.start()
+        caller = standins.Caller(gateway.entry_port)
+        for mode in standins.Worker.ENDLESS:
+            self.workers[0].mode = self.workers[2].mode = mode
+            for _ in range(15):
+                for method, path in (("GET", "/read/"), ("POST", "/book/")):
+                    attempt = self.attempt()
+                    # A path of its own, since repeated requests that break connections are rejected.
+                    status, headers, text = caller.send(method, path + attempt, attempt)
+                    if status == 200:
+                        self.check_response((status, headers, text), attempt)
+                    if method == "GET":
+                        self.assertEqual(status, 200, f"{mode}: expected a response of the healthy worker")
+            for worker in self.workers:
+                worker.mode = mode
+            for method, path in (("GET", "/read/"), ("POST", "/book/")) * 3:
+                attempt, sent_at = self.attempt(), time.monotonic()
+                status, _, _ = caller.send(method, path + attempt, attempt)
+                self.assertIn(status, (502, 503, 504), f"{mode}: no response was whole")
+                self.assertLess(time.monotonic() - sent_at, 2, f"{mode}: answered after the deadline")
+            for worker in self.workers:
+                worker.mode = "healthy"
+            time.sleep(4)
+        with open(f"/proc/{gateway.process.pid}/status", encoding="utf-8") as file:
+            peak, = (int(line.split()[1]) for line in file if line.startswith("VmHWM"))
+        self.assertLess(peak, MEMORY_KIB_MAX)
+
     def test_odd_registrations(self):
         """Guards against a registration of another writer that ends the gateway, stops it from
         following the list of workers, or gets requests."""
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -28,7 +28,8 @@
 import standins  # noqa: E402
 
 MODES = ("healthy", "healthy", "extra", "extra-late", "unframed", "unframed-reset", "unsealed",
-         "reset", "shed", "early", "failing", "silent")
+         "reset", "shed", "early", "failing", "silent", "refusal-again", "unnamed-refusal-again",
+         "endless-head", "endless-body", "endless-noise")
 CALLERS = 8
 RECOVERY_SECONDS = 15
 CONFIG_SECONDS = 5
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -184,8 +184,16 @@
     refusal-again   rejects the first request of a connection; writes this rejection once more before
                     it responds to each later one, which it runs
     unnamed-refusal-again  the same, with rejections that do not name their request
+    endless-head, endless-body, endless-noise  never stops sending header lines, chunks of a body, or
+                    bytes that are no response, until the gateway closes the connection; also in
+                    response to probes
     """
 
+    ENDLESS = {"endless-head": (b"HTTP/1.1 200 X\r\n", b"X-More: " + b"x" * 500 + b"\r\n"),
+               "endless-body": (b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                b"1000\r\n" + b"x" * 4096 + b"\r\n"),
+               "endless-noise": (b"", b"x" * 4096)}
+
     def __init__(self, store, name, service, zone="a", port=None):
         self.store, self.name, self.service, self.zone = store, name, service, zone
         self.mode, self.service_time, self.slowdown, self.runs = "healthy", 0.0, 100, []
@@ -214,6 +222,10 @@
         return [("X-Almondnotch-Server-Load", f"{self.running},0,4,{self.slowdown}")]
 
     def answer(self, handler):
+        if self.mode in self.ENDLESS:
+            self._read(handler)
+            self._send_endlessly(handler)
+            return
         wanted = handler.headers.get("X-Almondnotch-Target-Instance", self.name)
         if wanted != self.name:
             self._read(handler)
@@ -235,6 +247,16 @@
             return
         self._run(handler, body)
 
+    def _send_endlessly(self, handler):
+        head, repeated = self.ENDLESS[self.mode]
+        handler.close_connection = True
+        try:
+            handler.wfile.write(head)
+            while True:
+                handler.wfile.write(repeated)
+        except OSError:
+            pass
+
     @staticmethod
     def _echo(handler):
         return [("X-Almondnotch-Attempt-Id", handler.headers["X-Almondnotch-Attempt-Id"])]
