Move the log of worker changes out of route_gateway

The bound of the records and their fields are now in worker_change_log. Same records, same bound; routing tests pass.

--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -2,19 +2,18 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <optional>
 #include <utility>
 
 #include "core/random_source.h"
 #include "decision/calls/quarantine_table.h"
-#include "decision/routing/event_rate.h"
 #include "decision/routing/item_reader.h"
 #include "decision/routing/peer_group.h"
 #include "decision/routing/reader_group.h"
 #include "decision/routing/request_runner.h"
 #include "decision/routing/route_table.h"
 #include "decision/routing/startup_queue.h"
+#include "decision/routing/worker_change_log.h"
 #include "decision/routing/worker_pool.h"
 
 namespace almondnotch {
@@ -28,9 +27,6 @@
 /// How long a worker stays usable after its entry disappeared from the store if no other worker of
 /// the service is usable.
 constexpr duration lastResortGracePeriod = milliseconds(1200);
-/// Maximum number of log records per second about changes of workers; further changes are only
-/// counted.
-constexpr double workerLogsPerSecondMax = 20;
 /// How long the drain or removal of a worker is reported to other gateways by gossip.
 constexpr duration drainGossipTime = seconds(3);
 /// Phases of the drain, as fractions of the drain timeout. A draining gateway serves callers that
@@ -123,6 +119,7 @@
     invariant_set invariants;
     random_source random;
     worker_pool pool;
+    worker_change_log changeLog;
     quarantine_table quarantine;
     request_runner runner;
     startup_queue startupQueue;
@@ -137,7 +134,6 @@
     /// Value of `reader_group::mustWatchStore` when the reads were last started.
     bool wasWatching = true;
     instant nextSweep;
-    event_rate workerLogRate;
     /// `nextWake()` after the last event. If the next event arrives much later, the process was
     /// paused.
     instant expectedWake = instant::never();
@@ -150,6 +146,7 @@
 
 route_gateway::state::state(routing_settings initialSettings)
     : settings(std::move(initialSettings)), random(settings.seed), pool(counters),
+      changeLog(counters),
       quarantine(settings.bounds.quarantineTime, settings.bounds.crashRecordsMax, counters),
       runner(settings, {pool, quarantine, random, invariants, counters}),
       peers(settings.peers, random, counters),
@@ -472,27 +469,12 @@
     logWorkerChanges(now, source, actions);
 }
 
-/// Logs the changes that were just applied to the pool, with the revision up to which this gateway
-/// knows the workers.
-/// \param source see `applyBatch`; also "gossip", "response" or "probe".
+/// Logs the changes that were just applied to the pool.
+/// \param source see `worker_change_log::write`.
 void route_gateway::state::logWorkerChanges(instant now, std::string_view source,
                                             action_list &actions)
 {
-    for (const worker_change &change : pool.takeChanges()) {
-        if (workerLogRate.perSecond(now) >= workerLogsPerSecondMax) {
-            counters.add("log_lines_left_out_total");
-            continue;
-        }
-        workerLogRate.count(now);
-        std::vector<header_field> fields {{"worker", change.worker},
-                                          {"change", std::string(toString(change.kind))},
-                                          {"source", std::string(source)},
-                                          {"revision", std::to_string(workerReader.revision())}};
-        if (std::isfinite(change.requestRateMax))
-            fields.push_back({"requests_per_s", std::to_string(change.requestRateMax)});
-        actions.push_back(
-            write_log {log_level::info, "workers", "A worker has changed.", std::move(fields)});
-    }
+    changeLog.write(now, pool.takeChanges(), source, workerReader.revision(), actions);
 }
 
 void route_gateway::state::updateRemovalGracePeriods(instant now)
--- a/decision/routing/worker_pool.cpp
+++ b/decision/routing/worker_pool.cpp
@@ -195,9 +195,10 @@
 
 void worker_pool::updatePacer(instant now, pooled_worker &worker) const
 {
-    worker.pacer.setRate(now, std::isfinite(worker.requestRateMax) ? shareOfRequestLimit(
-                                  worker.requestRateMax, worker.entry, m_gatewayGroup)
-                                                                   : worker.requestRateMax);
+    const double limit = worker.requestRateMax;
+    const bool isLimited = std::isfinite(limit);
+    worker.pacer.setRate(now, isLimited ? shareOfRequestLimit(limit, worker.entry, m_gatewayGroup)
+                                        : limit);
 }
 
 void worker_pool::setGatewayGroup(instant now, const gateway_group &group)
