Build digests and draining items of the routing tests in one place

The new tests of lost watches and request limits wrote again what the reader tests have: the digest of another gateway of the failure domain, and the item by which a worker announces its drain. Both are now in routing_fixture. No assertion changes; routing tests pass.

--- a/tests/decision/routing/reader_fixture.h
+++ b/tests/decision/routing/reader_fixture.h
@@ -41,11 +41,7 @@
     void receiveDigestsFromOthers()
     {
         for (unsigned i = 0; i < m_otherCount; ++i) {
-            fleet_digest digest;
-            digest.self.process = {nameOf(i), 1};
-            digest.self.failureDomain = "near";
-            digest.self.entryAddress = "10.0.1." + std::to_string(i) + ":80";
-            digest.self.peerAddress = "10.0.1." + std::to_string(i) + ":90";
+            fleet_digest digest = localDigest(nameOf(i), i);
             digest.self.capacity = i < 2 ? 50 : 10;
             handle(peer_message_received {digest.self.process, digest});
         }
--- a/tests/decision/routing/reader_group_test.cpp
+++ b/tests/decision/routing/reader_group_test.cpp
@@ -14,19 +14,6 @@
 /// Maximum time until the gateways apply a change that was made in the store.
 constexpr duration propagationTimeMax = seconds(2);
 
-published_item withRevision(published_item item, std::uint64_t revision)
-{
-    item.revision = revision;
-    return item;
-}
-
-published_item drainingWorkerItem(const std::string &name, std::uint64_t revision)
-{
-    published_worker entry = workerEntry(name, "reads");
-    entry.leaving = true;
-    return withRevision(workerItem(entry), revision);
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(reader_group_suite)
--- a/tests/decision/routing/request_limit_test.cpp
+++ b/tests/decision/routing/request_limit_test.cpp
@@ -115,12 +115,8 @@
 private:
     void receiveDigests(limit_fixture &gateway) const
     {
-        for (std::size_t i = 0; i < m_gateways.size(); ++i) {
-            fleet_digest digest;
-            digest.self.process = {"vm-" + std::to_string(i), 1};
-            digest.self.failureDomain = "near";
-            digest.self.entryAddress = "10.0.1." + std::to_string(i) + ":80";
-            digest.self.peerAddress = "10.0.1." + std::to_string(i) + ":90";
+        for (unsigned i = 0; i < m_gateways.size(); ++i) {
+            const fleet_digest digest = localDigest("vm-" + std::to_string(i), i);
             if (m_gateways[i].get() != &gateway)
                 gateway.handle(peer_message_received {digest.self.process, digest});
         }
--- a/tests/decision/routing/routing_fixture.cpp
+++ b/tests/decision/routing/routing_fixture.cpp
@@ -49,6 +49,29 @@
     return item;
 }
 
+published_item withRevision(published_item item, std::uint64_t revision)
+{
+    item.revision = revision;
+    return item;
+}
+
+published_item drainingWorkerItem(const std::string &name, std::uint64_t revision)
+{
+    published_worker entry = workerEntry(name, "reads");
+    entry.leaving = true;
+    return withRevision(workerItem(entry), revision);
+}
+
+fleet_digest localDigest(const std::string &vm, unsigned number)
+{
+    fleet_digest digest;
+    digest.self.process = {vm, 1};
+    digest.self.failureDomain = "near";
+    digest.self.entryAddress = "10.0.1." + std::to_string(number) + ":80";
+    digest.self.peerAddress = "10.0.1." + std::to_string(number) + ":90";
+    return digest;
+}
+
 route_config shopRoutes(std::uint64_t version)
 {
     const auto makeRoute = [](const std::string &prefix, const std::string &service,
--- a/tests/decision/routing/routing_fixture.h
+++ b/tests/decision/routing/routing_fixture.h
@@ -24,6 +24,14 @@
 /// Item that removes the entry of a worker.
 published_item removedItem(const std::string &name);
 
+/// The item as the store returns it for a change at this revision.
+published_item withRevision(published_item item, std::uint64_t revision);
+/// Item by which a worker of service "reads" announces its drain.
+published_item drainingWorkerItem(const std::string &name, std::uint64_t revision);
+
+/// Digest of another gateway of failure domain "near". Its addresses differ by `number`.
+fleet_digest localDigest(const std::string &vm, unsigned number);
+
 /// Routes of host "shop.example": /read/ (idempotent, priority 1) and /urgent/ (idempotent,
 /// priority 0) to service "reads", /book/ (at most once) to service "books". All have two attempts,
 /// an objective of 200 ms and a timeout of 600 ms.
--- a/tests/decision/routing/store_silence_test.cpp
+++ b/tests/decision/routing/store_silence_test.cpp
@@ -65,13 +65,6 @@
     item_page m_configItems;
 };
 
-published_item drainingItem(const std::string &name)
-{
-    published_worker entry = workerEntry(name, "reads");
-    entry.leaving = true;
-    return workerItem(entry);
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(store_silence_suite)
@@ -88,7 +81,7 @@
         {workerItem(workerEntry("w-1", "reads")), workerItem(workerEntry("w-2", "reads"))}, 10);
     store.advance(stableAfter);
     store.publish(item_scope::workers,
-                  {drainingItem("w-1"), workerItem(workerEntry("w-2", "reads"))}, 12);
+                  {drainingWorkerItem("w-1", 12), workerItem(workerEntry("w-2", "reads"))}, 12);
     store.advance(changeTimeMax);
     for (int i = 0; i < 20; ++i) {
         fixture.call("GET", "/read/x");
@@ -129,7 +122,7 @@
         }
     };
     advanceWithChecks(stableAfter);
-    store.publish(item_scope::workers, {drainingItem("w-1"), ready.back()}, 12);
+    store.publish(item_scope::workers, {drainingWorkerItem("w-1", 12), ready.back()}, 12);
     // The other gateways need the rest of the time to read the advertised change.
     advanceWithChecks(changeTimeMax - milliseconds(300));
     const std::vector<reader_report> reports = fixture.takeSent<reader_report>();
