Leave a margin in the division of a worker's request limit

The plan had no margin: with limit L, L + 2.5 gateways with bursts of two add up to exactly 6 L + 5.

The bursts of the users now sum up to half of what the worker bears, one to two requests each.

--- a/decision/routing/request_limit_share.cpp
+++ b/decision/routing/request_limit_share.cpp
@@ -4,17 +4,21 @@
 
 #include "core/mechanisms.h"
 #include "decision/fleet/rendezvous.h"
-#include "decision/routing/request_pacer.h"
 
 namespace almondnotch {
 
 namespace {
 
-/// Number of gateways that may use a worker: this many in any case, and this many more for each
-/// request per second of its limit. With k gateways and limit L, a worker gets at most
-/// 4 L + k * request_pacer::capacity requests in 4 s; it has to bear 6 L + 5.
-constexpr double gatewaysMin = 5 / request_pacer::capacity;
-constexpr double gatewaysPerRequestRate = 2 / request_pacer::capacity;
+/// A worker with limit L gets at most 4 L requests and the bursts of all its users in 4 s, and has
+/// to bear 6 L + 5. The bursts may sum up to this number, and this many more for each request per
+/// second of the limit.
+constexpr double burstsBorne = 5;
+constexpr double burstsBornePerRequestRate = 2;
+/// Fraction of the bursts that the worker bears which is planned for. The rest is a margin.
+constexpr double plannedBurstFraction = 0.5;
+/// Range of the burst of one gateway, in requests.
+constexpr double burstMin = 1;
+constexpr double burstMax = 2;
 
 /// VMs of the gateways in a failure domain, or of all gateways if it has none.
 std::vector<std::string> candidates(const gateway_group &group, const std::string &failureDomain)
@@ -31,14 +35,17 @@
 
 } // namespace
 
-double shareOfRequestLimit(double limit, const published_worker &worker, const gateway_group &group)
+request_limit_share shareOfRequestLimit(double limit, const published_worker &worker,
+                                        const gateway_group &group)
 {
     if (!isMechanismEnabled("request_limit_share"))
-        return limit;
+        return {limit, burstMax};
     const std::vector<std::string> users = candidates(group, worker.failureDomain);
     if (std::find(users.begin(), users.end(), group.self) == users.end())
-        return 0;
-    const double usersMax = gatewaysMin + gatewaysPerRequestRate * limit;
+        return {0, burstMin};
+    const double bursts
+        = plannedBurstFraction * (burstsBorne + burstsBornePerRequestRate * limit);
+    const double usersMax = bursts / burstMin;
     const std::string key = "limit/" + worker.name;
     const double ownScore = rendezvousScore(key, group.self);
     const std::ptrdiff_t rank
@@ -46,9 +53,10 @@
               return rendezvousScore(key, vm) > ownScore;
           });
     if (static_cast<double>(rank) + 1 > usersMax)
-        return 0;
+        return {0, burstMin};
     const std::size_t known = std::max<std::size_t>(users.size(), group.countMin);
-    return limit / std::min(static_cast<double>(known), usersMax);
+    const double userCount = std::min(static_cast<double>(known), usersMax);
+    return {limit / userCount, std::clamp(bursts / userCount, burstMin, burstMax)};
 }
 
 } // namespace almondnotch
--- a/decision/routing/request_limit_share.h
+++ b/decision/routing/request_limit_share.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -29,14 +30,25 @@
     bool operator==(const gateway_group &) const = default;
 };
 
-/// Rate at which this gateway may send requests to a worker that limits them, in requests per
-/// second.
+/// This gateway's share of the request limit of a worker.
+struct request_limit_share
+{
+    /// Infinity for no limit; 0 if this gateway must not use the worker.
+    double requestsPerSecond = std::numeric_limits<double>::infinity();
+    /// Number of requests that may be saved for a burst, at least 1.
+    double burst = 1;
+
+    bool operator==(const request_limit_share &) const = default;
+};
+
+/// Divides the request limit of a worker.
 ///
 /// The gateways of the worker's failure domain divide the limit equally; if there are none, all
 /// gateways do. All of them may send a burst at the same moment, so for a low limit only some of
-/// them, selected by rendezvous hashing, use the worker. The others get 0.
+/// them, selected by rendezvous hashing, use the worker. Gateways that know different sets of each
+/// other select different users, so the planned bursts leave a margin for additional users.
 /// \param limit requests per second that the worker accepts from all gateways together.
-double shareOfRequestLimit(double limit, const published_worker &worker,
-                           const gateway_group &group);
+request_limit_share shareOfRequestLimit(double limit, const published_worker &worker,
+                                        const gateway_group &group);
 
 } // namespace almondnotch
--- a/decision/routing/worker_pool.cpp
+++ b/decision/routing/worker_pool.cpp
@@ -197,8 +197,9 @@
 {
     const double limit = worker.requestRateMax;
     const bool isLimited = std::isfinite(limit);
-    worker.pacer.setRate(now, isLimited ? shareOfRequestLimit(limit, worker.entry, m_gatewayGroup)
-                                        : limit);
+    worker.pacer.setShare(now, isLimited
+                                   ? shareOfRequestLimit(limit, worker.entry, m_gatewayGroup)
+                                   : request_limit_share {});
 }
 
 void worker_pool::setGatewayGroup(instant now, const gateway_group &group)
--- a/tests/decision/routing/request_limit_test.cpp
+++ b/tests/decision/routing/request_limit_test.cpp
@@ -70,14 +70,17 @@
 class gateway_fleet
 {
 public:
-    explicit gateway_fleet(unsigned count)
+    /// \param workerCount number of workers, `w-1` and so on.
+    explicit gateway_fleet(unsigned count, unsigned workerCount = 2)
     {
+        std::vector<published_worker> workers;
+        for (unsigned i = 1; i <= workerCount; ++i)
+            workers.push_back(workerEntry("w-" + std::to_string(i), "reads"));
         for (unsigned i = 0; i < count; ++i) {
             routing_settings settings = localGatewaySettings(i + 1);
             settings.peers.self = {"vm-" + std::to_string(i), 1};
             m_gateways.push_back(std::make_unique<limit_fixture>(settings));
-            m_gateways.back()->becomeReady(
-                {workerEntry("w-1", "reads"), workerEntry("w-2", "reads")});
+            m_gateways.back()->becomeReady(workers);
         }
     }
 
@@ -87,6 +90,20 @@
             gateway->requestLimits = limits;
     }
 
+    /// From now on, gateway i does not learn of gateway i + 1.
+    void hideNeighbours() { m_hidesNeighbours = true; }
+
+    /// Lets `length` pass without requests. The gateways receive digests of the others each second.
+    void rest(duration length)
+    {
+        for (duration passed {0}; passed < length; passed += seconds(1)) {
+            for (const std::unique_ptr<limit_fixture> &gateway : m_gateways) {
+                receiveDigests(*gateway);
+                gateway->advance(seconds(1));
+            }
+        }
+    }
+
     /// Lets each gateway receive requests for `length`, and digests of the others each second.
     void sendRequests(duration length)
     {
@@ -115,13 +132,18 @@
 private:
     void receiveDigests(limit_fixture &gateway) const
     {
-        for (unsigned i = 0; i < m_gateways.size(); ++i) {
-            const fleet_digest digest = localDigest("vm-" + std::to_string(i), i);
-            if (m_gateways[i].get() != &gateway)
+        for (std::size_t i = 0; i < m_gateways.size(); ++i) {
+            const std::size_t previous = (i + m_gateways.size() - 1) % m_gateways.size();
+            const bool isHidden = m_hidesNeighbours && m_gateways[previous].get() == &gateway;
+            const fleet_digest digest
+                = localDigest("vm-" + std::to_string(i), static_cast<unsigned>(i));
+            if (m_gateways[i].get() != &gateway && !isHidden)
                 gateway.handle(peer_message_received {digest.self.process, digest});
         }
     }
 
+    bool m_hidesNeighbours = false;
+
     std::vector<std::unique_ptr<limit_fixture>> m_gateways;
 };
 
@@ -167,6 +189,31 @@
     }
 }
 
+// Guards against more requests at a worker than its limit allows if the gateways know different sets
+// of each other, so that more of them than planned use the worker, and all of them have saved
+// requests.
+BOOST_AUTO_TEST_CASE(limitHoldsIfGatewaysKnowDifferentPeers)
+{
+    constexpr unsigned workerCount = 8;
+    for (const double limit : {0.5, 1.0, 2.5, 4.0}) {
+        gateway_fleet fleet(12, workerCount);
+        fleet.hideNeighbours();
+        std::map<std::string, double> limits;
+        for (unsigned i = 1; i <= workerCount; ++i)
+            limits["w-" + std::to_string(i)] = limit;
+        fleet.setLimits(limits);
+        fleet.sendRequests(seconds(6));
+        const instant toldAt = fleet.now();
+        fleet.rest(seconds(8));
+        fleet.sendRequests(seconds(6));
+        const double allowed = limitTolerance * limit * toSeconds(window) + extraRequests;
+        for (const std::pair<const std::string, double> &worker : limits) {
+            const std::vector<instant> sent = fleet.sentAt(worker.first);
+            BOOST_TEST(static_cast<double>(mostInWindow(sent, toldAt)) <= allowed);
+        }
+    }
+}
+
 // Guards against requests that wait for their deadline, or are sent all the same, if all workers of
 // their service have reached their limits.
 BOOST_AUTO_TEST_CASE(requestsBeyondAllLimitsAreRefusedEarly)
