Send nothing to workers that leave or ask for a pause

Two signals of workers were read nowhere: Server-Leaving in all answers of a worker that leaves, and Retry-After in a 503. A worker that the store still named as ready got requests until it was gone.

platform/ decodes both into worker_signals, with the request limit; malformed headers are ignored, counted and logged. worker_availability is the one place that decides whether a worker takes a request: entry draining or removed, word of a peer, leave announced, address reused, pause, limit. What the worker says outlasts an older entry of the store and ends with its run. Attempts that wait in the transport are withdrawn when their worker goes out of use. Where all workers pause, requests are refused at once, with the end of the first pause as Retry-After.

--- a/decision/actions.h
+++ b/decision/actions.h
@@ -42,6 +42,13 @@
     attempt_id attempt;
 };
 
+/// Ends an attempt as `not_sent` if no byte of its request has been sent yet, for example because
+/// it waits for a connection. Otherwise the attempt continues.
+struct withdraw_attempt
+{
+    attempt_id attempt;
+};
+
 /// Sends the response to a caller: exactly one for each `call_received`, unless the caller has
 /// disconnected.
 struct send_response
@@ -142,9 +149,9 @@
     std::string reason;
 };
 
-using action
-    = std::variant<start_attempt, cancel_attempt, send_response, start_probe, send_entry_response,
-                   send_peer_message, read_platform_value, read_items, write_log, exit_process>;
+using action = std::variant<start_attempt, cancel_attempt, withdraw_attempt, send_response,
+                            start_probe, send_entry_response, send_peer_message,
+                            read_platform_value, read_items, write_log, exit_process>;
 
 using action_list = std::vector<action>;
 
--- a/decision/events.h
+++ b/decision/events.h
@@ -29,6 +29,23 @@
     call_id call;
 };
 
+/// What a response of a worker says about the requests that the worker wants to get.
+struct worker_signals
+{
+    /// Requests per second that the worker accepts from all gateways together; infinity if its
+    /// response names no limit. Empty if there is no valid response or the limit is malformed.
+    std::optional<double> requestRateMax = std::nullopt;
+    /// The worker is about to exit and must get no new requests.
+    bool isLeaving = false;
+    /// The worker has rejected the request and asks this gateway to send it nothing for this long;
+    /// 0 if it has not.
+    duration pause {0};
+    /// Name of a header that was ignored because its value is malformed; empty if there is none.
+    std::string malformedHeader {};
+
+    bool operator==(const worker_signals &) const = default;
+};
+
 /// An attempt at a worker ended. Arrives exactly once for each `start_attempt`.
 struct attempt_finished
 {
@@ -45,9 +62,10 @@
     std::string detail;
     /// The address now belongs to another worker, which did not execute the call.
     bool wrongInstance = false;
-    /// Requests per second that the worker accepts from all gateways together; infinity if its
-    /// response names no limit. Empty if there is no valid response or the limit is malformed.
-    std::optional<double> requestRateMax = std::nullopt;
+    worker_signals signals {};
+    /// The attempt ended as `not_sent` because of `withdraw_attempt`, so its end says nothing about
+    /// the worker.
+    bool wasWithdrawn = false;
 };
 
 /// A probe of a load endpoint or health check ended. Arrives exactly once for each `start_probe`.
@@ -62,8 +80,7 @@
     /// the parser of the probe response (platform/workers.cpp) uses it to set `load` to a default
     /// `load_report` if the worker reports no load.
     bool healthy = true;
-    /// As in `attempt_finished`.
-    std::optional<double> requestRateMax = std::nullopt;
+    worker_signals signals {};
 };
 
 /// A caller requested the entry addresses for a service, that is, the addresses at which gateways
--- a/decision/routing/request_limit_share.cpp
+++ b/decision/routing/request_limit_share.cpp
@@ -43,8 +43,7 @@
     const std::vector<std::string> users = candidates(group, worker.failureDomain);
     if (std::find(users.begin(), users.end(), group.self) == users.end())
         return {0, burstMin};
-    const double bursts
-        = plannedBurstFraction * (burstsBorne + burstsBornePerRequestRate * limit);
+    const double bursts = plannedBurstFraction * (burstsBorne + burstsBornePerRequestRate * limit);
     const double usersMax = bursts / burstMin;
     const std::string key = "limit/" + worker.name;
     const double ownScore = rendezvousScore(key, group.self);
--- a/decision/routing/request_runner.cpp
+++ b/decision/routing/request_runner.cpp
@@ -395,7 +395,11 @@
                                     action_list &actions)
 {
     const duration waitMax = record.route->latencyObjective / noWorkerWaitDivisor;
-    const bool mayWait = !record.isHedge && record.runningAttempts() == 0 && !record.failureResponse
+    const std::optional<instant> pauseEnd
+        = m_selector.firstPauseEnd(now, selectionCriteria(now, record));
+    record.retryNotBefore = pauseEnd.value_or(instant());
+    const bool mayWait = record.retryNotBefore <= record.arrivedAt + waitMax && !record.isHedge
+                         && record.runningAttempts() == 0 && !record.failureResponse
                          && !record.mayHaveRun() && now + deferInterval < record.arrivedAt + waitMax
                          && now + deferInterval < record.deadline;
     if (!mayWait) {
@@ -526,7 +530,7 @@
     const std::string &name = m_dependencies.pool.at(worker).entry.name;
     if (input.end == attempt_end::answered)
         m_dependencies.quarantine.workerAnswered(name);
-    else if (input.end == attempt_end::not_sent)
+    else if (input.end == attempt_end::not_sent && !input.wasWithdrawn)
         m_dependencies.quarantine.workerUnreachable(now, name);
     if (input.end != attempt_end::broken || record == nullptr)
         return;
@@ -724,6 +728,23 @@
     selectWorker(now, record, actions);
 }
 
+void request_runner::withdrawUnsent(const std::string &worker, action_list &actions) const
+{
+    for (const std::pair<const attempt_id, std::pair<call_id, worker_index>> &started :
+         m_attempts) {
+        if (m_dependencies.pool.at(started.second.second).entry.name == worker)
+            actions.push_back(withdraw_attempt {started.first});
+    }
+}
+
+std::string request_runner::requestIdOf(attempt_id attempt) const
+{
+    const auto started = m_attempts.find(attempt);
+    const auto found
+        = started == m_attempts.end() ? m_requests.end() : m_requests.find(started->second.first);
+    return found == m_requests.end() ? std::string() : found->second->request->requestId;
+}
+
 void request_runner::terminateAll(instant now, action_list &actions)
 {
     while (!m_requests.empty()) {
@@ -754,7 +775,8 @@
             = std::max((record.deadline - now) / retryAfterDivisor, retryAfterMin);
         const duration usual
             = record.route == nullptr ? retryAfterMin : expectedServiceTime(*record.route) / 2;
-        details.retryAfter = std::clamp(usual, retryAfterMin, longest);
+        details.retryAfter
+            = std::clamp(std::max(usual, record.retryNotBefore - now), retryAfterMin, longest);
     }
     finish(now, record, makeProblemResponse(details), actions);
 }
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -108,7 +108,8 @@
     void applyConfig(const item_batch &batch, action_list &actions);
     void applyWorkers(instant now, const item_batch &batch, std::string_view source,
                       action_list &actions);
-    void logWorkerChanges(instant now, std::string_view source, action_list &actions);
+    void handleWorkerChanges(instant now, std::string_view source, const std::string &requestId,
+                             action_list &actions);
     void updateRemovalGracePeriods(instant now);
     void logUnusable(const published_item &item, action_list &actions);
     gossip_payload gossipPayload(instant now) const;
@@ -224,14 +225,15 @@
 
 void route_gateway::state::on(instant now, const attempt_finished &input, action_list &actions)
 {
+    const std::string requestId = runner.requestIdOf(input.attempt);
     runner.attemptFinished(now, input, actions);
-    logWorkerChanges(now, "response", actions);
+    handleWorkerChanges(now, "response", requestId, actions);
 }
 
 void route_gateway::state::on(instant now, const probe_finished &input, action_list &actions)
 {
     runner.probeFinished(now, input, actions);
-    logWorkerChanges(now, "probe", actions);
+    handleWorkerChanges(now, "probe", {}, actions);
 }
 
 gossip_payload route_gateway::state::gossipPayload(instant now) const
@@ -261,7 +263,7 @@
         if (isStoreUnreachable)
             pool.applyDrain(now, drain.worker, drain.age);
     }
-    logWorkerChanges(now, "gossip", actions);
+    handleWorkerChanges(now, "gossip", {}, actions);
     for (const crash_record &crash : digest.crashes)
         quarantine.addRemoteCrash(now, crash);
     peers.digestArrived(now, digest, gossipPayload(now), actions);
@@ -466,15 +468,23 @@
     }
     counters.set("workers_known", static_cast<double>(pool.size()));
     updateRemovalGracePeriods(now);
-    logWorkerChanges(now, source, actions);
+    handleWorkerChanges(now, source, {}, actions);
 }
 
-/// Logs the changes that were just applied to the pool.
-/// \param source see `worker_change_log::write`.
-void route_gateway::state::logWorkerChanges(instant now, std::string_view source,
-                                            action_list &actions)
+/// Logs the changes that were just applied to the pool, and withdraws unsent attempts from workers
+/// that get no more requests.
+/// \param source, requestId see `worker_change_log::write`.
+void route_gateway::state::handleWorkerChanges(instant now, std::string_view source,
+                                               const std::string &requestId, action_list &actions)
 {
-    changeLog.write(now, pool.takeChanges(), source, workerReader.revision(), actions);
+    const std::vector<worker_change> changes = pool.takeChanges();
+    if (changes.empty())
+        return;
+    changeLog.write(now, changes, source, workerReader.revision(), requestId, actions);
+    for (const worker_change &change : changes) {
+        if (change.endsUse())
+            runner.withdrawUnsent(change.worker, actions);
+    }
 }
 
 void route_gateway::state::updateRemovalGracePeriods(instant now)
--- a/decision/routing/routed_request.h
+++ b/decision/routing/routed_request.h
@@ -68,6 +68,8 @@
     /// When a hedge is due; `never` if none is planned.
     instant hedgeAt = instant::never();
     bool hasTriedHedge = false;
+    /// If the request is refused, its caller is told not to return before this time.
+    instant retryNotBefore;
     /// Failure response of a worker. It is forwarded to the caller if no other attempt succeeds.
     shared_response failureResponse;
 
--- /dev/null
+++ b/decision/routing/worker_availability.cpp
@@ -0,0 +1,53 @@
+#include "decision/routing/worker_availability.h"
+
+#include <algorithm>
+#include <array>
+
+#include "core/mechanisms.h"
+
+namespace almondnotch {
+
+namespace {
+
+/// Maximum duration of a pause, so that a faulty worker does not put itself out of use for good.
+constexpr duration pauseMax = seconds(600);
+
+} // namespace
+
+std::string_view toString(unavailability reason)
+{
+    static constexpr std::array<std::string_view, 6> names {"none",     "removed", "leaving",
+                                                            "replaced", "paused",  "limit reached"};
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+void worker_availability::entryRead(bool isLeaving)
+{
+    if (m_entrySaysLeaving && !isLeaving)
+        m_workerSaysLeaving = false;
+    m_entrySaysLeaving = isLeaving;
+    m_peerSaysLeaving = false;
+    m_removedAt = instant::never();
+}
+
+void worker_availability::pauseRequested(instant now, duration length)
+{
+    m_pausedUntil = std::max(m_pausedUntil, now + std::min(length, pauseMax));
+}
+
+unavailability worker_availability::reason(instant now, duration removalGracePeriod) const
+{
+    if (m_isReplaced)
+        return unavailability::replaced;
+    if (isLeaving() && isMechanismEnabled("leaving_workers"))
+        return unavailability::leaving;
+    if (isRemoved() && now - m_removedAt >= removalGracePeriod)
+        return unavailability::removed;
+    if (isPaused(now) && isMechanismEnabled("worker_pauses"))
+        return unavailability::paused;
+    if (!m_pacer.allows(now) && isMechanismEnabled("request_pacing"))
+        return unavailability::limit_reached;
+    return unavailability::none;
+}
+
+} // namespace almondnotch
--- a/decision/routing/worker_change_log.h
+++ b/decision/routing/worker_change_log.h
@@ -21,9 +21,10 @@
 
     /// \param source how the gateway learned of the changes: "list" or "watch" of the store,
     /// "relay" of a reader, "gossip", or "response" or "probe" of the worker. \param revision
-    /// revision of the store up to which the gateway knows the workers.
+    /// revision of the store up to which the gateway knows the workers. \param requestId request
+    /// whose response told the changes; empty for other sources.
     void write(instant now, const std::vector<worker_change> &changes, std::string_view source,
-               std::uint64_t revision, action_list &actions);
+               std::uint64_t revision, const std::string &requestId, action_list &actions);
 
 private:
     counter_set &m_counters;
--- a/decision/routing/worker_pool.cpp
+++ b/decision/routing/worker_pool.cpp
@@ -36,11 +36,18 @@
 
 std::string_view toString(worker_change_kind kind)
 {
-    static constexpr std::array<std::string_view, 5> names {
-        "draining", "removed", "available again", "limits its requests", "limit ended"};
+    static constexpr std::array<std::string_view, 8> names {
+        "draining",    "removed",  "available again",  "limits its requests",
+        "limit ended", "replaced", "asks for a pause", "sent a malformed header"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
+bool worker_change::endsUse() const
+{
+    return kind == worker_change_kind::drain_started || kind == worker_change_kind::removed
+           || kind == worker_change_kind::replaced || kind == worker_change_kind::paused;
+}
+
 void worker_pool::apply(instant now, const published_item &item)
 {
     if (!item.removed && !item.worker)
@@ -68,13 +75,20 @@
         remove(now, name);
 }
 
-void worker_pool::recordChange(const pooled_worker &known, const published_worker &entry)
+/// Applies a new entry of the run that `known` describes.
+void worker_pool::entryChanged(instant now, pooled_worker &known, const published_worker &entry)
 {
-    const bool wasAvailable = !known.entry.leaving && known.removedAt == instant::never();
-    if (wasAvailable == !entry.leaving)
-        return;
-    m_changes.push_back({entry.name, entry.leaving ? worker_change_kind::drain_started
-                                                   : worker_change_kind::available_again});
+    const bool wasInUse = known.availability.isInUse();
+    known.entry = entry;
+    known.availability.entryRead(entry.leaving);
+    const bool isInUse = known.availability.isInUse();
+    if (isInUse)
+        m_drainOrRemovalAt.erase(entry.name);
+    else
+        m_drainOrRemovalAt.try_emplace(entry.name, now);
+    if (wasInUse != isInUse)
+        m_changes.push_back({entry.name, isInUse ? worker_change_kind::available_again
+                                                 : worker_change_kind::drain_started});
 }
 
 void worker_pool::add(instant now, const published_worker &entry)
@@ -86,17 +100,12 @@
                                && known.entry.address == entry.address
                                && known.entry.service == entry.service;
         if (isSameRun) {
-            recordChange(known, entry);
-            if (!entry.leaving)
-                m_drainOrRemovalAt.erase(entry.name);
-            else if (!known.entry.leaving)
-                m_drainOrRemovalAt[entry.name] = now;
-            known.entry = entry;
-            known.removedAt = instant::never();
+            entryChanged(now, known, entry);
             return;
         }
         // Attempts in flight still refer to the old record; `sweep` drops it after they have ended.
-        known.removedAt = now;
+        known.availability.entryRemoved(now);
+        m_changes.push_back({entry.name, worker_change_kind::removed});
         std::vector<worker_index> &old = m_byService[known.entry.service];
         old.erase(std::remove(old.begin(), old.end(), found->second), old.end());
         m_byName.erase(found);
@@ -110,6 +119,7 @@
     }
     pooled_worker fresh;
     fresh.entry = entry;
+    fresh.availability.entryRead(entry.leaving);
     fresh.warmUpEnd = now + entry.warmUpLeft;
     fresh.report.slots = entry.slots;
     mutableAt(index) = fresh;
@@ -127,9 +137,9 @@
     if (found == m_byName.end())
         return;
     pooled_worker &worker = mutableAt(found->second);
-    if (worker.removedAt != instant::never())
+    if (worker.availability.isRemoved())
         return;
-    worker.removedAt = now;
+    worker.availability.entryRemoved(now);
     m_drainOrRemovalAt.emplace(name, now);
     m_changes.push_back({name, worker_change_kind::removed});
 }
@@ -140,9 +150,9 @@
     if (found == m_byName.end())
         return;
     pooled_worker &worker = mutableAt(found->second);
-    if (worker.entry.leaving || worker.removedAt != instant::never())
+    if (!worker.availability.isInUse())
         return;
-    worker.entry.leaving = true;
+    worker.availability.leaveReportedByPeer();
     m_drainOrRemovalAt.emplace(name, now - age);
     m_changes.push_back({name, worker_change_kind::drain_started});
     m_counters.add("worker_drains_learned_total");
@@ -163,7 +173,7 @@
 void worker_pool::attemptStarted(instant now, worker_index worker)
 {
     pooled_worker &target = mutableAt(worker);
-    target.pacer.requestSent(now);
+    target.availability.pacer().requestSent(now);
     ++target.inFlight;
     ++target.sentSinceReport;
 }
@@ -178,6 +188,45 @@
     worker.sentSinceReport = 0;
 }
 
+void worker_pool::applySignals(instant now, pooled_worker &worker, const worker_signals &signals)
+{
+    if (!signals.malformedHeader.empty()) {
+        m_counters.add("worker_signal_headers_malformed_total");
+        worker_change ignored {worker.entry.name, worker_change_kind::malformed_header};
+        ignored.header = signals.malformedHeader;
+        m_changes.push_back(std::move(ignored));
+    }
+    if (signals.requestRateMax)
+        applyRequestLimit(now, worker, *signals.requestRateMax);
+    if (signals.isLeaving)
+        applyLeave(now, worker);
+    if (signals.pause > duration {0})
+        applyPause(now, worker, signals.pause);
+}
+
+void worker_pool::applyLeave(instant now, pooled_worker &worker)
+{
+    const bool wasInUse = worker.availability.isInUse();
+    worker.availability.leaveAnnounced();
+    if (!wasInUse)
+        return;
+    m_drainOrRemovalAt.try_emplace(worker.entry.name, now);
+    m_changes.push_back({worker.entry.name, worker_change_kind::drain_started});
+    m_counters.add("worker_leaves_announced_total");
+}
+
+void worker_pool::applyPause(instant now, pooled_worker &worker, duration length)
+{
+    const bool wasPaused = worker.availability.isPaused(now);
+    worker.availability.pauseRequested(now, length);
+    m_counters.add("worker_pauses_requested_total");
+    if (wasPaused)
+        return;
+    worker_change change {worker.entry.name, worker_change_kind::paused};
+    change.pause = length;
+    m_changes.push_back(std::move(change));
+}
+
 void worker_pool::applyRequestLimit(instant now, pooled_worker &worker, double requestRateMax)
 {
     const bool wasLimited = std::isfinite(worker.requestRateMax);
@@ -197,9 +246,9 @@
 {
     const double limit = worker.requestRateMax;
     const bool isLimited = std::isfinite(limit);
-    worker.pacer.setShare(now, isLimited
-                                   ? shareOfRequestLimit(limit, worker.entry, m_gatewayGroup)
-                                   : request_limit_share {});
+    worker.availability.pacer().setShare(
+        now, isLimited ? shareOfRequestLimit(limit, worker.entry, m_gatewayGroup)
+                       : request_limit_share {});
 }
 
 void worker_pool::setGatewayGroup(instant now, const gateway_group &group)
@@ -217,7 +266,7 @@
     for (const std::pair<const std::string, worker_index> &named : m_byName) {
         const pooled_worker &worker = at(named.second);
         if (std::isfinite(worker.requestRateMax) && worker.limitNamedAt < before
-            && !worker.entry.leaving && !worker.isReplaced && worker.removedAt == instant::never())
+            && worker.availability.isInUse())
             out.push_back(named.second);
     }
     return out;
@@ -271,12 +320,14 @@
     worker.sentSinceReport = std::min(worker.sentSinceReport, worker.inFlight);
     if (input.load)
         applyReport(now, worker, *input.load);
-    if (input.requestRateMax)
-        applyRequestLimit(now, worker, *input.requestRateMax);
+    applySignals(now, worker, input.signals);
     if (input.wrongInstance) {
-        worker.isReplaced = true;
+        worker.availability.addressReused();
+        m_changes.push_back({worker.entry.name, worker_change_kind::replaced});
         return;
     }
+    if (input.wasWithdrawn)
+        return;
     switch (input.end) {
     case attempt_end::answered:
         if (input.response && input.response->status >= 500)
@@ -299,8 +350,7 @@
 void worker_pool::probeFinished(instant now, worker_index index, const probe_finished &input)
 {
     pooled_worker &worker = mutableAt(index);
-    if (input.requestRateMax)
-        applyRequestLimit(now, worker, *input.requestRateMax);
+    applySignals(now, worker, input.signals);
     if (!input.load) {
         recordFailure(now, worker, true);
         return;
@@ -314,7 +364,7 @@
     const std::ptrdiff_t removed
         = std::count_if(m_byName.begin(), m_byName.end(),
                         [this, now](const std::pair<const std::string, worker_index> &named) {
-                            const instant at = this->at(named.second).removedAt;
+                            const instant at = this->at(named.second).availability.removedAt();
                             return at != instant::never() && now - at <= reregistrationWindow;
                         });
     return removed >= massExpiryRemovalsMin
@@ -332,8 +382,9 @@
 {
     for (std::size_t i = 0; i < m_workers.size(); ++i) {
         pooled_worker &worker = m_workers[i];
-        if (worker.entry.name.empty() || worker.removedAt == instant::never()
-            || now - worker.removedAt < removedWorkerRetention || worker.inFlight > 0)
+        const worker_availability &availability = worker.availability;
+        if (worker.entry.name.empty() || !availability.isRemoved()
+            || now - availability.removedAt() < removedWorkerRetention || worker.inFlight > 0)
             continue;
         const worker_index index {static_cast<std::uint32_t>(i)};
         const auto named = m_byName.find(worker.entry.name);
@@ -366,8 +417,9 @@
              {"service", worker.entry.service},
              {"address", worker.entry.address},
              {"failure_domain", worker.entry.failureDomain},
-             {"leaving", worker.entry.leaving},
-             {"removed", worker.removedAt != instant::never()},
+             {"leaving", worker.availability.isLeaving()},
+             {"removed", worker.availability.isRemoved()},
+             {"unavailable", toString(worker.availability.reason(now, duration {0}))},
              {"running", worker.report.running},
              {"queued", worker.report.queued},
              {"slots", worker.report.slots},
--- a/decision/routing/worker_pool.h
+++ b/decision/routing/worker_pool.h
@@ -16,8 +16,8 @@
 #include "decision/events.h"
 #include "decision/routing/published.h"
 #include "decision/routing/request_limit_share.h"
-#include "decision/routing/request_pacer.h"
 #include "decision/routing/saturation_slowdown.h"
+#include "decision/routing/worker_availability.h"
 #include "decision/types.h"
 
 namespace almondnotch {
@@ -26,9 +26,8 @@
 struct pooled_worker
 {
     published_worker entry;
-    /// When the entry disappeared from the store or was replaced by that of another run of the
-    /// worker; `never` while it exists.
-    instant removedAt = instant::never();
+    /// Whether the worker gets new requests.
+    worker_availability availability;
     /// End of the worker's warm-up.
     instant warmUpEnd;
     load_report report;
@@ -54,14 +53,19 @@
     double requestRateMax = std::numeric_limits<double>::infinity();
     /// When a response last named `requestRateMax`.
     instant limitNamedAt;
-    /// Keeps this gateway's share of `requestRateMax`.
-    request_pacer pacer;
-    /// A different worker has answered at this address, so this one gets no more requests.
-    bool isReplaced = false;
 };
 
-/// How the availability of a worker changed.
-enum class worker_change_kind { drain_started, removed, available_again, limited, limit_ended };
+/// How the availability of a worker changed, or why it did not.
+enum class worker_change_kind {
+    drain_started,
+    removed,
+    available_again,
+    limited,
+    limit_ended,
+    replaced,
+    paused,
+    malformed_header
+};
 
 /// Name of the kind in log records.
 std::string_view toString(worker_change_kind kind);
@@ -73,6 +77,13 @@
     worker_change_kind kind = worker_change_kind::removed;
     /// Requests per second that the worker accepts from all gateways together, for `limited`.
     double requestRateMax = std::numeric_limits<double>::infinity();
+    /// How long the worker wants no requests, for `paused`.
+    duration pause {0};
+    /// Name of the header that was ignored, for `malformed_header`.
+    std::string header {};
+
+    /// True if unsent attempts must not be sent to the worker any more.
+    bool endsUse() const;
 
     bool operator==(const worker_change &) const = default;
 };
@@ -150,11 +161,14 @@
 private:
     void updateAverages(const pooled_worker &worker);
     void add(instant now, const published_worker &entry);
-    void recordChange(const pooled_worker &known, const published_worker &entry);
+    void entryChanged(instant now, pooled_worker &known, const published_worker &entry);
     void remove(instant now, const std::string &name);
     static void recordSuccess(pooled_worker &worker);
     void recordFailure(instant now, pooled_worker &worker, bool ejectsImmediately);
     void applyReport(instant now, pooled_worker &worker, const load_report &report);
+    void applySignals(instant now, pooled_worker &worker, const worker_signals &signals);
+    void applyLeave(instant now, pooled_worker &worker);
+    void applyPause(instant now, pooled_worker &worker, duration length);
     void applyRequestLimit(instant now, pooled_worker &worker, double requestRateMax);
     void updatePacer(instant now, pooled_worker &worker) const;
     pooled_worker &mutableAt(worker_index worker)
--- a/decision/routing/worker_selector.cpp
+++ b/decision/routing/worker_selector.cpp
@@ -84,24 +84,43 @@
     out.cost = scaled(out.expectedTime + scaled(criteria.objective, penalty),
                       1 + jitterFraction * m_random.uniform()
                           + (isConnected ? 0.0 : newConnectionCostFraction)
-                          - (worker.pacer.isFull(now) ? unusedLimitDiscount : 0.0));
+                          - (worker.availability.pacer().isFull(now) ? unusedLimitDiscount : 0.0));
     return out;
 }
 
-/// True if the request may be sent to the worker. Ejected workers are not excluded here.
+/// Why the request must not be sent to the worker. Ejected workers are not excluded here.
 /// \param gracePeriod time for which a worker stays usable after its entry was removed.
-bool worker_selector::isUsable(instant now, const selection_criteria &criteria, worker_index index,
-                               duration gracePeriod) const
+unavailability worker_selector::reasonAgainst(instant now, const selection_criteria &criteria,
+                                              worker_index index, duration gracePeriod) const
 {
     const pooled_worker &worker = m_pool.at(index);
     const bool isExcluded
         = std::find(criteria.excludedWorkers.begin(), criteria.excludedWorkers.end(), index)
           != criteria.excludedWorkers.end();
-    const bool isRemoved
-        = worker.removedAt != instant::never() && now - worker.removedAt >= gracePeriod;
-    return worker.entry.service == criteria.service && !worker.isReplaced && !worker.entry.leaving
-           && !isExcluded && !isRemoved
-           && (worker.pacer.allows(now) || !isMechanismEnabled("request_pacing"));
+    if (isExcluded || worker.entry.service != criteria.service)
+        return unavailability::replaced;
+    return worker.availability.reason(now, gracePeriod);
+}
+
+bool worker_selector::isUsable(instant now, const selection_criteria &criteria, worker_index index,
+                               duration gracePeriod) const
+{
+    return reasonAgainst(now, criteria, index, gracePeriod) == unavailability::none;
+}
+
+std::optional<instant> worker_selector::firstPauseEnd(instant now,
+                                                      const selection_criteria &criteria) const
+{
+    std::optional<instant> first;
+    for (const worker_index index : m_pool.workersOf(criteria.service)) {
+        const unavailability reason = reasonAgainst(now, criteria, index, duration {0});
+        if (reason == unavailability::limit_reached)
+            return std::nullopt;
+        const instant end = m_pool.at(index).availability.pausedUntil();
+        if (reason == unavailability::paused && (!first || end < *first))
+            first = end;
+    }
+    return first;
 }
 
 void worker_selector::appendUsable(instant now, const selection_criteria &criteria,
--- a/decision/routing/worker_selector.h
+++ b/decision/routing/worker_selector.h
@@ -91,7 +91,14 @@
                                         worker_index index,
                                         const removal_grace_periods &gracePeriods) const;
 
+    /// When the first worker whose pause is all that keeps it from being usable can be used again.
+    /// \return nothing if there is none, or if a worker may become usable at any time because it
+    /// only has reached its request limit.
+    std::optional<instant> firstPauseEnd(instant now, const selection_criteria &criteria) const;
+
 private:
+    unavailability reasonAgainst(instant now, const selection_criteria &criteria,
+                                 worker_index index, duration gracePeriod) const;
     bool isUsable(instant now, const selection_criteria &criteria, worker_index index,
                   duration gracePeriod) const;
     scored_worker score(instant now, const selection_criteria &criteria, worker_index index) const;
--- a/servers/decision_service/decision_service.cpp
+++ b/servers/decision_service/decision_service.cpp
@@ -175,6 +175,11 @@
     m_workers->cancelAttempt(command);
 }
 
+void decision_service::execute(const withdraw_attempt &command)
+{
+    m_workers->withdrawAttempt(command);
+}
+
 void decision_service::execute(const send_response &command)
 {
     m_entry->sendResponse(command);
--- a/servers/decision_service/decision_service.h
+++ b/servers/decision_service/decision_service.h
@@ -53,6 +53,7 @@
 
     void execute(const start_attempt &command);
     void execute(const cancel_attempt &command);
+    void execute(const withdraw_attempt &command);
     void execute(const send_response &command);
     void execute(const start_probe &command);
     void execute(const send_entry_response &command);
--- a/servers/service_interfaces.h
+++ b/servers/service_interfaces.h
@@ -37,6 +37,8 @@
     virtual void startAttempt(const start_attempt &command) = 0;
     /// Has no effect if the attempt has ended.
     virtual void cancelAttempt(const cancel_attempt &command) = 0;
+    /// Has no effect if the attempt has ended or a byte of its request was sent.
+    virtual void withdrawAttempt(const withdraw_attempt &command) = 0;
     /// Delivers exactly one `probe_finished` event, never before this function returns.
     virtual void startProbe(const start_probe &command) = 0;
     virtual const counter_set &counters() const = 0;
--- a/servers/worker_transport/worker_protocol.h
+++ b/servers/worker_transport/worker_protocol.h
@@ -43,9 +43,6 @@
                                     probe_finished &outcome) const = 0;
     /// True if the response contains a malformed load report.
     virtual bool isLoadMalformed(const response_reader &reader) const = 0;
-    /// True if the response contains a malformed request limit. Protocols without such limits keep
-    /// the default.
-    virtual bool isLimitMalformed(const response_reader & /*reader*/) const { return false; }
 };
 
 /// almondnotch's own protocol: `Almondnotch-*` headers and the load endpoint.
--- a/servers/worker_transport/worker_transport.cpp
+++ b/servers/worker_transport/worker_transport.cpp
@@ -202,28 +202,52 @@
     }
 }
 
-void worker_transport::cancelAttempt(const cancel_attempt &command)
+/// True if no byte of the attempt's request was sent.
+bool worker_transport::isUnsent(const attempt &started)
 {
-    const auto found = m_attempts.find(command.attempt);
-    if (found == m_attempts.end())
-        return;
-    const std::unique_ptr<attempt> cancelled = std::move(found->second);
+    return started.isWaiting || started.exchange->transmissions() == 0;
+}
+
+void worker_transport::abort(attempt_finished outcome)
+{
+    const auto found = m_attempts.find(outcome.attempt);
+    const std::unique_ptr<attempt> aborted = std::move(found->second);
     m_attempts.erase(found);
-    m_counters.add("worker_attempts_cancelled_total");
-    attempt_end end = attempt_end::not_sent;
-    if (cancelled->isWaiting) {
-        removeFromQueue(*cancelled);
+    outcome.end = isUnsent(*aborted) ? attempt_end::not_sent : attempt_end::cancelled;
+    if (aborted->isWaiting) {
+        removeFromQueue(*aborted);
     } else {
-        m_curl->remove(cancelled->exchange->handle());
-        m_attemptByExchange.erase(cancelled->exchange.get());
-        countExchange(*cancelled->exchange);
-        if (cancelled->exchange->transmissions() > 0)
-            end = attempt_end::cancelled;
-        releaseConnectionSlot(cancelled->command.workerAddress);
+        m_curl->remove(aborted->exchange->handle());
+        m_attemptByExchange.erase(aborted->exchange.get());
+        countExchange(*aborted->exchange);
+        releaseConnectionSlot(aborted->command.workerAddress);
     }
     updateGauges();
-    finishAttempt({command.attempt, end, nullptr, std::nullopt, false, "the attempt was cancelled"},
-                  true);
+    finishAttempt(std::move(outcome), true);
+}
+
+void worker_transport::cancelAttempt(const cancel_attempt &command)
+{
+    if (!m_attempts.contains(command.attempt))
+        return;
+    m_counters.add("worker_attempts_cancelled_total");
+    attempt_finished outcome;
+    outcome.attempt = command.attempt;
+    outcome.detail = "the attempt was cancelled";
+    abort(std::move(outcome));
+}
+
+void worker_transport::withdrawAttempt(const withdraw_attempt &command)
+{
+    const auto found = m_attempts.find(command.attempt);
+    if (found == m_attempts.end() || !isUnsent(*found->second))
+        return;
+    m_counters.add("worker_attempts_withdrawn_total");
+    attempt_finished outcome;
+    outcome.attempt = command.attempt;
+    outcome.detail = "the worker takes no new requests";
+    outcome.wasWithdrawn = true;
+    abort(std::move(outcome));
 }
 
 void worker_transport::startProbe(const start_probe &command)
@@ -309,8 +333,6 @@
         outcome.end = attempt_end::answered;
         if (m_protocol.isLoadMalformed(reader))
             m_counters.add("worker_load_headers_malformed_total");
-        if (m_protocol.isLimitMalformed(reader))
-            m_counters.add("worker_limit_headers_malformed_total");
         m_protocol.parseResponse(reader, ended->command, outcome);
     } else if (exchange.transmissions() == 0) {
         outcome.end = attempt_end::not_sent;
--- a/servers/worker_transport/worker_transport.h
+++ b/servers/worker_transport/worker_transport.h
@@ -47,6 +47,7 @@
 
     void startAttempt(const start_attempt &command) override;
     void cancelAttempt(const cancel_attempt &command) override;
+    void withdrawAttempt(const withdraw_attempt &command) override;
     void startProbe(const start_probe &command) override;
     const counter_set &counters() const override { return m_counters; }
 
@@ -77,6 +78,10 @@
         std::deque<attempt_id> queue;
     };
 
+    static bool isUnsent(const attempt &started);
+    /// Ends an attempt that is waiting or in progress and reports `outcome`, whose `end` is set to
+    /// `not_sent` or `cancelled`.
+    void abort(attempt_finished outcome);
     void enqueue(attempt &queued, worker_attempts &worker);
     void send(attempt &started);
     void removeFromQueue(const attempt &dequeued);
--- a/tests/decision/gateway/fleet_simulation.h
+++ b/tests/decision/gateway/fleet_simulation.h
@@ -157,6 +157,7 @@
     void on(unsigned index, const read_platform_value &command);
     /// The gateways of this simulation read no published items.
     void on(unsigned /*index*/, const read_items & /*command*/) { }
+    void on(unsigned /*index*/, const withdraw_attempt & /*command*/) { }
     void on(unsigned index, const write_log &command);
     void on(unsigned index, const exit_process &command);
     /// Submits an attempt to its worker, or ends it as `not_sent` if the worker is down.
--- a/tests/decision/routing/request_limit_test.cpp
+++ b/tests/decision/routing/request_limit_test.cpp
@@ -189,8 +189,8 @@
     }
 }
 
-// Guards against more requests at a worker than its limit allows if the gateways know different sets
-// of each other, so that more of them than planned use the worker, and all of them have saved
+// Guards against more requests at a worker than its limit allows if the gateways know different
+// sets of each other, so that more of them than planned use the worker, and all of them have saved
 // requests.
 BOOST_AUTO_TEST_CASE(limitHoldsIfGatewaysKnowDifferentPeers)
 {
--- a/tests/decision/routing/routing_fixture.cpp
+++ b/tests/decision/routing/routing_fixture.cpp
@@ -191,10 +191,14 @@
     return id;
 }
 
-double routing_fixture::requestLimitOf(const std::string &worker) const
+worker_signals routing_fixture::signalsOf(const std::string &worker) const
 {
     const auto found = requestLimits.find(worker);
-    return found == requestLimits.end() ? std::numeric_limits<double>::infinity() : found->second;
+    worker_signals signals;
+    signals.requestRateMax
+        = found == requestLimits.end() ? std::numeric_limits<double>::infinity() : found->second;
+    signals.isLeaving = leavingWorkers.contains(worker);
+    return signals;
 }
 
 void routing_fixture::answer(const start_attempt &attempt, int status)
@@ -206,16 +210,18 @@
     response->status = status;
     response->body = attempt.workerName;
     outcome.response = std::move(response);
-    outcome.requestRateMax = requestLimitOf(attempt.workerName);
+    outcome.signals = signalsOf(attempt.workerName);
     handle(outcome);
 }
 
-void routing_fixture::rejectBeforeRun(const start_attempt &attempt)
+void routing_fixture::rejectBeforeRun(const start_attempt &attempt, duration pause)
 {
     attempt_finished outcome;
     outcome.attempt = attempt.attempt;
     outcome.end = attempt_end::answered;
     outcome.rejectedBeforeRun = true;
+    outcome.signals = signalsOf(attempt.workerName);
+    outcome.signals.pause = pause;
     std::shared_ptr<call_response> response = std::make_shared<call_response>();
     response->status = 503;
     outcome.response = std::move(response);
@@ -252,7 +258,7 @@
     outcome.probe = probe.probe;
     outcome.load = load;
     if (load)
-        outcome.requestRateMax = requestLimitOf(probe.workerName);
+        outcome.signals = signalsOf(probe.workerName);
     handle(outcome);
 }
 
--- a/tests/decision/routing/routing_fixture.h
+++ b/tests/decision/routing/routing_fixture.h
@@ -66,7 +66,8 @@
     /// Ends an attempt with a response whose body is the name of the worker.
     void answer(const start_attempt &attempt, int status = 200);
     /// Ends an attempt with status 503 from a worker that did not execute the request.
-    void rejectBeforeRun(const start_attempt &attempt);
+    /// \param pause how long the worker asks for no requests.
+    void rejectBeforeRun(const start_attempt &attempt, duration pause = duration {0});
     /// Ends an attempt without a response.
     void endAttempt(const start_attempt &attempt, attempt_end attemptEnd);
     /// Answers the read of a scope that is in flight.
@@ -111,6 +112,8 @@
     /// Request limits by worker name, which the workers name in their responses to requests and
     /// probes, in requests per second.
     std::map<std::string, double> requestLimits;
+    /// Workers that say in their responses to requests and probes that they leave.
+    std::set<std::string> leavingWorkers;
     /// Workers whose probes fail. Attempts to them must be ended by the test.
     std::set<std::string> unreachableWorkers;
     /// All probes that the gateway has started.
@@ -121,7 +124,7 @@
     std::uint64_t listRevision = 10;
 
 private:
-    double requestLimitOf(const std::string &worker) const;
+    worker_signals signalsOf(const std::string &worker) const;
     void dispatchActions(action_list &newActions);
 
     std::map<item_scope, read_items> m_inFlightReads;
--- a/tests/platform/protocols_test.cpp
+++ b/tests/platform/protocols_test.cpp
@@ -174,7 +174,7 @@
         std::vector<std::string> lines = head;
         for (const std::string &value : values)
             lines.push_back("Server-Limit: " + value);
-        return readOutcome(response(200, lines)).requestRateMax;
+        return readOutcome(response(200, lines)).signals.requestRateMax;
     };
     BOOST_TEST(limitOf({"2.5"}).value() == 2.5);
     BOOST_TEST(limitOf({"0"}).value() == 0.0);
@@ -184,10 +184,62 @@
         BOOST_TEST(!limitOf({text}).has_value(), "accepted " << text);
     BOOST_TEST(!limitOf({"2", "3"}).has_value());
     BOOST_TEST(!readOutcome(response(421, {"X-Almondnotch-Instance-Id: i-2", "Server-Limit: 1"}))
-                    .requestRateMax.has_value());
+                    .signals.requestRateMax.has_value());
     BOOST_TEST(!readOutcome(response(200, {"X-Almondnotch-Attempt-Id: id-0",
                                            "X-Almondnotch-Server-Seal: s", "Server-Limit: 1"}))
-                    .requestRateMax.has_value());
+                    .signals.requestRateMax.has_value());
+}
+
+// Guards against a worker that leaves or asks for a pause without being heard, and against
+// malformed or foreign headers that put a worker out of use.
+BOOST_AUTO_TEST_CASE(leavingAndPauseAreParsed)
+{
+    const auto signalsOf = [](int status, const std::vector<std::string> &headers,
+                              const std::string &request = "id-1") {
+        std::vector<std::string> lines {"X-Almondnotch-Attempt-Id: " + request,
+                                        "X-Almondnotch-Server-Seal: s", "Content-Length: 0"};
+        lines.insert(lines.end(), headers.begin(), headers.end());
+        return readOutcome(response(status, lines)).signals;
+    };
+    BOOST_TEST(signalsOf(200, {"Server-Leaving: 1"}).isLeaving);
+    BOOST_TEST(signalsOf(503, {"server-leaving: 1"}).isLeaving);
+    BOOST_TEST(!signalsOf(200, {}).isLeaving);
+    BOOST_TEST(!signalsOf(200, {"Server-Leaving: 1"}, "id-0").isLeaving);
+    BOOST_TEST(!readOutcome(response(421, {"Server-Leaving: 1"})).signals.isLeaving);
+    for (const char *const text : {"0", "yes", "", "1, 1"}) {
+        const worker_signals read = signalsOf(200, {std::string("Server-Leaving: ") + text});
+        BOOST_TEST(!read.isLeaving, "accepted " << text);
+        BOOST_TEST(read.malformedHeader == "Server-Leaving");
+    }
+    BOOST_TEST(!signalsOf(200, {"Server-Leaving: 1", "Server-Leaving: 1"}).isLeaving);
+    BOOST_TEST((signalsOf(503, {"Retry-After: 1.5"}).pause == milliseconds(1500)));
+    BOOST_TEST((signalsOf(503, {"Retry-After: 0"}).pause == duration {0}));
+    BOOST_TEST((signalsOf(200, {"Retry-After: 1"}).pause == duration {0}));
+    BOOST_TEST((signalsOf(503, {"Retry-After: 1"}, "id-0").pause == duration {0}));
+    for (const char *const text :
+         {"-1", "nan", "inf", "1e3", "2x", "", "99999999", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+        const worker_signals read = signalsOf(503, {std::string("Retry-After: ") + text});
+        BOOST_TEST((read.pause == duration {0}), "accepted " << text);
+        BOOST_TEST(read.malformedHeader == "Retry-After");
+    }
+    BOOST_TEST((signalsOf(503, {"Retry-After: 1", "Retry-After: 2"}).pause == duration {0}));
+}
+
+// Guards against missing the signals in the response to a probe.
+BOOST_AUTO_TEST_CASE(probeResponseCarriesSignals)
+{
+    start_probe command;
+    command.workerName = "i-1";
+    const auto signalsOf = [&command](const std::string &instance) {
+        probe_finished outcome;
+        response_reader reader = response(
+            503, {"X-Almondnotch-Instance-Id: " + instance, "Server-Leaving: 1", "Retry-After: 2"});
+        platform::workerProtocol().parseProbeResponse(reader, command, outcome);
+        return outcome.signals;
+    };
+    BOOST_TEST(signalsOf("i-1").isLeaving);
+    BOOST_TEST((signalsOf("i-1").pause == seconds(2)));
+    BOOST_TEST(!signalsOf("i-2").isLeaving);
 }
 
 BOOST_AUTO_TEST_CASE(callerHeadersGiveHostIdAndDeadline)
--- a/tests/servers/fake_services.h
+++ b/tests/servers/fake_services.h
@@ -45,6 +45,7 @@
     using fake_service::fake_service;
     void startAttempt(const start_attempt &command) override { m_recorder.record(command); }
     void cancelAttempt(const cancel_attempt &command) override { m_recorder.record(command); }
+    void withdrawAttempt(const withdraw_attempt &command) override { m_recorder.record(command); }
     void startProbe(const start_probe &command) override { m_recorder.record(command); }
 };
 
--- a/tests/servers/worker_transport_test.cpp
+++ b/tests/servers/worker_transport_test.cpp
@@ -231,6 +231,34 @@
     BOOST_CHECK_EQUAL(worker->acceptedConnections(), 2U);
 }
 
+// Guards against an attempt that waits for a connection and is sent although the decision core has
+// withdrawn it, and against breaking off one that was already sent.
+BOOST_FIXTURE_TEST_CASE(only_unsent_attempts_are_withdrawn, worker_fixture)
+{
+    std::vector<http_fake::connection_id> heldConnections;
+    const std::unique_ptr<http_fake> worker = startFakeServer(
+        [&](http_fake::connection_id connection, const received_request & /*request*/) {
+            heldConnections.push_back(connection);
+        });
+    start_attempt sent = makeAttempt(worker->address(), "/sent", true);
+    sent.connectionLimit = 1;
+    transport->startAttempt(sent);
+    BOOST_REQUIRE(runUntil([&]() { return heldConnections.size() == 1; }));
+    start_attempt waiting = makeAttempt(worker->address(), "/waiting", true);
+    waiting.connectionLimit = 1;
+    transport->startAttempt(waiting);
+    transport->withdrawAttempt({sent.attempt});
+    transport->withdrawAttempt({waiting.attempt});
+    BOOST_REQUIRE(runUntil([&]() { return sink->eventsOfType<attempt_finished>().size() == 1; }));
+    const attempt_finished withdrawn = sink->eventsOfType<attempt_finished>().front();
+    BOOST_CHECK(withdrawn.attempt == waiting.attempt && withdrawn.end == attempt_end::not_sent);
+    BOOST_CHECK(withdrawn.wasWithdrawn);
+    worker->respond(heldConnections.front(), framedResponse(200, {}, "/sent"));
+    BOOST_REQUIRE(runUntil([&]() { return sink->eventsOfType<attempt_finished>().size() == 2; }));
+    BOOST_CHECK(sink->eventsOfType<attempt_finished>().back().end == attempt_end::answered);
+    BOOST_CHECK_EQUAL(heldConnections.size(), 1U);
+}
+
 // Guards against reading a duplicate response from a worker as the response to the next attempt.
 BOOST_FIXTURE_TEST_CASE(unexpected_bytes_on_an_idle_connection_are_never_read, worker_fixture)
 {
