Refuse late requests that may outlast the drain of a gateway

Requests that arrived 3.0 to 3.6 s after SIGTERM were passed on and ended with 502 at 5.1 s of a grace period of 6 s while their workers were at work (bookings among them). The drain accepted all requests until 0.6 of the grace period, whatever time they need.

After 3 s a request is accepted only if its deadline passes before the drain ends. The drain ends at 0.9 of the grace period instead of 0.85. Requests that are read while the process exits got no response; they are refused as not run.

drain_suite: lateRequestThatMayNotEndInTimeIsRefused, earlyRequestIsServedUntilTheEndOfTheDrain, onlyEarlyRequestsAreBrokenOff and requestDuringTheExitIsRefused failed before.

--- a/decision/routing/request_runner.cpp
+++ b/decision/routing/request_runner.cpp
@@ -102,8 +102,6 @@
     if (m_requests.size() >= m_settings.bounds.inProgressMax)
         return failure_cause {503, "too-many-requests", "Too many requests in progress", "admit",
                               ""};
-    if (m_rejectsNewRequests)
-        return failure_cause {503, "gateway-leaving", "The gateway leaves", "admit", ""};
     if (table == nullptr)
         return failure_cause {503, "no-configuration", "No configuration is in force yet", "admit",
                               ""};
@@ -117,6 +115,8 @@
         = std::min(record.request->timeout.value_or(record.route->timeout), record.route->timeout);
     record.deadline = now + allowed;
     record.objectiveAt = now + std::min(record.route->latencyObjective, allowed);
+    if (record.deadline > m_latestEnd)
+        return failure_cause {503, "gateway-leaving", "The gateway leaves", "admit", ""};
     if (allowed < timeLeftMin)
         return failure_cause {503, "no-time-left", "No time is left for the request", "admit", ""};
     if (isQuarantined(now, *record.request))
--- a/decision/routing/request_runner.h
+++ b/decision/routing/request_runner.h
@@ -68,8 +68,8 @@
 
     /// From now on, the connections of callers are closed after their responses.
     void closeConnectionsAfterResponses() { m_closeConnections = true; }
-    /// From now on, new requests are rejected.
-    void rejectNewRequests() { m_rejectsNewRequests = true; }
+    /// From now on, new requests are rejected unless their deadline passes by `end`.
+    void rejectRequestsEndingAfter(instant end) { m_latestEnd = end; }
     void setGatewayCount(unsigned count) { m_gatewayCount = count; }
     void setRemovalGracePeriods(const removal_grace_periods &gracePeriods)
     {
@@ -175,7 +175,8 @@
     request_runner_dependencies m_dependencies;
     worker_selector m_selector;
     bool m_closeConnections = false;
-    bool m_rejectsNewRequests = false;
+    /// Latest deadline with which new requests are accepted.
+    instant m_latestEnd = instant::never();
     unsigned m_gatewayCount = 1;
     removal_grace_periods m_gracePeriods;
     std::unordered_map<call_id, std::unique_ptr<routed_request>> m_requests;
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -30,11 +30,12 @@
 /// How long the drain or removal of a worker is reported to other gateways by gossip.
 constexpr duration drainGossipTime = seconds(3);
 /// Phases of the drain, as fractions of the drain timeout. A draining gateway serves callers that
-/// still know its address at least until the first, rejects new requests from the second on, and
-/// ends all requests at the third.
+/// still know its address at least until the first, and ends all requests at the second.
 constexpr double serveFraction = 0.4;
-constexpr double rejectFraction = 0.6;
-constexpr double terminateFraction = 0.85;
+constexpr double terminateFraction = 0.9;
+/// Requests that arrive within this time after the drain began are accepted even if they may not
+/// end before it does. Later ones are accepted only if their deadline passes before.
+constexpr duration unconditionalAcceptTime = seconds(3);
 
 /// Stages in the lifecycle of the process.
 enum class lifecycle_stage { serving, leaving, finished };
@@ -86,6 +87,7 @@
         invariants.check("event_was_ordered", false);
     }
 
+    void handleAfterExit(instant now, const event &input, action_list &actions);
     void detectPause(instant now);
     void on(instant now, const process_id &from, const fleet_digest &digest, action_list &actions);
     void on(instant now, const process_id &from, const reader_report &report, action_list &actions);
@@ -113,7 +115,8 @@
     void updateRemovalGracePeriods(instant now);
     void logUnusable(const published_item &item, action_list &actions);
     gossip_payload gossipPayload(instant now) const;
-    void continueDraining(instant now, action_list &actions);
+    void restrictAdmission(instant now);
+    void endDrainIfDue(instant now, action_list &actions);
 
     routing_settings settings;
     counter_set counters;
@@ -161,10 +164,13 @@
 
 void route_gateway::state::handle(instant now, const event &input, action_list &actions)
 {
-    if (stage == lifecycle_stage::finished)
+    if (stage == lifecycle_stage::finished) {
+        handleAfterExit(now, input, actions);
         return;
+    }
     detectPause(now);
     lastHandledAt = now;
+    restrictAdmission(now);
     // Expired deadlines are handled before other events, so that no attempt starts for an expired
     // request. A response that has already arrived is still sent to its caller.
     if (!std::holds_alternative<attempt_finished>(input))
@@ -174,10 +180,17 @@
     if (!startupQueue.isEmpty())
         releaseStartupQueue(now, actions);
     if (stage == lifecycle_stage::leaving)
-        continueDraining(now, actions);
+        endDrainIfDue(now, actions);
     expectedWake = nextWake();
 }
 
+/// Refuses requests that are read while the process exits. All other requests have ended.
+void route_gateway::state::handleAfterExit(instant now, const event &input, action_list &actions)
+{
+    if (const call_received *received = std::get_if<call_received>(&input))
+        runner.callReceived(now, *received, table.get(), actions);
+}
+
 void route_gateway::state::detectPause(instant now)
 {
     if (expectedWake == instant::never() || now - expectedWake <= settings.pauseThreshold)
@@ -516,16 +529,23 @@
     nextSweep = now;
 }
 
-void route_gateway::state::continueDraining(instant now, action_list &actions)
+/// Late in the drain, refuses requests that may not end before it does.
+void route_gateway::state::restrictAdmission(instant now)
+{
+    if (stage == lifecycle_stage::leaving && now - leavingSince > unconditionalAcceptTime)
+        runner.rejectRequestsEndingAfter(leavingSince
+                                         + scaled(settings.drainTimeout, terminateFraction));
+}
+
+void route_gateway::state::endDrainIfDue(instant now, action_list &actions)
 {
     const duration age = now - leavingSince;
-    if (age >= scaled(settings.drainTimeout, rejectFraction))
-        runner.rejectNewRequests();
     const bool isDone
         = age >= scaled(settings.drainTimeout, serveFraction) && runner.inProgress() == 0;
     if (!isDone && age < scaled(settings.drainTimeout, terminateFraction))
         return;
     runner.terminateAll(now, actions);
+    runner.rejectRequestsEndingAfter(now);
     stage = lifecycle_stage::finished;
     actions.push_back(exit_process {isDone ? "drained" : "the drain timeout has almost passed"});
 }
