Send downloads again like other reads

The kind "download" was taken for an unknown one, so its requests were sent once, each on a new connection, and never hedged. platform/ has a table of the kinds; an unknown one gets the strictest semantics and a warning, which the gateway logs with the configuration.

downloadsMayRunMoreThanOnce fails without the table.

--- a/decision/routing/published.h
+++ b/decision/routing/published.h
@@ -120,6 +120,8 @@
     std::optional<published_worker> worker;
     /// Reason why the item cannot be used; empty if it is valid or was removed.
     std::string fault;
+    /// What was not understood in an item that can be used; empty if there is nothing.
+    std::string warning {};
 };
 
 /// Response to a list or watch of published items.
--- a/tests/platform/item_decoder_test.cpp
+++ b/tests/platform/item_decoder_test.cpp
@@ -155,6 +155,16 @@
     BOOST_TEST((config.limits.idleTimeout == seconds(15)));
 }
 
+// Guards against downloads that are treated like bookings: sent once, on a connection of their own.
+BOOST_AUTO_TEST_CASE(downloadsMayRunMoreThanOnce)
+{
+    const published_item item
+        = decodedConfiguration(replaced(configuration, R"("kind":"safe")", R"("kind":"download")"));
+    BOOST_REQUIRE(item.config != nullptr);
+    BOOST_TEST((item.config->routes.at(1).delivery == delivery_semantics::idempotent));
+    BOOST_TEST(item.warning.empty());
+}
+
 // Guards against treating an unknown route kind as safe to run more than once.
 BOOST_AUTO_TEST_CASE(unknownRouteKindMeansAtMostOnce)
 {
