Read the store less where other gateways relay its changes

- In a fleet of 128 workers or more, the first watch waits like later ones until 2.4 s after the start, unless the gateway is a reader.
Smaller fleets watch at once, as before.
- A reader that lists the store again relays the difference; large batches are split into updates.
- A reader that has restarted ends its holdoffs.
It did not watch until 2.4 s after its start if its first watch had reported a change, while its failure domain relied on it.

startingGatewayWaitsForReadersBeforeItWatches, restartedReaderWatchesAtOnce, readerRelaysWhatItsNextListHasChanged and manyChangesAreRelayedInSeveralUpdates failed before.

--- a/decision/routing/item_reader.cpp
+++ b/decision/routing/item_reader.cpp
@@ -41,6 +41,7 @@
 void item_reader::start(instant now, std::uint64_t &nextReadId, action_list &actions)
 {
     m_watchHoldoffUntil = now + m_settings.startupWatchHoldoff;
+    m_firstWatchHoldoffUntil = m_watchHoldoffUntil;
     sendRead(now, nextReadId, actions);
 }
 
@@ -85,6 +86,23 @@
     m_settings.backoff = backoff;
 }
 
+void item_reader::endFirstWatchHoldoff(instant now)
+{
+    const bool isWaiting = !m_isReadInFlight && !m_isListing;
+    if (isWaiting && m_nextReadAt == m_firstWatchHoldoffUntil)
+        m_nextReadAt = std::min(m_nextReadAt, now);
+    m_firstWatchHoldoffUntil = std::min(m_firstWatchHoldoffUntil, now);
+}
+
+void item_reader::endWatchHoldoffs(instant now)
+{
+    endFirstWatchHoldoff(now);
+    const bool isWaiting = !m_isReadInFlight && !m_isListing;
+    if (isWaiting && m_nextReadAt == m_watchHoldoffUntil)
+        m_nextReadAt = std::min(m_nextReadAt, now);
+    m_watchHoldoffUntil = std::min(m_watchHoldoffUntil, now);
+}
+
 void item_reader::revisionAdvertised(instant now, std::uint64_t revision)
 {
     if (m_isListing && !m_isReadInFlight) {
@@ -211,13 +229,15 @@
         restart(m_nextReadAt);
         return;
     }
+    const std::uint64_t knownRevision = std::exchange(m_lastChangeRevision, m_listRevision);
     m_revision = m_listRevision;
-    m_lastChangeRevision = m_listRevision;
     m_isListing = false;
     m_mustRelist = false;
     m_hasSynced = true;
     m_afterKey.clear();
-    batches.push_back({true, std::exchange(m_listedItems, {}), 0, m_revision});
+    if (!m_listedItems.empty())
+        m_nextReadAt = std::max(now, m_firstWatchHoldoffUntil);
+    batches.push_back({true, std::exchange(m_listedItems, {}), knownRevision, m_revision});
 }
 
 void item_reader::watchFinished(instant now, const item_page &page,
--- a/decision/routing/item_reader.h
+++ b/decision/routing/item_reader.h
@@ -24,9 +24,9 @@
     /// Delay between the end of a watch that reported changes and the start of the next one, so
     /// that changes in quick succession are fetched with a single request to the store.
     duration watchDelay {0};
-    /// A watch that follows one that reported changes starts no earlier than this long after
-    /// `start()`. In the meantime the gateway learns whether other gateways relay the changes, so
-    /// that it need not watch itself.
+    /// The first watch, and one that follows a watch that reported changes, starts no earlier than
+    /// this long after `start()`, see `endFirstWatchHoldoff`. In the meantime the gateway learns
+    /// whether other gateways relay the changes, so that it need not watch itself.
     duration startupWatchHoldoff {0};
     /// Whether the first list may come from a stale replica. The changes that it lacks are
     /// delivered by the next watch or relayed by another gateway.
@@ -41,7 +41,8 @@
     /// True if `items` holds every item that exists. Items that are missing from it were removed.
     bool isSnapshot = false;
     std::vector<published_item> items;
-    /// `items` covers all revisions after `afterRevision` (0 for a snapshot) up to `revision`.
+    /// `items` covers all revisions after `afterRevision` up to `revision`. For a snapshot, all
+    /// changes up to `afterRevision` were known before; 0 for the first one.
     std::uint64_t afterRevision = 0;
     std::uint64_t revision = 0;
 };
@@ -80,6 +81,10 @@
     /// ends, a watch in flight runs to its end. When it begins, a watch that is still in flight
     /// from before is abandoned.
     void setWatching(instant now, bool isWatching, const backoff_settings &backoff);
+    /// Ends the holdoff of the first watch: no other gateways are expected to relay changes.
+    void endFirstWatchHoldoff(instant now);
+    /// Ends all holdoffs: other gateways depend on this one to watch.
+    void endWatchHoldoffs(instant now);
     /// True if the scope is being watched, was listed completely, and a read has succeeded since
     /// watching began.
     bool isUpToDate() const { return m_isWatching && m_hasReadSinceWatching && m_hasSynced; }
@@ -130,6 +135,7 @@
     /// When the last read was sent.
     instant m_sentAt;
     instant m_nextReadAt = instant::never();
+    instant m_firstWatchHoldoffUntil;
     instant m_watchHoldoffUntil;
     /// True from the time a list becomes necessary until its last page was read.
     bool m_isListing = true;
--- /dev/null
+++ b/decision/routing/item_relay.cpp
@@ -0,0 +1,67 @@
+#include "decision/routing/item_relay.h"
+
+#include <algorithm>
+
+namespace almondnotch {
+
+namespace {
+
+/// Maximum number of updates for one batch. Larger batches are only advertised.
+constexpr std::size_t updatesPerBatchMax = 16;
+
+/// The changes that the batch contains, in the order of their revisions.
+std::vector<published_item> changesOf(const item_batch &batch,
+                                      const std::vector<std::string> &removedNames)
+{
+    std::vector<published_item> out;
+    std::copy_if(batch.items.begin(), batch.items.end(), std::back_inserter(out),
+                 [&batch](const published_item &item) {
+                     return !batch.isSnapshot || item.revision > batch.afterRevision
+                            || item.revision == 0;
+                 });
+    std::stable_sort(out.begin(), out.end(),
+                     [](const published_item &left, const published_item &right) {
+                         return left.revision < right.revision;
+                     });
+    for (const std::string &name : removedNames) {
+        published_item removal;
+        removal.name = name;
+        removal.revision = batch.revision;
+        removal.removed = true;
+        out.push_back(std::move(removal));
+    }
+    return out;
+}
+
+bool fitsIntoUpdate(const published_item &item)
+{
+    return !item.config || item.config->routes.size() <= updateRoutesMax;
+}
+
+} // namespace
+
+std::vector<items_update> makeUpdates(item_scope scope, const item_batch &batch,
+                                      const std::vector<std::string> &removedNames)
+{
+    const bool isFirstSnapshot = batch.isSnapshot && batch.afterRevision == 0;
+    const std::vector<published_item> changes = changesOf(batch, removedNames);
+    if (isFirstSnapshot || changes.size() > updatesPerBatchMax * updateItemsMax
+        || !std::all_of(changes.begin(), changes.end(), fitsIntoUpdate))
+        return {};
+    std::vector<items_update> out {{scope, batch.afterRevision, batch.revision, {}}};
+    for (const published_item &item : changes) {
+        std::vector<published_item> &items = out.back().items;
+        // An update covers whole revisions, so it cannot end between two items of the same one.
+        if (items.size() >= updateItemsMax && items.back().revision < item.revision) {
+            const std::uint64_t endRevision = items.back().revision;
+            out.back().revision = endRevision;
+            out.push_back({scope, endRevision, batch.revision, {}});
+        }
+        out.back().items.push_back(item);
+        if (out.back().items.size() > updateItemsMax)
+            return {};
+    }
+    return out;
+}
+
+} // namespace almondnotch
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -8,6 +8,7 @@
 #include "core/random_source.h"
 #include "decision/calls/quarantine_table.h"
 #include "decision/routing/item_reader.h"
+#include "decision/routing/item_relay.h"
 #include "decision/routing/peer_group.h"
 #include "decision/routing/reader_group.h"
 #include "decision/routing/request_runner.h"
@@ -33,9 +34,14 @@
 /// still know its address at least until the first, and ends all requests at the second.
 constexpr double serveFraction = 0.4;
 constexpr double terminateFraction = 0.9;
-/// Requests that arrive within this time after the drain began are accepted even if they may not
-/// end before it does. Later ones are accepted only if their deadline passes before.
+/// Requests that arrive within this time after the drain began, and within this fraction of the
+/// drain timeout, are accepted even if they may not end before the drain does. Later ones are
+/// accepted only if their deadline passes before.
 constexpr duration unconditionalAcceptTime = seconds(3);
+constexpr double unconditionalAcceptFraction = 0.5;
+/// With at least this many workers, the gateway assumes at its start that the fleet is large enough
+/// to share readers.
+constexpr std::size_t workersOfLargeFleet = 128;
 
 /// Stages in the lifecycle of the process.
 enum class lifecycle_stage { serving, leaving, finished };
@@ -99,17 +105,18 @@
     {
         counters.add("peer_messages_ignored_total");
     }
-    void applyBatch(instant now, item_scope scope, const item_batch &batch, std::string_view source,
-                    action_list &actions);
+    std::vector<std::string> applyBatch(instant now, item_scope scope, const item_batch &batch,
+                                        std::string_view source, action_list &actions);
     void logStoreState(bool wasFailing, const items_read_finished &input, action_list &actions);
     bool areReadsFailing() const;
     void startDueReads(instant now, action_list &actions);
     void releaseStartupQueue(instant now, action_list &actions);
     void sendDueReports(instant now, action_list &actions);
-    void relayChanges(instant now, item_scope scope, const item_batch &batch, action_list &actions);
+    void relayChanges(instant now, item_scope scope, const item_batch &batch,
+                      const std::vector<std::string> &removedNames, action_list &actions);
     void applyConfig(const item_batch &batch, action_list &actions);
-    void applyWorkers(instant now, const item_batch &batch, std::string_view source,
-                      action_list &actions);
+    std::vector<std::string> applyWorkers(instant now, const item_batch &batch,
+                                          std::string_view source, action_list &actions);
     void handleWorkerChanges(instant now, std::string_view source, const std::string &requestId,
                              action_list &actions);
     void updateRemovalGracePeriods(instant now);
@@ -324,8 +331,9 @@
         workerReader.readFinished(now, input, batches);
     const item_scope scope = isConfig ? item_scope::configuration : item_scope::workers;
     for (const item_batch &fetched : batches) {
-        applyBatch(now, scope, fetched, fetched.isSnapshot ? "list" : "watch", actions);
-        relayChanges(now, scope, fetched, actions);
+        const std::vector<std::string> removedNames
+            = applyBatch(now, scope, fetched, fetched.isSnapshot ? "list" : "watch", actions);
+        relayChanges(now, scope, fetched, removedNames, actions);
     }
     logStoreState(wasFailing, input, actions);
     startDueReads(now, actions);
@@ -360,13 +368,16 @@
 }
 
 /// \param source how the batch was obtained: "list", "watch" or "relay".
-void route_gateway::state::applyBatch(instant now, item_scope scope, const item_batch &batch,
-                                      std::string_view source, action_list &actions)
+/// \return names of the workers that were removed because they are missing from a snapshot.
+std::vector<std::string> route_gateway::state::applyBatch(instant now, item_scope scope,
+                                                          const item_batch &batch,
+                                                          std::string_view source,
+                                                          action_list &actions)
 {
-    if (scope == item_scope::configuration)
-        applyConfig(batch, actions);
-    else
-        applyWorkers(now, batch, source, actions);
+    if (scope == item_scope::workers)
+        return applyWorkers(now, batch, source, actions);
+    applyConfig(batch, actions);
+    return {};
 }
 
 /// Starts the reads of the store that are due. Lists are always read; changes only if no other
@@ -385,6 +396,13 @@
     }
     configReader.setWatching(now, mustWatch, readers.retryBackoff(now));
     workerReader.setWatching(now, mustWatch, readers.retryBackoff(now));
+    const bool isSmallFleet = workerReader.hasSynced() && pool.size() < workersOfLargeFleet;
+    for (item_reader *reader : {&configReader, &workerReader}) {
+        if (readers.isReader(now))
+            reader->endWatchHoldoffs(now);
+        else if (isSmallFleet)
+            reader->endFirstWatchHoldoff(now);
+    }
     configReader.timerExpired(now, nextReadId, actions);
     workerReader.timerExpired(now, nextReadId, actions);
 }
@@ -400,26 +418,21 @@
         runner.callReceived(now, input, table.get(), actions);
 }
 
-/// If this gateway is a reader, relays changes to the gateways of the failure domain. Snapshots and
-/// changes that are too large for a message are only advertised; each gateway then reads them from
-/// the store.
+/// If this gateway is a reader, relays changes to the gateways of the failure domain. Changes that
+/// cannot be relayed are only advertised; each gateway then reads them from the store.
 void route_gateway::state::relayChanges(instant now, item_scope scope, const item_batch &batch,
+                                        const std::vector<std::string> &removedNames,
                                         action_list &actions)
 {
     if (!readers.isReader(now))
         return;
-    const bool isTooLarge
-        = batch.isSnapshot || batch.items.size() > updateItemsMax
-          || std::any_of(batch.items.begin(), batch.items.end(), [](const published_item &item) {
-                 return item.config && item.config->routes.size() > updateRoutesMax;
-             });
-    if (isTooLarge) {
+    const std::vector<items_update> updates = makeUpdates(scope, batch, removedNames);
+    if (updates.empty())
         readers.makeReportDue(now);
-        return;
+    for (const items_update &update : updates) {
+        counters.add("items_updates_sent_total");
+        peers.broadcastToFailureDomain(update, actions);
     }
-    counters.add("items_updates_sent_total");
-    peers.broadcastToFailureDomain(
-        items_update {scope, batch.afterRevision, batch.revision, batch.items}, actions);
 }
 
 /// Sends the reader report and the check of the store if they are due.
@@ -465,16 +478,24 @@
                                      "Applied a new configuration.",
                                      {{"version", std::to_string(item.config->version)},
                                       {"routes", std::to_string(item.config->routes.size())}}});
+        if (!item.warning.empty())
+            actions.push_back(write_log {log_level::warning,
+                                         "config",
+                                         "A part of the configuration was not understood.",
+                                         {{"fault", item.warning}}});
     }
 }
 
-void route_gateway::state::applyWorkers(instant now, const item_batch &batch,
-                                        std::string_view source, action_list &actions)
+/// \return see `applyBatch`.
+std::vector<std::string> route_gateway::state::applyWorkers(instant now, const item_batch &batch,
+                                                            std::string_view source,
+                                                            action_list &actions)
 {
     for (const published_item &item : batch.items)
         logUnusable(item, actions);
+    std::vector<std::string> removedNames;
     if (batch.isSnapshot) {
-        pool.applySnapshot(now, batch.items);
+        removedNames = pool.applySnapshot(now, batch.items);
     } else {
         for (const published_item &item : batch.items)
             pool.apply(now, item);
@@ -482,6 +503,7 @@
     counters.set("workers_known", static_cast<double>(pool.size()));
     updateRemovalGracePeriods(now);
     handleWorkerChanges(now, source, {}, actions);
+    return removedNames;
 }
 
 /// Logs the changes that were just applied to the pool, and withdraws unsent attempts from workers
@@ -532,7 +554,9 @@
 /// Late in the drain, refuses requests that may not end before it does.
 void route_gateway::state::restrictAdmission(instant now)
 {
-    if (stage == lifecycle_stage::leaving && now - leavingSince > unconditionalAcceptTime)
+    const duration acceptTime = std::min<duration>(
+        unconditionalAcceptTime, scaled(settings.drainTimeout, unconditionalAcceptFraction));
+    if (stage == lifecycle_stage::leaving && now - leavingSince > acceptTime)
         runner.rejectRequestsEndingAfter(leavingSince
                                          + scaled(settings.drainTimeout, terminateFraction));
 }
--- a/decision/routing/worker_pool.cpp
+++ b/decision/routing/worker_pool.cpp
@@ -58,7 +58,8 @@
         remove(now, item.name);
 }
 
-void worker_pool::applySnapshot(instant now, const std::vector<published_item> &items)
+std::vector<std::string> worker_pool::applySnapshot(instant now,
+                                                    const std::vector<published_item> &items)
 {
     std::set<std::string, std::less<>> listed;
     for (const published_item &item : items) {
@@ -68,11 +69,12 @@
     }
     std::vector<std::string> missing;
     for (const std::pair<const std::string, worker_index> &entry : m_byName) {
-        if (!listed.contains(entry.first))
+        if (!listed.contains(entry.first) && !at(entry.second).availability.isRemoved())
             missing.push_back(entry.first);
     }
     for (const std::string &name : missing)
         remove(now, name);
+    return missing;
 }
 
 /// Applies a new entry of the run that `known` describes.
--- a/decision/routing/worker_pool.h
+++ b/decision/routing/worker_pool.h
@@ -103,7 +103,8 @@
     /// removed.
     void apply(instant now, const published_item &item);
     /// Applies a complete list: workers that are missing from it are removed.
-    void applySnapshot(instant now, const std::vector<published_item> &items);
+    /// \return the names of the removed workers.
+    std::vector<std::string> applySnapshot(instant now, const std::vector<published_item> &items);
     /// Another gateway has reported that a worker is draining or was removed. The worker gets no
     /// new requests.
     /// \param age time since any gateway first observed this.
--- a/tests/decision/routing/reader_fixture.h
+++ b/tests/decision/routing/reader_fixture.h
@@ -19,18 +19,24 @@
 {
     /// \param capacity processor share of this gateway in hundredths of a core. With 100 it is a
     /// reader, with 20 the first standby reader, and with 1 neither.
-    explicit reader_fixture(std::uint32_t capacity = 10, unsigned otherCount = otherGatewayCount)
-        : routing_fixture(settingsWithCapacity(capacity)), m_otherCount(otherCount)
+    /// \param watchHoldoff see `routing_settings::startupWatchHoldoff`.
+    explicit reader_fixture(std::uint32_t capacity = 10, unsigned otherCount = otherGatewayCount,
+                            duration watchHoldoff = duration {0}, unsigned workerCount = 2)
+        : routing_fixture(makeSettings(capacity, watchHoldoff)), m_otherCount(otherCount)
     {
-        becomeReady({workerEntry("w-1", "reads"), workerEntry("w-2", "reads")});
+        std::vector<published_worker> workers;
+        for (unsigned i = 1; i <= workerCount; ++i)
+            workers.push_back(workerEntry("w-" + std::to_string(i), "reads"));
+        becomeReady(workers);
         receiveDigestsFromOthers();
         advance(milliseconds(600));
     }
 
-    static routing_settings settingsWithCapacity(std::uint32_t capacity)
+    static routing_settings makeSettings(std::uint32_t capacity, duration watchHoldoff)
     {
         routing_settings settings = localGatewaySettings();
         settings.peers.capacity = capacity;
+        settings.startupWatchHoldoff = watchHoldoff;
         return settings;
     }
 
--- a/tests/decision/routing/reader_group_test.cpp
+++ b/tests/decision/routing/reader_group_test.cpp
@@ -13,6 +13,8 @@
 
 /// Maximum time until the gateways apply a change that was made in the store.
 constexpr duration propagationTimeMax = seconds(2);
+/// Number of workers of a fleet that is large enough to share readers.
+constexpr unsigned largeFleetWorkerCount = 200;
 
 } // namespace
 
@@ -280,6 +282,95 @@
     BOOST_TEST(updates.front().items.front().worker->leaving);
 }
 
+// Guards against a watch of the store by every gateway that starts, although the readers of its
+// failure domain relay all changes.
+BOOST_AUTO_TEST_CASE(startingGatewayWaitsForReadersBeforeItWatches)
+{
+    reader_fixture fixture(1, otherGatewayCount, seconds(2), largeFleetWorkerCount);
+    BOOST_TEST(fixture.inFlightRead(item_scope::configuration) == nullptr);
+    BOOST_TEST(fixture.inFlightRead(item_scope::workers) == nullptr);
+    for (unsigned second = 0; second < 4; ++second) {
+        fixture.receiveReport(0);
+        fixture.advance(seconds(1));
+        fixture.receiveDigestsFromOthers();
+    }
+    BOOST_TEST(fixture.inFlightRead(item_scope::configuration) == nullptr);
+    BOOST_TEST(fixture.inFlightRead(item_scope::workers) == nullptr);
+}
+
+// Guards against a gateway without readers that does not watch the store after its start.
+BOOST_AUTO_TEST_CASE(startingGatewayWithoutReadersWatchesAfterTheHoldoff)
+{
+    reader_fixture large(1, 2, seconds(2), largeFleetWorkerCount);
+    large.advance(milliseconds(1450));
+    BOOST_TEST(large.isWatching());
+    // In a small fleet, no other gateways are expected to relay changes.
+    reader_fixture small(1, 2, seconds(2));
+    BOOST_TEST(small.isWatching());
+}
+
+// Guards against a restarted reader on which its failure domain depends and that does not watch the
+// store for the first seconds.
+BOOST_AUTO_TEST_CASE(restartedReaderWatchesAtOnce)
+{
+    reader_fixture fixture(100, otherGatewayCount, milliseconds(2400), largeFleetWorkerCount);
+    BOOST_REQUIRE(fixture.isWatching());
+    item_page page;
+    page.revision = 17;
+    page.items = {drainingWorkerItem("w-1", 17)};
+    fixture.answerRead(item_scope::workers, page);
+    fixture.advance(milliseconds(1050));
+    BOOST_TEST(fixture.isWatching());
+}
+
+// Guards against reads of the store by all gateways of the failure domain after its reader had to
+// list the store again.
+BOOST_AUTO_TEST_CASE(readerRelaysWhatItsNextListHasChanged)
+{
+    reader_fixture fixture(100);
+    fixture.takeSent<items_update>();
+    item_page compacted;
+    compacted.historyLost = true;
+    fixture.answerRead(item_scope::workers, compacted);
+    item_page list;
+    list.revision = 20;
+    list.items = {drainingWorkerItem("w-1", 15),
+                  withRevision(workerItem(workerEntry("w-3", "reads")), 18)};
+    fixture.answerRead(item_scope::workers, list);
+    const std::vector<items_update> updates = fixture.takeSent<items_update>();
+    BOOST_REQUIRE_EQUAL(updates.size(), otherGatewayCount);
+    BOOST_TEST(updates.front().afterRevision == 10U);
+    BOOST_TEST(updates.front().revision == 20U);
+    std::vector<std::string> names;
+    for (const published_item &item : updates.front().items)
+        names.push_back((item.removed ? "-" : "+") + item.name);
+    BOOST_TEST((names == std::vector<std::string> {"+w-1", "+w-3", "-w-2"}));
+}
+
+// Guards against reads of the store by all gateways of the failure domain after many workers have
+// changed at once.
+BOOST_AUTO_TEST_CASE(manyChangesAreRelayedInSeveralUpdates)
+{
+    constexpr unsigned changeCount = 2 * updateItemsMax + 1;
+    reader_fixture fixture(100);
+    fixture.takeSent<items_update>();
+    item_page page;
+    page.revision = 10 + changeCount;
+    for (unsigned i = 1; i <= changeCount; ++i)
+        page.items.push_back(
+            withRevision(workerItem(workerEntry("w-" + std::to_string(i + 10), "reads")), 10 + i));
+    fixture.answerRead(item_scope::workers, page);
+    const std::vector<items_update> updates = fixture.takeSent<items_update>();
+    BOOST_REQUIRE_EQUAL(updates.size(), 3 * otherGatewayCount);
+    reader_fixture follower(1);
+    follower.startFollowing();
+    for (std::size_t i = 0; i < updates.size(); i += otherGatewayCount)
+        follower.handle(peer_message_received {{reader_fixture::nameOf(0), 1}, updates[i]});
+    follower.advance(milliseconds(400));
+    BOOST_TEST(follower.inFlightRead(item_scope::workers) == nullptr);
+    BOOST_TEST(follower.gateway->dump(follower.now)["workers"].size() == changeCount + 2);
+}
+
 // Guards against relaying a large configuration to all gateways, which would saturate the links of
 // small gateways for seconds.
 BOOST_AUTO_TEST_CASE(largeConfigurationsAreOnlyAdvertised)
