Answer requests that arrive while the listener closes

A gateway that had finished its drain closed its listener at once. Connections in the accept queue were reset, and requests on kept connections closed without an answer. It now accepts and refuses for 50 ms more before the listener closes.

requestsOnTheirWayAreAnsweredBeforeTheListenerCloses failed before (connection refused).

--- a/servers/http_entry/http_entry.cpp
+++ b/servers/http_entry/http_entry.cpp
@@ -25,6 +25,9 @@
 /// caller receives the error response. If a connection is closed with unread data, the kernel sends
 /// a reset, and the caller may never read the response.
 constexpr std::uint64_t discardFactor = 4;
+/// How long requests and connections that are already on their way are still answered before the
+/// listener closes.
+constexpr duration lingerTime = milliseconds(50);
 
 MHD_Result collectField(void *closure, MHD_ValueKind /*kind*/, const char *name,
                         std::size_t nameSize, const char *value, std::size_t valueSize)
@@ -95,6 +98,7 @@
 {
     m_stopping = true;
     m_checkTimer.reset();
+    m_lingerTimer.reset();
     m_flush.reset();
     while (!m_waiting.empty())
         abandon(*m_waiting.begin()->second);
@@ -473,8 +477,12 @@
 
 void http_entry::flush(duration timeLimit, std::function<void()> done)
 {
-    m_daemon->stopAccepting();
-    m_flush->begin(m_unsent == 0, timeLimit, std::move(done));
+    m_lingerTimer
+        = std::make_unique<timer_watcher>(*m_loop, [this, timeLimit, done = std::move(done)] {
+              m_daemon->stopAccepting();
+              m_flush->begin(m_unsent == 0, timeLimit, done);
+          });
+    m_lingerTimer->start(lingerTime);
 }
 
 void *http_entry::onConnectionOpened(MHD_Connection *connection)
--- a/servers/http_entry/http_entry.h
+++ b/servers/http_entry/http_entry.h
@@ -105,6 +105,7 @@
     std::unique_ptr<http_daemon> m_daemon;
     std::unique_ptr<timer_watcher> m_checkTimer;
     std::unique_ptr<flush_wait> m_flush;
+    std::unique_ptr<timer_watcher> m_lingerTimer;
     /// The only mapping from calls and entry queries to their connections. Contains an exchange
     /// exactly while it is in `phase::waiting`, so a late response cannot reach another caller.
     std::unordered_map<std::uint64_t, caller_exchange *> m_waiting;
--- a/tests/servers/http_entry_test.cpp
+++ b/tests/servers/http_entry_test.cpp
@@ -446,6 +446,26 @@
     BOOST_CHECK_THROW(raw_client(entry->port()), std::runtime_error);
 }
 
+// Guards against connections and requests that arrive just before the process exits and are closed
+// without a response.
+BOOST_AUTO_TEST_CASE(requestsOnTheirWayAreAnsweredBeforeTheListenerCloses)
+{
+    raw_client kept(entry->port());
+    kept.send(getRequest("/a"));
+    BOOST_TEST(waitForEvents(1));
+    respond(0, {200, {}, "", call_outcome::run}, false);
+    BOOST_TEST(waitForResponse(kept));
+    bool flushed = false;
+    entry->flush(seconds(5), [&flushed] { flushed = true; });
+    raw_client arriving(entry->port());
+    arriving.send(getRequest("/b"));
+    BOOST_TEST(waitForEvents(2));
+    respond(1, {503, {}, "", call_outcome::not_run}, true);
+    BOOST_TEST(runUntil(*loop, [&] { return arriving.isClosed() && flushed; }));
+    BOOST_TEST(arriving.status() == 503);
+    BOOST_CHECK_THROW(raw_client(entry->port()), std::runtime_error);
+}
+
 // Guards against crashes, and against events that are delivered after `stop`, when the process
 // stops with calls in progress.
 BOOST_AUTO_TEST_CASE(stopClosesWaitingConnections)
