--- a/decision/routing/item_reader.cpp
+++ b/decision/routing/item_reader.cpp
@@ -235,7 +235,8 @@
     m_mustRelist = false;
     m_hasSynced = true;
     m_afterKey.clear();
-    if (!m_listedItems.empty())
+    // Without a configuration, the gateway cannot serve until it is published.
+    if (!m_listedItems.empty() || m_settings.scope == item_scope::workers)
         m_nextReadAt = std::max(now, m_firstWatchHoldoffUntil);
     batches.push_back({true, std::exchange(m_listedItems, {}), knownRevision, m_revision});
 }
--- a/decision/routing/peer_group.cpp
+++ b/decision/routing/peer_group.cpp
@@ -188,6 +188,12 @@
     return std::max(known, gatewayCountMin(now));
 }
 
+bool peer_group::hasOtherSeeds() const
+{
+    return std::any_of(m_settings.seeds.begin(), m_settings.seeds.end(),
+                       [this](const std::string &seed) { return seed != m_settings.peerAddress; });
+}
+
 /// Number of gateways to assume at least.
 unsigned peer_group::gatewayCountMin(instant now) const
 {
--- a/decision/routing/peer_group.h
+++ b/decision/routing/peer_group.h
@@ -78,6 +78,8 @@
     /// is, also suspect and leaving ones. Until `discoveryTime` has passed, at least
     /// `assumedGatewayCount`.
     unsigned gatewayCount(instant now) const;
+    /// True if the settings name another gateway to contact.
+    bool hasOtherSeeds() const;
     /// This gateway and all others that may still run, among which the request limits of workers
     /// are divided.
     gateway_group gatewayGroup(instant now) const;
--- a/tests/decision/routing/reader_fixture.h
+++ b/tests/decision/routing/reader_fixture.h
@@ -21,13 +21,10 @@
     /// reader, with 20 the first standby reader, and with 1 neither.
     /// \param watchHoldoff see `routing_settings::startupWatchHoldoff`.
     explicit reader_fixture(std::uint32_t capacity = 10, unsigned otherCount = otherGatewayCount,
-                            duration watchHoldoff = duration {0}, unsigned workerCount = 2)
+                            duration watchHoldoff = duration {0})
         : routing_fixture(makeSettings(capacity, watchHoldoff)), m_otherCount(otherCount)
     {
-        std::vector<published_worker> workers;
-        for (unsigned i = 1; i <= workerCount; ++i)
-            workers.push_back(workerEntry("w-" + std::to_string(i), "reads"));
-        becomeReady(workers);
+        becomeReady({workerEntry("w-1", "reads"), workerEntry("w-2", "reads")});
         receiveDigestsFromOthers();
         advance(milliseconds(600));
     }
@@ -37,6 +34,8 @@
         routing_settings settings = localGatewaySettings();
         settings.peers.capacity = capacity;
         settings.startupWatchHoldoff = watchHoldoff;
+        if (watchHoldoff > duration {0})
+            settings.peers.seeds = {localDigest(nameOf(0), 0).self.peerAddress};
         return settings;
     }
 
--- a/tests/decision/routing/reader_group_test.cpp
+++ b/tests/decision/routing/reader_group_test.cpp
@@ -13,8 +13,6 @@
 
 /// Maximum time until the gateways apply a change that was made in the store.
 constexpr duration propagationTimeMax = seconds(2);
-/// Number of workers of a fleet that is large enough to share readers.
-constexpr unsigned largeFleetWorkerCount = 200;
 
 } // namespace
 
@@ -286,7 +284,7 @@
 // failure domain relay all changes.
 BOOST_AUTO_TEST_CASE(startingGatewayWaitsForReadersBeforeItWatches)
 {
-    reader_fixture fixture(1, otherGatewayCount, seconds(2), largeFleetWorkerCount);
+    reader_fixture fixture(1, otherGatewayCount, seconds(2));
     BOOST_TEST(fixture.inFlightRead(item_scope::configuration) == nullptr);
     BOOST_TEST(fixture.inFlightRead(item_scope::workers) == nullptr);
     for (unsigned second = 0; second < 4; ++second) {
@@ -301,19 +299,31 @@
 // Guards against a gateway without readers that does not watch the store after its start.
 BOOST_AUTO_TEST_CASE(startingGatewayWithoutReadersWatchesAfterTheHoldoff)
 {
-    reader_fixture large(1, 2, seconds(2), largeFleetWorkerCount);
-    large.advance(milliseconds(1450));
-    BOOST_TEST(large.isWatching());
-    // In a small fleet, no other gateways are expected to relay changes.
-    reader_fixture small(1, 2, seconds(2));
-    BOOST_TEST(small.isWatching());
+    reader_fixture fixture(1, otherGatewayCount, seconds(2));
+    fixture.advance(milliseconds(1450));
+    BOOST_TEST(fixture.isWatching());
+}
+
+// Guards against a gateway of a small failure domain that waits for readers although there are
+// none.
+BOOST_AUTO_TEST_CASE(startingGatewayOfASmallFailureDomainWatchesSoon)
+{
+    reader_fixture fixture(1, 2, seconds(2));
+    fixture.advance(milliseconds(1000));
+    BOOST_TEST(fixture.isWatching());
+    // Without seeds, there are no other gateways to wait for.
+    routing_settings settings = localGatewaySettings();
+    settings.startupWatchHoldoff = seconds(2);
+    routing_fixture alone(settings);
+    alone.becomeReady({workerEntry("w-1", "reads")});
+    BOOST_TEST(alone.inFlightRead(item_scope::workers) != nullptr);
 }
 
 // Guards against a restarted reader on which its failure domain depends and that does not watch the
 // store for the first seconds.
 BOOST_AUTO_TEST_CASE(restartedReaderWatchesAtOnce)
 {
-    reader_fixture fixture(100, otherGatewayCount, milliseconds(2400), largeFleetWorkerCount);
+    reader_fixture fixture(100, otherGatewayCount, milliseconds(2400));
     BOOST_REQUIRE(fixture.isWatching());
     item_page page;
     page.revision = 17;
