--- a/decision/routing/reader_group.h
+++ b/decision/routing/reader_group.h
@@ -114,10 +114,9 @@
     instant nextWake(instant now) const;
     nlohmann::json dump(instant now) const;
 
+private:
     /// True if the failure domain has enough gateways to share readers.
     bool isShared() const { return m_candidateCount >= m_settings.gatewaysForSharedReadersMin; }
-
-private:
     bool isStandby() const;
 
     reader_group_settings m_settings;
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -39,9 +39,6 @@
 /// accepted only if their deadline passes before.
 constexpr duration unconditionalAcceptTime = seconds(3);
 constexpr double unconditionalAcceptFraction = 0.5;
-/// Time after the start in which a gateway that has seeds learns whether its failure domain is
-/// large enough to share readers.
-constexpr duration groupDiscoveryTime = milliseconds(1200);
 
 /// Stages in the lifecycle of the process.
 enum class lifecycle_stage { serving, leaving, finished };
@@ -109,7 +106,6 @@
                                         std::string_view source, action_list &actions);
     void logStoreState(bool wasFailing, const items_read_finished &input, action_list &actions);
     bool areReadsFailing() const;
-    bool mayShareReaders(instant now) const;
     void startDueReads(instant now, action_list &actions);
     void releaseStartupQueue(instant now, action_list &actions);
     void sendDueReports(instant now, action_list &actions);
@@ -146,7 +142,6 @@
     /// Value of `reader_group::mustWatchStore` when the reads were last started.
     bool wasWatching = true;
     instant nextSweep;
-    instant startedAt;
     /// `nextWake()` after the last event. If the next event arrives much later, the process was
     /// paused.
     instant expectedWake = instant::never();
@@ -382,12 +377,6 @@
     return {};
 }
 
-/// True if other gateways may be going to relay the changes of the store.
-bool route_gateway::state::mayShareReaders(instant now) const
-{
-    return readers.isShared() || (peers.hasOtherSeeds() && now - startedAt < groupDiscoveryTime);
-}
-
 /// Starts the reads of the store that are due. Lists are always read; changes only if no other
 /// gateway relays them or some of them are missing.
 void route_gateway::state::startDueReads(instant now, action_list &actions)
@@ -407,7 +396,7 @@
     for (item_reader *reader : {&configReader, &workerReader}) {
         if (readers.isReader(now))
             reader->endWatchHoldoffs(now);
-        else if (!mayShareReaders(now))
+        else if (!peers.hasOtherSeeds())
             reader->endFirstWatchHoldoff(now);
     }
     configReader.timerExpired(now, nextReadId, actions);
@@ -618,7 +607,6 @@
 
 void route_gateway::start(instant now, action_list &actions)
 {
-    m_state->startedAt = now;
     m_state->nextSweep = now + sweepInterval;
     m_state->configReader.start(now, m_state->nextReadId, actions);
     m_state->workerReader.start(now, m_state->nextReadId, actions);
--- a/decision/routing/routing_settings.h
+++ b/decision/routing/routing_settings.h
@@ -47,11 +47,11 @@
     /// Maximum time for which the store may hold a watch open; see
     /// `item_reader_settings::watchTimeout`.
     duration watchTimeout {seconds(4)};
-    /// In a large failure domain, the first watch, and in any fleet one that follows a watch that
-    /// reported changes, starts no earlier than this long after the start of the gateway, unless it
-    /// is a reader. In the meantime the gateway learns whether other gateways relay the changes, so
-    /// that it need not watch itself. Must be less than 3 s, since a gateway has to know all
-    /// changes 3 s after its start.
+    /// The first watch of a gateway that has seeds, and each watch that follows one that reported
+    /// changes, starts no earlier than this long after the start of the gateway, unless it is a
+    /// reader. In the meantime the gateway learns whether other gateways relay the changes, so that
+    /// it need not watch itself. Must be less than 3 s, since a gateway has to know all changes 3 s
+    /// after its start.
     duration startupWatchHoldoff {milliseconds(2400)};
     peer_group_settings peers;
     reader_group_settings readers;
