--- a/decision/routing/routing_settings.h
+++ b/decision/routing/routing_settings.h
@@ -52,7 +52,7 @@
     /// reader. In the meantime the gateway learns whether other gateways relay the changes, so that
     /// it need not watch itself. Must be less than 3 s, since a gateway has to know all changes 3 s
     /// after its start.
-    duration startupWatchHoldoff {milliseconds(2400)};
+    duration startupWatchHoldoff {milliseconds(2700)};
     peer_group_settings peers;
     reader_group_settings readers;
     shared_budgets budgets;
