--- a/tests/platform/end_to_end_test.py
+++ b/tests/platform/end_to_end_test.py
@@ -93,7 +93,7 @@
         """Guards against forwarding responses that belong to another request, have no seal header
         or are truncated."""
         gateway = self.start()
-        for mode in ("extra", "extra-late", "unframed", "unframed-reset", "unsealed", "reset",
+        for mode in ("extra", "extra-half", "extra-late", "unframed", "unframed-reset", "unsealed", "reset",
                      "shed", "early", "failing", "silent"):
             self.workers[0].mode = self.workers[2].mode = mode
             caller = standins.Caller(gateway.entry_port)
@@ -113,6 +113,38 @@
             self.workers[0].mode = self.workers[2].mode = "healthy"
             time.sleep(0.5)
 
+    def test_broken_off_answers(self):
+        """Guards against a response that breaks off in its head or body and reaches the caller as a
+        complete one, on new and on kept connections, after a close and after a reset."""
+        gateway = self.start()
+        for place, response in standins.BROKEN_RESPONSES.items():
+            for resets in (False, True):
+                with self.subTest(place=place, resets=resets):
+                    self.send_to_broken_workers(gateway, response, resets)
+
+    def send_to_broken_workers(self, gateway, response, resets):
+        """Sends requests while all workers break off their responses."""
+        caller = standins.Caller(gateway.entry_port)
+        for _ in range(2):  # Opens connections to the workers.
+            caller.send("GET", "/read/1", self.attempt())
+        for worker in self.workers:
+            worker.broken_response, worker.resets, worker.mode = response, resets, "broken"
+        runs = 0
+        for _ in range(4):
+            for method, path, body in (("GET", "/read/1", None), ("POST", "/book/1", b"y")):
+                attempt = self.attempt()
+                status, _, _ = caller.send(method, path, attempt, body)
+                self.assertIn(status, (502, 503, 504))
+                ran = len(self.runs(attempt))
+                runs += ran
+                if method == "POST":
+                    self.assertLessEqual(ran, 1)
+                if status == 503:
+                    self.assertEqual(ran, 0)
+        self.assertGreaterEqual(runs, 4)
+        for worker in self.workers:
+            worker.mode = "healthy"
+
     def test_reused_address(self):
         """Guards against requests that run at another worker which now has the same address."""
         gateway = self.start()
@@ -354,6 +386,39 @@
         self.assertEqual(failures, [])
         self.assertGreater(len(served), 20)
 
+    def test_long_work_during_shutdown(self):
+        """Guards against requests that arrive late in the drain, are passed on and are broken off at
+        its end: the work takes a third of the grace period."""
+        gateway = self.start()
+        for worker in self.workers:
+            worker.service_time = 1.0
+        stop, statuses = threading.Event(), []
+
+        def run_caller(number):
+            caller = standins.Caller(gateway.entry_port)
+            while not stop.is_set():
+                attempt = f"{number}-{time.monotonic_ns():x}"
+                try:
+                    status, _, _ = caller.send("POST", "/book/1", attempt, b"b")
+                    statuses.append(status)
+                except ConnectionRefusedError:
+                    return
+                except (OSError, http.client.HTTPException) as error:
+                    if self.runs(attempt):
+                        statuses.append(repr(error))
+                time.sleep(0.05)
+        threads = [threading.Thread(target=run_caller, args=(i,)) for i in range(12)]
+        for thread in threads:
+            thread.start()
+            time.sleep(0.08)
+        gateway.terminate()
+        self.assertEqual(gateway.process.wait(5), 0)
+        stop.set()
+        for thread in threads:
+            thread.join()
+        self.assertEqual([status for status in statuses if status not in (200, 503)], [])
+        self.assertIn(200, statuses)
+
     def test_killed_gateway(self):
         """Guards against address lookups that return a gateway which was killed."""
         self.start(2)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -167,6 +167,40 @@
             registration("127.0.0.1:80", "1", "1e999")]
 
 
+def broken_responses():
+    """Returns responses that break off, by the place where they do. ATTEMPT and NAME stand for the
+    identifier of the request and the name of the worker."""
+    seal = (b"X-Almondnotch-Attempt-Id: ATTEMPT\r\nX-Almondnotch-Server-Seal: seal-NAME\r\n"
+            b"X-Almondnotch-Server-Load: 0,0,4,100\r\n")
+    head = b"HTTP/1.1 200 OK\r\n" + seal
+    length, chunked = b"Content-Length: 40\r\n", b"Transfer-Encoding: chunked\r\n"
+    return {
+        "within the status line": b"HTTP/1.1 20",
+        "after the status": b"HTTP/1.1 200",
+        "after the status line": b"HTTP/1.1 200 OK\r\n",
+        "within a header name": head + b"Content-Le",
+        "after a header name": head + b"Content-Length:",
+        "within a header value": head + b"Content-Length: 4",
+        "within the seal": b"HTTP/1.1 200 OK\r\nX-Almondnotch-Attempt-Id: ATTEMPT\r\n"
+                           b"X-Almondnotch-Server-Seal: se",
+        "after the headers": head + length,
+        "after headers without a length": head,
+        "within the blank line": head + length + b"\r",
+        "before a body with a length": head + length + b"\r\n",
+        "within a body with a length": head + length + b"\r\nNAME ATT",
+        "within a body of HTTP/1.0": b"HTTP/1.0 200 OK\r\n" + seal + length + b"\r\nNAME",
+        "before the chunks": head + chunked + b"\r\n",
+        "within a chunk size": head + chunked + b"\r\n1",
+        "within a chunk": head + chunked + b"\r\n10\r\nNAME",
+        "between chunks": head + chunked + b"\r\n4\r\nNAME\r\n",
+        "within the last chunk": head + chunked + b"\r\n4\r\nNAME\r\n0\r\n",
+        "within a trailer": head + chunked + b"\r\n4\r\nNAME\r\n0\r\nX-Trail",
+    }
+
+
+BROKEN_RESPONSES = broken_responses()
+
+
 class Worker:
     """A fake worker that registers itself in the store. `mode` selects its behaviour:
 
@@ -184,6 +218,9 @@
     refusal-again   rejects the first request of a connection; writes this rejection once more before
                     it responds to each later one, which it runs
     unnamed-refusal-again  the same, with rejections that do not name their request
+    broken          runs the request and sends the part of a response that `broken_response` holds, then
+                    closes the connection, or resets it if `resets` is set
+    extra-half      sends the response and then half of it once more
     endless-head, endless-body, endless-noise  never stops sending header lines, chunks of a body, or
                     bytes that are no response, until the gateway closes the connection; also in
                     response to probes
@@ -198,6 +235,7 @@
         self.store, self.name, self.service, self.zone = store, name, service, zone
         self.mode, self.service_time, self.slowdown, self.runs = "healthy", 0.0, 100, []
         self.headers = []
+        self.broken_response, self.resets = BROKEN_RESPONSES["within the status line"], False
         self.lock = threading.Lock()
         self.running = 0
         worker = self
@@ -290,6 +328,14 @@
         text = f"{self.name} {attempt}".encode()
         if self.mode == "reset":
             handler.reset()
+        elif self.mode == "broken":
+            handler.wfile.write(self.broken_response.replace(b"ATTEMPT", attempt.encode())
+                                .replace(b"NAME", self.name.encode()))
+            handler.wfile.flush()
+            handler.close_connection = True
+            if self.resets:
+                time.sleep(0.02)
+                handler.reset()
         elif self.mode == "silent":
             time.sleep(2)
             handler.reset()
@@ -307,7 +353,9 @@
             handler.reset()
         else:
             handler.reply(200, head, text)
-            if self.mode == "extra":
+            if self.mode == "extra-half":
+                handler.wfile.write(b"HTTP/1.1 200 X\r\nX-Almondnotch-Attempt-Id: " + attempt.encode())
+            elif self.mode == "extra":
                 handler.reply(200, head, text)
             elif self.mode == "extra-late":
                 handler.wfile.flush()
