Divide budgets among as many gateways as there are workers at a start

Until a gateway knows the others, it divided the shared retries, probes and request limits by gateways_assumed = 16: twenty times too high a sum after a start of all 311 gateways. It now assumes at least as many gateways as workers, of which a fleet has more.

startingGatewayOfALargeFleetTakesASmallShare failed before (223 attempts, 221 allowed).

--- a/decision/routing/peer_group.cpp
+++ b/decision/routing/peer_group.cpp
@@ -188,6 +188,11 @@
     return std::max(known, gatewayCountMin(now));
 }
 
+void peer_group::raiseAssumedGatewayCount(unsigned count)
+{
+    m_settings.assumedGatewayCount = std::max(m_settings.assumedGatewayCount, count);
+}
+
 bool peer_group::hasOtherSeeds() const
 {
     return std::any_of(m_settings.seeds.begin(), m_settings.seeds.end(),
--- a/decision/routing/peer_group.h
+++ b/decision/routing/peer_group.h
@@ -78,6 +78,9 @@
     /// is, also suspect and leaving ones. Until `discoveryTime` has passed, at least
     /// `assumedGatewayCount`.
     unsigned gatewayCount(instant now) const;
+    /// Raises `assumedGatewayCount` to `count` if it is lower. A safe value is the number of
+    /// workers, since a fleet has fewer gateways than that.
+    void raiseAssumedGatewayCount(unsigned count);
     /// True if the settings name another gateway to contact.
     bool hasOtherSeeds() const;
     /// This gateway and all others that may still run, among which the request limits of workers
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -497,6 +497,7 @@
             pool.apply(now, item);
     }
     counters.set("workers_known", static_cast<double>(pool.size()));
+    peers.raiseAssumedGatewayCount(static_cast<unsigned>(pool.size()));
     updateRemovalGracePeriods(now);
     handleWorkerChanges(now, source, {}, actions);
     return removedNames;
--- a/tests/decision/routing/requests_test.cpp
+++ b/tests/decision/routing/requests_test.cpp
@@ -17,6 +17,27 @@
     return report;
 }
 
+/// Number of requests that `countAttemptsOfFailingRequests` sends.
+constexpr unsigned failingRequestCount = 200;
+
+/// Sends requests within less than a second. All attempts are answered with status 500.
+/// \return the number of attempts.
+unsigned countAttemptsOfFailingRequests(routing_fixture &fixture)
+{
+    unsigned sent = 0;
+    for (unsigned i = 0; i < failingRequestCount; ++i) {
+        fixture.call("GET", "/read/" + std::to_string(i));
+        for (int round = 0; round < 3; ++round) {
+            for (const start_attempt &attempt : fixture.take<start_attempt>()) {
+                ++sent;
+                fixture.answer(attempt, 500);
+            }
+        }
+        fixture.advance(milliseconds(2));
+    }
+    return sent;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(requests_suite)
@@ -348,20 +369,24 @@
     fixture.becomeReady({workerEntry("r-0", "reads"), workerEntry("r-1", "reads"),
                          workerEntry("r-2", "reads"), workerEntry("r-3", "reads"),
                          workerEntry("r-4", "reads"), workerEntry("r-5", "reads")});
-    constexpr unsigned requests = 200;
-    unsigned sent = 0;
-    for (unsigned i = 0; i < requests; ++i) {
-        fixture.call("GET", "/read/" + std::to_string(i));
-        for (int round = 0; round < 3; ++round) {
-            for (const start_attempt &attempt : fixture.take<start_attempt>()) {
-                ++sent;
-                fixture.answer(attempt, 500);
-            }
-        }
-        fixture.advance(milliseconds(2));
-    }
-    BOOST_TEST(sent <= requests + requests / 10 + 10);
-    BOOST_TEST(sent > requests);
+    const unsigned sent = countAttemptsOfFailingRequests(fixture);
+    BOOST_TEST(sent <= failingRequestCount + failingRequestCount / 10 + 10);
+    BOOST_TEST(sent > failingRequestCount);
+}
+
+// Guards against retries beyond the budget of all gateways while the gateways of a large fleet have
+// just started and do not know each other. There are not more gateways than workers.
+BOOST_AUTO_TEST_CASE(startingGatewayOfALargeFleetTakesASmallShare)
+{
+    routing_settings settings = localGatewaySettings();
+    settings.budgets.retryBurst = 160;
+    routing_fixture fixture(settings);
+    std::vector<published_worker> workers;
+    for (unsigned i = 0; i < 320; ++i)
+        workers.push_back(workerEntry("r-" + std::to_string(i), "reads"));
+    fixture.becomeReady(workers);
+    const unsigned sent = countAttemptsOfFailingRequests(fixture);
+    BOOST_TEST(sent <= failingRequestCount + failingRequestCount / 10 + 1);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
