Let the workers of the soak leave and ask for pauses in their responses

The soak checks from the records of callers and workers that a gateway sends no request to a worker whose leave it has passed on, and no more than two during a pause.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -13,6 +13,8 @@
   - After the last fault, requests are served again, and the newest configuration is in force in
     every gateway.
   - After that, a worker that drains gets no more requests.
+  - A worker that said in a response that it leaves gets no later requests from that gateway.
+  - A worker that asked a gateway for a pause gets no more than two requests from it meanwhile.
 """
 import argparse
 import http.client
@@ -28,7 +30,7 @@
 import standins  # noqa: E402
 
 MODES = ("healthy", "healthy", "extra", "extra-late", "unframed", "unframed-reset", "unsealed",
-         "reset", "shed", "early", "failing", "silent", "refusal-again", "unnamed-refusal-again",
+         "reset", "shed", "pausing", "early", "failing", "silent", "refusal-again", "unnamed-refusal-again",
          "endless-head", "endless-body", "endless-noise")
 CALLERS = 8
 RECOVERY_SECONDS = 15
@@ -37,6 +39,9 @@
 STABLE_SECONDS = 3
 DRAIN_SECONDS = 2
 SERVED_SHARE_MIN = 0.9
+# Time after a request for a pause from which it is checked, and how many requests may still come.
+PAUSE_NOTICE_SECONDS = 0.5
+PAUSE_REQUESTS_MAX = 2
 
 
 class Soak:
@@ -55,6 +60,9 @@
         self.stop = threading.Event()
         self.lock = threading.Lock()
         self.answers, self.faults = {}, []
+        # Entry port of the gateway and time of each request, and the time at which a caller learned
+        # that a worker leaves, by entry port and worker.
+        self.sent, self.leaves = {}, {}
 
     def add_worker(self, service):
         self.created += 1
@@ -77,12 +85,16 @@
             count += 1
             attempt = f"{number:x}-{count:x}"
             booking = rng.random() < 0.5
+            self.sent[attempt] = (caller.port, time.monotonic())
             try:
                 if booking:
                     answer = caller.send("POST", "/book/1", attempt, b"x" * rng.randrange(20000))
                 else:
                     answer = caller.send("GET", f"/read/{count}", attempt)
                 outcome = (answer[0], answer[1].get("X-Almondnotch-Server-Seal"), answer[2])
+                if "Server-Leaving" in answer[1] and answer[0] == 200:
+                    self.leaves.setdefault((caller.port, answer[2].split()[0].decode()),
+                                           time.monotonic())
             except (OSError, http.client.HTTPException) as error:
                 outcome = (0, None, repr(error).encode())
                 time.sleep(0.02)
@@ -92,7 +104,7 @@
 
     def inject_fault(self):
         kind = self.random.choice(("kill", "pause", "leave", "mode", "mode", "mode", "drain",
-                                   "remove", "replace", "down", "silence", "compact", "config",
+                                   "announce", "remove", "replace", "down", "silence", "compact", "config",
                                    "forge"))
         number = self.random.randrange(len(self.gateways))
         gateway, worker = self.gateways[number], self.random.choice(self.workers)
@@ -107,7 +119,7 @@
         elif kind == "mode":
             worker.mode = self.random.choice(MODES)
             worker.slowdown = self.random.choice((100, 100, 300, 700))
-        elif kind in ("drain", "remove", "replace"):
+        elif kind in ("drain", "announce", "remove", "replace"):
             self.retire(worker, kind)
         elif kind == "down":
             self.store.is_down = True
@@ -142,12 +154,15 @@
         self.retired.append(worker)
         if kind == "drain":
             worker.register("draining")
+        elif kind == "announce":
+            # The store still says that the worker is ready.
+            worker.is_leaving = True
         self.add_worker(worker.service)
         if kind == "replace":
             # Simulates another worker that takes over the address immediately. The registration of
             # the old name stays in the store.
             worker.name = "another"
-        if kind != "drain":
+        if kind in ("remove", "replace"):
             self.store.remove(f"servers/{worker.name}")
 
     def check(self):
@@ -165,6 +180,32 @@
             if status == 200 and (seal is None or body.decode().split()[1] != attempt):
                 failures.append(f"{attempt}: expected a sealed response to this attempt, "
                                 f"found body {body!r} and seal {seal}")
+        for worker in self.workers + self.retired:
+            failures += self.requests_after_leave(worker) + self.requests_in_pauses(worker)
+        return failures
+
+    def requests_after_leave(self, worker):
+        """Returns an error text for each request that the worker got from a gateway although a
+        caller had sent it more than DRAIN_SECONDS after that gateway had passed on its leave."""
+        failures = []
+        for attempt, _ in worker.arrivals:
+            port, sent_at = self.sent[attempt]
+            told_at = self.leaves.get((port, worker.name))
+            if told_at is not None and sent_at > told_at + DRAIN_SECONDS:
+                failures.append(f"{worker.name} got {attempt} {sent_at - told_at:.1f} s after its leave")
+        return failures
+
+    def requests_in_pauses(self, worker):
+        """Returns an error text for each pause in which a gateway sent the worker too much."""
+        failures = []
+        arrivals = [(self.sent[attempt][0], at) for attempt, at in worker.arrivals]
+        for attempt, asked_at in worker.pauses:
+            port = self.sent[attempt][0]
+            count = sum(asked_at + PAUSE_NOTICE_SECONDS < at < asked_at + worker.PAUSE_SECONDS
+                        for other, at in arrivals if other == port)
+            if count > PAUSE_REQUESTS_MAX:
+                failures.append(f"{worker.name} got {count} requests in the pause it asked for with "
+                                f"{attempt}")
         return failures
 
     def run(self):
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -214,6 +214,7 @@
     silent          the same, but only after 2 s
     failing         runs the request and responds with status 500
     shed            rejects the request without running it
+    pausing         the same, and asks for no requests for PAUSE_SECONDS
     early           rejects it likewise, but before it has read the request body
     refusal-again   rejects the first request of a connection; writes this rejection once more before
                     it responds to each later one, which it runs
@@ -226,6 +227,7 @@
                     response to probes
     """
 
+    PAUSE_SECONDS = 1.5
     ENDLESS = {"endless-head": (b"HTTP/1.1 200 X\r\n", b"X-More: " + b"x" * 500 + b"\r\n"),
                "endless-body": (b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n",
                                 b"1000\r\n" + b"x" * 4096 + b"\r\n"),
@@ -235,6 +237,10 @@
         self.store, self.name, self.service, self.zone = store, name, service, zone
         self.mode, self.service_time, self.slowdown, self.runs = "healthy", 0.0, 100, []
         self.headers = []
+        # Says in all responses that it leaves.
+        self.is_leaving = False
+        # Identifier and time of each request, and of each rejection that asked for a pause.
+        self.arrivals, self.pauses = [], []
         self.broken_response, self.resets = BROKEN_RESPONSES["within the status line"], False
         self.lock = threading.Lock()
         self.running = 0
@@ -257,7 +263,8 @@
             "status": {"state": state, "seq": 1, "warmupLeft": "0ms"}})
 
     def load(self):
-        return [("X-Almondnotch-Server-Load", f"{self.running},0,4,{self.slowdown}")]
+        leaving = [("Server-Leaving", "1")] if self.is_leaving else []
+        return [("X-Almondnotch-Server-Load", f"{self.running},0,4,{self.slowdown}")] + leaving
 
     def answer(self, handler):
         if self.mode in self.ENDLESS:
@@ -272,6 +279,14 @@
         if handler.path == "/health":
             handler.reply(200, [("X-Almondnotch-Instance-Id", self.name)] + self.load())
             return
+        attempt = handler.headers["X-Almondnotch-Attempt-Id"]
+        self.arrivals.append((attempt, time.monotonic()))
+        if self.mode == "pausing":
+            self._read(handler)
+            self.pauses.append((attempt, time.monotonic()))
+            handler.reply(503, self._echo(handler) + self.load() + [
+                ("X-Almondnotch-Not-Executed", "1"), ("Retry-After", str(self.PAUSE_SECONDS))])
+            return
         if self.mode == "early":
             # Rejects the request before its body is read. The body still arrives on the connection.
             self._refuse(handler)
