--- a/decision/routing/item_reader.cpp
+++ b/decision/routing/item_reader.cpp
@@ -88,19 +88,22 @@
 
 void item_reader::endFirstWatchHoldoff(instant now)
 {
-    const bool isWaiting = !m_isReadInFlight && !m_isListing;
-    if (isWaiting && m_nextReadAt == m_firstWatchHoldoffUntil)
-        m_nextReadAt = std::min(m_nextReadAt, now);
-    m_firstWatchHoldoffUntil = std::min(m_firstWatchHoldoffUntil, now);
+    endHoldoff(now, m_firstWatchHoldoffUntil);
 }
 
 void item_reader::endWatchHoldoffs(instant now)
 {
-    endFirstWatchHoldoff(now);
+    endHoldoff(now, m_firstWatchHoldoffUntil);
+    endHoldoff(now, m_watchHoldoffUntil);
+}
+
+/// Ends one holdoff and makes a watch that waits for its end due.
+void item_reader::endHoldoff(instant now, instant &until)
+{
     const bool isWaiting = !m_isReadInFlight && !m_isListing;
-    if (isWaiting && m_nextReadAt == m_watchHoldoffUntil)
+    if (isWaiting && m_nextReadAt == until)
         m_nextReadAt = std::min(m_nextReadAt, now);
-    m_watchHoldoffUntil = std::min(m_watchHoldoffUntil, now);
+    until = std::min(until, now);
 }
 
 void item_reader::revisionAdvertised(instant now, std::uint64_t revision)
--- a/decision/routing/item_reader.h
+++ b/decision/routing/item_reader.h
@@ -112,6 +112,7 @@
     std::uint64_t lastChangeRevision() const { return m_lastChangeRevision; }
 
 private:
+    void endHoldoff(instant now, instant &until);
     bool needsRead() const { return m_isListing || m_isWatching || m_isCatchingUp; }
     bool isBehind() const { return m_advertisedRevision > m_revision; }
     duration nextWatchDuration();
--- a/decision/routing/request_runner.cpp
+++ b/decision/routing/request_runner.cpp
@@ -737,12 +737,12 @@
     }
 }
 
-std::string request_runner::requestIdOf(attempt_id attempt) const
+shared_request request_runner::requestOf(attempt_id attempt) const
 {
     const auto started = m_attempts.find(attempt);
     const auto found
         = started == m_attempts.end() ? m_requests.end() : m_requests.find(started->second.first);
-    return found == m_requests.end() ? std::string() : found->second->request->requestId;
+    return found == m_requests.end() ? nullptr : found->second->request;
 }
 
 void request_runner::terminateAll(instant now, action_list &actions)
--- a/decision/routing/request_runner.h
+++ b/decision/routing/request_runner.h
@@ -60,8 +60,8 @@
     void probeLimitedWorkers(instant now, const route_config &config, action_list &actions);
     /// Withdraws the attempts at a worker that were not sent yet.
     void withdrawUnsent(const std::string &worker, action_list &actions) const;
-    /// Identifier of the request that an attempt belongs to; empty if the request has ended.
-    std::string requestIdOf(attempt_id attempt) const;
+    /// Request that an attempt belongs to; null if the request has ended.
+    shared_request requestOf(attempt_id attempt) const;
     /// Ends all requests with an error response, for example when little of the drain timeout is
     /// left.
     void terminateAll(instant now, action_list &actions);
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -114,7 +114,7 @@
     void applyConfig(const item_batch &batch, action_list &actions);
     std::vector<std::string> applyWorkers(instant now, const item_batch &batch,
                                           std::string_view source, action_list &actions);
-    void handleWorkerChanges(instant now, std::string_view source, const std::string &requestId,
+    void handleWorkerChanges(instant now, std::string_view source, const shared_request &request,
                              action_list &actions);
     void updateRemovalGracePeriods(instant now);
     void logUnusable(const published_item &item, action_list &actions);
@@ -242,15 +242,15 @@
 
 void route_gateway::state::on(instant now, const attempt_finished &input, action_list &actions)
 {
-    const std::string requestId = runner.requestIdOf(input.attempt);
+    const shared_request request = runner.requestOf(input.attempt);
     runner.attemptFinished(now, input, actions);
-    handleWorkerChanges(now, "response", requestId, actions);
+    handleWorkerChanges(now, "response", request, actions);
 }
 
 void route_gateway::state::on(instant now, const probe_finished &input, action_list &actions)
 {
     runner.probeFinished(now, input, actions);
-    handleWorkerChanges(now, "probe", {}, actions);
+    handleWorkerChanges(now, "probe", nullptr, actions);
 }
 
 gossip_payload route_gateway::state::gossipPayload(instant now) const
@@ -280,7 +280,7 @@
         if (isStoreUnreachable)
             pool.applyDrain(now, drain.worker, drain.age);
     }
-    handleWorkerChanges(now, "gossip", {}, actions);
+    handleWorkerChanges(now, "gossip", nullptr, actions);
     for (const crash_record &crash : digest.crashes)
         quarantine.addRemoteCrash(now, crash);
     peers.digestArrived(now, digest, gossipPayload(now), actions);
@@ -499,20 +499,22 @@
     counters.set("workers_known", static_cast<double>(pool.size()));
     peers.raiseAssumedGatewayCount(static_cast<unsigned>(pool.size()));
     updateRemovalGracePeriods(now);
-    handleWorkerChanges(now, source, {}, actions);
+    handleWorkerChanges(now, source, nullptr, actions);
     return removedNames;
 }
 
 /// Logs the changes that were just applied to the pool, and withdraws unsent attempts from workers
 /// that get no more requests.
-/// \param source, requestId see `worker_change_log::write`.
+/// \param source see `worker_change_log::write`. \param request request whose response told the
+/// changes; null for other sources.
 void route_gateway::state::handleWorkerChanges(instant now, std::string_view source,
-                                               const std::string &requestId, action_list &actions)
+                                               const shared_request &request, action_list &actions)
 {
     const std::vector<worker_change> changes = pool.takeChanges();
     if (changes.empty())
         return;
-    changeLog.write(now, changes, source, workerReader.revision(), requestId, actions);
+    changeLog.write(now, changes, source, workerReader.revision(),
+                    request == nullptr ? std::string() : request->requestId, actions);
     for (const worker_change &change : changes) {
         if (change.endsUse())
             runner.withdrawUnsent(change.worker, actions);
--- a/decision/routing/worker_selector.cpp
+++ b/decision/routing/worker_selector.cpp
@@ -88,24 +88,22 @@
     return out;
 }
 
-/// Why the request must not be sent to the worker. Ejected workers are not excluded here.
-/// \param gracePeriod time for which a worker stays usable after its entry was removed.
-unavailability worker_selector::reasonAgainst(instant now, const selection_criteria &criteria,
-                                              worker_index index, duration gracePeriod) const
+/// True if the worker serves the request's service and was not tried yet.
+bool worker_selector::isCandidate(const selection_criteria &criteria, worker_index index) const
 {
-    const pooled_worker &worker = m_pool.at(index);
     const bool isExcluded
         = std::find(criteria.excludedWorkers.begin(), criteria.excludedWorkers.end(), index)
           != criteria.excludedWorkers.end();
-    if (isExcluded || worker.entry.service != criteria.service)
-        return unavailability::replaced;
-    return worker.availability.reason(now, gracePeriod);
+    return !isExcluded && m_pool.at(index).entry.service == criteria.service;
 }
 
+/// True if the request may be sent to the worker. Ejected workers are not excluded here.
+/// \param gracePeriod time for which a worker stays usable after its entry was removed.
 bool worker_selector::isUsable(instant now, const selection_criteria &criteria, worker_index index,
                                duration gracePeriod) const
 {
-    return reasonAgainst(now, criteria, index, gracePeriod) == unavailability::none;
+    return isCandidate(criteria, index)
+           && m_pool.at(index).availability.reason(now, gracePeriod) == unavailability::none;
 }
 
 std::optional<instant> worker_selector::firstPauseEnd(instant now,
@@ -113,10 +111,13 @@
 {
     std::optional<instant> first;
     for (const worker_index index : m_pool.workersOf(criteria.service)) {
-        const unavailability reason = reasonAgainst(now, criteria, index, duration {0});
+        if (!isCandidate(criteria, index))
+            continue;
+        const worker_availability &availability = m_pool.at(index).availability;
+        const unavailability reason = availability.reason(now, duration {0});
         if (reason == unavailability::limit_reached)
             return std::nullopt;
-        const instant end = m_pool.at(index).availability.pausedUntil();
+        const instant end = availability.pausedUntil();
         if (reason == unavailability::paused && (!first || end < *first))
             first = end;
     }
--- a/decision/routing/worker_selector.h
+++ b/decision/routing/worker_selector.h
@@ -97,8 +97,7 @@
     std::optional<instant> firstPauseEnd(instant now, const selection_criteria &criteria) const;
 
 private:
-    unavailability reasonAgainst(instant now, const selection_criteria &criteria,
-                                 worker_index index, duration gracePeriod) const;
+    bool isCandidate(const selection_criteria &criteria, worker_index index) const;
     bool isUsable(instant now, const selection_criteria &criteria, worker_index index,
                   duration gracePeriod) const;
     scored_worker score(instant now, const selection_criteria &criteria, worker_index index) const;
--- a/tests/decision/routing/drain_test.cpp
+++ b/tests/decision/routing/drain_test.cpp
@@ -68,6 +68,17 @@
         return *found;
     }
 
+    /// Sends a booking that is attempted at once. \return its status if its worker answers with 200
+    /// after `work`.
+    int statusOfBooking(duration timeLimit, duration work)
+    {
+        const call_id booking = call("POST", "/book/1", timeLimit);
+        const start_attempt attempt = takeOne<start_attempt>();
+        advance(work);
+        answer(attempt);
+        return responseTo(booking).response->status;
+    }
+
     instant drainBegan;
 };
 
@@ -92,22 +103,14 @@
 BOOST_AUTO_TEST_CASE(lateRequestThatEndsInTimeIsServed)
 {
     beginDrain(milliseconds(4500));
-    const call_id booking = call("POST", "/book/1", milliseconds(600));
-    const start_attempt attempt = takeOne<start_attempt>();
-    advance(milliseconds(300));
-    answer(attempt);
-    BOOST_TEST(responseTo(booking).response->status == 200);
+    BOOST_TEST(statusOfBooking(milliseconds(600), milliseconds(300)) == 200);
 }
 
 // Guards against ending a request early although its worker still has time to answer.
 BOOST_AUTO_TEST_CASE(earlyRequestIsServedUntilTheEndOfTheDrain)
 {
     beginDrain(milliseconds(2500));
-    const call_id booking = call("POST", "/book/1", seconds(3));
-    const start_attempt attempt = takeOne<start_attempt>();
-    advance(milliseconds(2700));
-    answer(attempt);
-    BOOST_TEST(responseTo(booking).response->status == 200);
+    BOOST_TEST(statusOfBooking(seconds(3), milliseconds(2700)) == 200);
 }
 
 // Guards against breaking off requests that arrived late, whatever their deadlines are.
