--- a/review/build.sh
+++ b/review/build.sh
@@ -4,14 +4,10 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 python3 - <<'END'
-import asyncio, http.client, http.server, sys, tomllib
+import asyncio, glob, http.client, http.server, sys, tomllib
 files = ["tests/platform/standins.py", "scripts/cluster/ports.py", "review/lib/harness.py",
-         "review/lib/worker.py"] + [f"review/{n}/case.py" for n in range(1, 6)]
+         "review/lib/worker.py", *sorted(glob.glob("review/[1-5]/*.py"))]
 for name in files:
-    try:
-        with open(name, encoding="utf-8") as file:
-            compile(file.read(), name, "exec")
-    except FileNotFoundError:
-        if "/case.py" not in name:
-            raise
+    with open(name, encoding="utf-8") as file:
+        compile(file.read(), name, "exec")
 END
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -36,11 +36,11 @@
 
 
 class Record:
-    """Writes one line for each thing that happened, with the time since the start, to record.txt."""
+    """Adds one line for each thing that happened, with the time since the start, to record.txt."""
 
     def __init__(self, folder):
         self.start = time.monotonic()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(os.path.join(folder, "record.txt"), "a", encoding="utf-8")
         self.lock = threading.Lock()
 
     def now(self):
@@ -56,6 +56,14 @@
         print(text, flush=True)
 
 
+def record_runs(record, workers):
+    """Adds the runs of the workers of `standins` to the record."""
+    for worker in workers:
+        for attempt, method, path, _, when in worker.runs:
+            record.write(f"worker {worker.name} ran {attempt} ({method} {path}) at "
+                         f"{when - record.start:.3f}")
+
+
 class Gateway:
     """One process of the role `gateway`, run by the command of the deploy file."""
 
@@ -202,7 +210,7 @@
     record = Record(folder)
     atexit.register(clean_up)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
-    record.write(f"TROUBLE={1 if TROUBLE else 0}")
+    record.write(f"{os.path.basename(sys.argv[0])} with TROUBLE={1 if TROUBLE else 0}")
     try:
         result = case(record)
     except Exception as failure:  # A fault of the script, not of the program under test.
