Log where a configuration came from, failed reads and when they are repeated

Now each failed read says its scope, cause, whether its connection was new, when the scope is read next, and how old the last report of a reader is; a change of who watches says the latter too; an applied configuration says its source and revision. Failed checks are counted. The records about the store are built in a file of their own.

--- a/decision/routing/item_reader.cpp
+++ b/decision/routing/item_reader.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/mechanisms.h"
+#include "decision/routing/store_log.h"
 
 namespace almondnotch {
 
@@ -306,7 +307,7 @@
 {
     if (isWatchInFlight() && now >= watchDeadline()) {
         m_counters.add("store_watches_given_up_total");
-        logGivenUpWatch(now, actions);
+        actions.push_back(watchGivenUpRecord(*this, readAge(now)));
         readFailed(now);
         relist(now);
     }
@@ -314,15 +315,4 @@
         sendRead(now, nextReadId, actions);
 }
 
-void item_reader::logGivenUpWatch(instant now, action_list &actions) const
-{
-    const bool isConfig = m_settings.scope == item_scope::configuration;
-    actions.push_back(write_log {log_level::warning,
-                                 "store",
-                                 "A watch got no answer in time and is replaced by a list.",
-                                 {{"scope", isConfig ? "configuration" : "workers"},
-                                  {"age_ms", std::to_string(toMilliseconds(readAge(now)))},
-                                  {"revision", std::to_string(m_revision)}}});
-}
-
 } // namespace almondnotch
--- a/decision/routing/item_reader.h
+++ b/decision/routing/item_reader.h
@@ -100,6 +100,7 @@
     /// \return the changes that were not known before.
     std::vector<item_batch> updateReceived(instant now, const items_update &update);
 
+    item_scope scope() const { return m_settings.scope; }
     /// True once the first list was read completely.
     bool hasSynced() const { return m_hasSynced; }
     /// Number of failed reads since the last successful one; 0 while the store answers.
@@ -125,7 +126,6 @@
     std::vector<published_item> newItems(const std::vector<published_item> &items) const;
     bool applyUpdate(const items_update &update, std::vector<item_batch> &batches);
     void sendRead(instant now, std::uint64_t &nextReadId, action_list &actions);
-    void logGivenUpWatch(instant now, action_list &actions) const;
     void listPageReceived(instant now, const item_page &page, std::vector<item_batch> &batches);
     void watchFinished(instant now, const item_page &page, std::vector<item_batch> &batches);
     void readFailed(instant now);
--- a/decision/routing/reader_group.h
+++ b/decision/routing/reader_group.h
@@ -87,6 +87,9 @@
     void storeAnswered(instant now);
     /// True if the readers have reported that the store does not answer any of them.
     bool haveLostStore() const { return m_haveReadersLostStore; }
+    /// Time since the last report that the store answers a reader. Larger than that after a pause
+    /// of the process, or if no reader is connected to the store any more.
+    duration lastReportAge(instant now) const { return now - m_lastReportAt; }
     /// Discards all received reports, since they are outdated after a pause of the process.
     void pauseDetected();
 
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -14,6 +14,7 @@
 #include "decision/routing/request_runner.h"
 #include "decision/routing/route_table.h"
 #include "decision/routing/startup_queue.h"
+#include "decision/routing/store_log.h"
 #include "decision/routing/store_outage.h"
 #include "decision/routing/worker_change_log.h"
 #include "decision/routing/worker_pool.h"
@@ -114,7 +115,7 @@
     void sendDueReports(instant now, action_list &actions);
     void relayChanges(instant now, item_scope scope, const item_batch &batch,
                       const std::vector<std::string> &removedNames, action_list &actions);
-    void applyConfig(const item_batch &batch, action_list &actions);
+    void applyConfig(const item_batch &batch, std::string_view source, action_list &actions);
     std::vector<std::string> applyWorkers(instant now, const item_batch &batch,
                                           std::string_view source, action_list &actions);
     void handleWorkerChanges(instant now, std::string_view source, const shared_request &request,
@@ -324,14 +325,18 @@
         readers.storeAnswered(now);
     if (pendingCheck == input.read) {
         pendingCheck.reset();
+        if (!input.page)
+            counters.add("store_checks_failed_total");
         return;
     }
     std::vector<item_batch> batches;
     const bool wasFailing = areReadsFailing();
     const bool isConfig = configReader.readFinished(now, input, batches);
-    if (!isConfig)
-        workerReader.readFinished(now, input, batches);
-    const item_scope scope = isConfig ? item_scope::configuration : item_scope::workers;
+    const bool isAwaited = isConfig || workerReader.readFinished(now, input, batches);
+    const item_reader &reader = isConfig ? configReader : workerReader;
+    const item_scope scope = reader.scope();
+    if (!input.page && isAwaited)
+        actions.push_back(readFailedRecord(now, reader, readers, input.page.error()));
     for (const item_batch &fetched : batches) {
         const std::vector<std::string> removedNames
             = applyBatch(now, scope, fetched, fetched.isSnapshot ? "list" : "watch", actions);
@@ -361,12 +366,7 @@
     const bool isFailing = areReadsFailing();
     if (isFailing == wasFailing)
         return;
-    std::vector<header_field> fields;
-    if (!input.page)
-        fields.push_back({"cause", toString(input.page.error())});
-    actions.push_back(write_log {
-        isFailing ? log_level::warning : log_level::info, "store",
-        isFailing ? "The store does not answer." : "The store answers again.", std::move(fields)});
+    actions.push_back(storeStateRecord(isFailing, input));
 }
 
 /// \param source how the batch was obtained: "list", "watch" or "relay".
@@ -378,7 +378,7 @@
 {
     if (scope == item_scope::workers)
         return applyWorkers(now, batch, source, actions);
-    applyConfig(batch, actions);
+    applyConfig(batch, source, actions);
     return {};
 }
 
@@ -390,11 +390,7 @@
     if (mustWatch != wasWatching) {
         wasWatching = mustWatch;
         counters.set("store_watched", mustWatch ? 1 : 0);
-        actions.push_back(write_log {log_level::info,
-                                     "store",
-                                     mustWatch ? "The gateway watches the store itself."
-                                               : "Other gateways relay the changes of the store.",
-                                     {{"is_reader", readers.isReader(now) ? "true" : "false"}}});
+        actions.push_back(watchingChangedRecord(now, readers));
     }
     configReader.setWatching(now, mustWatch, readers.retryBackoff(now));
     workerReader.setWatching(now, mustWatch, readers.retryBackoff(now));
@@ -462,7 +458,8 @@
     actions.push_back(command);
 }
 
-void route_gateway::state::applyConfig(const item_batch &batch, action_list &actions)
+void route_gateway::state::applyConfig(const item_batch &batch, std::string_view source,
+                                       action_list &actions)
 {
     for (const published_item &item : batch.items) {
         if (!item.config) {
@@ -474,11 +471,7 @@
             continue;
         table = std::make_unique<route_table>(item.config);
         counters.set("configuration_version", static_cast<double>(item.config->version));
-        actions.push_back(write_log {log_level::info,
-                                     "config",
-                                     "Applied a new configuration.",
-                                     {{"version", std::to_string(item.config->version)},
-                                      {"routes", std::to_string(item.config->routes.size())}}});
+        actions.push_back(configAppliedRecord(*item.config, source, batch.revision));
         if (!item.warning.empty())
             actions.push_back(write_log {log_level::warning,
                                          "config",
--- a/servers/curl_loop/http_exchange.cpp
+++ b/servers/curl_loop/http_exchange.cpp
@@ -148,6 +148,14 @@
     return exchange->m_reader.addBody({data, size * count}) ? size * count : 0;
 }
 
+bool http_exchange::usedNewConnection() const
+{
+    long opened = 0;
+    if (m_handle != nullptr)
+        curl_easy_getinfo(m_handle, CURLINFO_NUM_CONNECTS, &opened);
+    return opened > 0;
+}
+
 std::uint64_t http_exchange::bytesSent() const
 {
     long head = 0;
--- a/servers/curl_loop/http_exchange.h
+++ b/servers/curl_loop/http_exchange.h
@@ -68,6 +68,8 @@
     /// True if the transfer was aborted because its reused connection was stale, as defined by
     /// `connection_table`.
     bool hadStaleConnection() const { return m_staleConnection; }
+    /// True if a connection was opened for the transfer. To be called after it has ended.
+    bool usedNewConnection() const;
 
     /// Makes the prepared request use a new connection, which is closed afterwards.
     void useDedicatedConnection();
--- a/servers/platform_client/platform_client.cpp
+++ b/servers/platform_client/platform_client.cpp
@@ -242,6 +242,7 @@
     std::string cause = reader.failure().empty() ? curl_easy_strerror(code) : reader.failure();
     if (ended.exchange->wasRetransmissionRefused())
         cause = "the connection was lost before a response";
+    cause += ended.exchange->usedNewConnection() ? " (new connection)" : " (reused connection)";
     return fail(code == CURLE_OPERATION_TIMEDOUT ? error_code::timed_out : error_code::unavailable,
                 readStep, m_settings.address, cause);
 }
