--- a/tests/decision/routing/routing_fixture.cpp
+++ b/tests/decision/routing/routing_fixture.cpp
@@ -252,6 +252,14 @@
     handle(items_read_finished {id, std::move(page)});
 }
 
+void routing_fixture::endRead(read_id read, result<item_page> page)
+{
+    std::erase_if(m_inFlightReads, [read](const std::pair<const item_scope, read_items> &entry) {
+        return entry.second.read == read;
+    });
+    handle(items_read_finished {read, std::move(page)});
+}
+
 void routing_fixture::answerProbe(const start_probe &probe, const std::optional<load_report> &load)
 {
     probe_finished outcome;
--- a/tests/decision/routing/routing_fixture.h
+++ b/tests/decision/routing/routing_fixture.h
@@ -72,6 +72,8 @@
     void endAttempt(const start_attempt &attempt, attempt_end attemptEnd);
     /// Answers the read of a scope that is in flight.
     void answerRead(item_scope scope, result<item_page> page);
+    /// Ends a read as given, whether the gateway still waits for it or not.
+    void endRead(read_id read, result<item_page> page);
     /// Read of a scope that is in flight, or null.
     const read_items *inFlightRead(item_scope scope) const;
     /// Finishes a probe with a load report, or as failed if there is none.
