Check the store while reads fail and no reader is heard

Cause: a gateway that is no reader waited 3 to 5 s after a failed read, because the readers tell it when the store answers. If it hears from no reader it waits for nobody; 3 s after a fault it must be up to date. The long backoff of its lists stays, so that an outage costs no more lists.

--- a/decision/routing/item_reader.cpp
+++ b/decision/routing/item_reader.cpp
@@ -276,12 +276,25 @@
 void item_reader::readFailed(instant now)
 {
     m_counters.add("store_reads_failed_total");
-    const unsigned doublings = std::min(m_failures, backoffDoublingsMax);
+    m_nextReadAt = now + retryDelay(m_settings.backoff);
+    m_earliestRetryAt = std::min(m_nextReadAt, now + retryDelay(m_settings.answeredBackoff));
     ++m_failures;
     ++m_failuresSinceWatching;
-    const duration delay = std::min<duration>(m_settings.backoff.initialDelay * (1U << doublings),
-                                              m_settings.backoff.delayMax);
-    m_nextReadAt = now + scaled(delay, 0.75 + 0.5 * m_random.uniform());
+}
+
+duration item_reader::retryDelay(const backoff_settings &backoff)
+{
+    const unsigned doublings = std::min(m_failures, backoffDoublingsMax);
+    const duration delay
+        = std::min<duration>(backoff.initialDelay * (1U << doublings), backoff.delayMax);
+    return scaled(delay, 0.75 + 0.5 * m_random.uniform());
+}
+
+void item_reader::storeAnswered(instant now)
+{
+    if (m_isReadInFlight || m_failures == 0)
+        return;
+    m_nextReadAt = std::min(m_nextReadAt, std::max(now, m_earliestRetryAt));
 }
 
 void item_reader::relist(instant now)
--- a/decision/routing/item_reader.h
+++ b/decision/routing/item_reader.h
@@ -32,6 +32,8 @@
     /// delivered by the next watch or relayed by another gateway.
     bool allowStaleInitialList = false;
     backoff_settings backoff;
+    /// Backoff of failed reads while other reads show that the store answers, see `storeAnswered`.
+    backoff_settings answeredBackoff;
 };
 
 /// Items that were read from the store or relayed by another gateway: a snapshot of the scope, or
@@ -88,6 +90,9 @@
     /// True if the scope is being watched, was listed completely, and a read has succeeded since
     /// watching began.
     bool isUpToDate() const { return m_isWatching && m_hasReadSinceWatching && m_hasSynced; }
+    /// The store has answered another read of this gateway. A failed read is repeated as soon as
+    /// `answeredBackoff` allows.
+    void storeAnswered(instant now);
     /// Another gateway has advertised that the store has changes up to `revision`. If they do not
     /// arrive shortly, they are requested from the store, or the scope is listed again if a watch
     /// in flight should have delivered them. If the last reads failed, the advertisement shows that
@@ -129,6 +134,7 @@
     void listPageReceived(instant now, const item_page &page, std::vector<item_batch> &batches);
     void watchFinished(instant now, const item_page &page, std::vector<item_batch> &batches);
     void readFailed(instant now);
+    duration retryDelay(const backoff_settings &backoff);
     /// Lists the scope again because changes may have been missed.
     void relist(instant now);
 
@@ -140,6 +146,8 @@
     /// When the last read was sent.
     instant m_sentAt;
     instant m_nextReadAt = instant::never();
+    /// Earliest time at which the last failed read may be repeated.
+    instant m_earliestRetryAt;
     instant m_firstWatchHoldoffUntil;
     instant m_watchHoldoffUntil;
     /// True from the time a list becomes necessary until its last page was read.
--- a/decision/routing/reader_group.cpp
+++ b/decision/routing/reader_group.cpp
@@ -90,6 +90,11 @@
     return !isShared() || isReader(now) || now - m_lastReportAt >= m_settings.readerTimeout;
 }
 
+bool reader_group::mustCheckStore(instant now) const
+{
+    return isReader(now) || (m_areReadsFailing && mustWatchStore(now));
+}
+
 const backoff_settings &reader_group::retryBackoff(instant now) const
 {
     return isShared() && !isReader(now) ? m_settings.followerBackoff : m_settings.readerBackoff;
@@ -120,9 +125,9 @@
 
 bool reader_group::takeDueCheck(instant now)
 {
-    if (!isReader(now) || now < m_nextCheckAt)
+    if (!mustCheckStore(now) || now < m_nextCheckAt)
         return false;
-    m_nextCheckAt = now + m_settings.checkInterval;
+    m_nextCheckAt = now + (isReader(now) ? m_settings.checkInterval : m_settings.ownCheckInterval);
     return true;
 }
 
@@ -131,7 +136,7 @@
     if (!isReader(now)) {
         // A gateway that already watches the store itself need not detect missing reports.
         if (mustWatchStore(now))
-            return instant::never();
+            return mustCheckStore(now) ? std::max(m_nextCheckAt, now) : instant::never();
         const instant wake = m_lastReportAt + m_settings.readerTimeout;
         return isStandby() ? std::min(wake, m_lastHigherRankedReportAt + m_settings.standbyTimeout)
                            : wake;
--- a/decision/routing/reader_group.h
+++ b/decision/routing/reader_group.h
@@ -53,12 +53,16 @@
     /// Backoff of readers, and of all gateways in failure domains that do not share readers.
     backoff_settings readerBackoff {milliseconds(100), seconds(1)};
     /// Backoff of all other gateways, which read only for themselves. It is long because the
-    /// readers detect when the store answers again.
+    /// readers detect when the store answers again, or, if these are not heard, a check.
     backoff_settings followerBackoff {seconds(4), seconds(4)};
     /// Interval at which a reader checks that the store still answers, and the timeout of a check.
     /// The checks are needed because a watch can hang on a dead connection for a long time.
     duration checkInterval {milliseconds(600)};
     duration checkTimeout {milliseconds(600)};
+    /// Interval at which another gateway checks the store while its own reads fail and it hears
+    /// from no reader. A check that is lost takes up to 1.5 s longer; together this must be less
+    /// than the 3 s after which changes must be in force again.
+    duration ownCheckInterval {seconds(1)};
 };
 
 /// Decides whether this gateway reads the platform's store itself or receives changes from the
@@ -85,6 +89,8 @@
     void reportArrived(instant now, const std::string &vm, bool isConnected);
     /// The store answered a read of this gateway.
     void storeAnswered(instant now);
+    /// Sets whether the reads of this gateway fail.
+    void setReadsFailing(bool areFailing) { m_areReadsFailing = areFailing; }
     /// True if the readers have reported that the store does not answer any of them.
     bool haveLostStore() const { return m_haveReadersLostStore; }
     /// Time since the last report that the store answers a reader. Larger than that after a pause
@@ -112,8 +118,8 @@
     bool takeDueReport(instant now, bool areReadsCurrent);
     /// Makes the next report due immediately. Called when there is a change to advertise.
     void makeReportDue(instant now);
-    /// \return true if this gateway is a reader whose check of the store is due; the check then
-    /// counts as sent.
+    /// \return true if a check of the store is due; the check then counts as sent. Checks are sent
+    /// by readers, and by a gateway that hears from no reader while its reads fail.
     bool takeDueCheck(instant now);
 
     instant nextWake(instant now) const;
@@ -123,6 +129,7 @@
     /// True if the failure domain has enough gateways to share readers.
     bool isShared() const { return m_candidateCount >= m_settings.gatewaysForSharedReadersMin; }
     bool isStandby() const;
+    bool mustCheckStore(instant now) const;
 
     reader_group_settings m_settings;
     /// VM and failure domain of this gateway.
@@ -145,6 +152,7 @@
     instant m_nextReportAt;
     instant m_nextCheckAt;
     instant m_storeAnsweredAt;
+    bool m_areReadsFailing = false;
     /// The last report was that of a reader that lost the store, and no reader is connected to it.
     bool m_haveReadersLostStore = false;
     /// The last report of this gateway said that the store answers.
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -109,6 +109,7 @@
                                         std::string_view source, action_list &actions);
     void logStoreState(bool wasFailing, const items_read_finished &input, action_list &actions);
     void updateOutage(instant now);
+    void checkFinished(instant now, bool isAnswered, action_list &actions);
     bool areReadsFailing() const;
     void startDueReads(instant now, action_list &actions);
     void releaseStartupQueue(instant now, action_list &actions);
@@ -324,9 +325,7 @@
     if (input.page)
         readers.storeAnswered(now);
     if (pendingCheck == input.read) {
-        pendingCheck.reset();
-        if (!input.page)
-            counters.add("store_checks_failed_total");
+        checkFinished(now, input.page.has_value(), actions);
         return;
     }
     std::vector<item_batch> batches;
@@ -355,6 +354,19 @@
     runner.setGatewayCount(peers.gatewayCount(now));
 }
 
+/// A check of the store has ended. If the store answers, failed reads need not wait any longer.
+void route_gateway::state::checkFinished(instant now, bool isAnswered, action_list &actions)
+{
+    pendingCheck.reset();
+    if (!isAnswered) {
+        counters.add("store_checks_failed_total");
+        return;
+    }
+    configReader.storeAnswered(now);
+    workerReader.storeAnswered(now);
+    startDueReads(now, actions);
+}
+
 bool route_gateway::state::areReadsFailing() const
 {
     return configReader.consecutiveFailures() + workerReader.consecutiveFailures() > 0;
@@ -402,6 +414,7 @@
     }
     configReader.timerExpired(now, nextReadId, actions);
     workerReader.timerExpired(now, nextReadId, actions);
+    readers.setReadsFailing(areReadsFailing());
 }
 
 /// Handles all queued requests once the configuration and the workers are known, the store fails or
--- a/tests/decision/routing/unheard_readers_test.cpp
+++ b/tests/decision/routing/unheard_readers_test.cpp
@@ -29,7 +29,10 @@
 class faulty_store
 {
 public:
-    explicit faulty_store(reader_fixture &fixture) : m_fixture(fixture) { }
+    /// \param areOthersKnown whether the other gateways stay known, although none of them reports.
+    faulty_store(reader_fixture &fixture, bool areOthersKnown)
+        : m_fixture(fixture), m_areOthersKnown(areOthersKnown)
+    { }
 
     void advanceFaulty(duration length, read_fault fault)
     {
@@ -95,11 +98,10 @@
         return page;
     }
 
-    /// Advances the clock. The other gateways stay known, but none of them reports.
     void advanceStep()
     {
         m_fixture.advance(step);
-        if (m_fixture.now < m_nextDigestsAt)
+        if (!m_areOthersKnown || m_fixture.now < m_nextDigestsAt)
             return;
         m_fixture.receiveDigestsFromOthers();
         m_nextDigestsAt = m_fixture.now + seconds(1);
@@ -129,6 +131,7 @@
     }
 
     reader_fixture &m_fixture;
+    bool m_areOthersKnown;
     std::vector<lost_read> m_lost;
     std::size_t m_checksSeen = 0;
     instant m_nextDigestsAt;
@@ -136,12 +139,12 @@
 
 /// Checks that a gateway without reports of readers applies a configuration within `contactTime`
 /// after a fault, for faults of many lengths.
-void checkContactTime(read_fault fault)
+void checkContactTime(read_fault fault, bool areOthersKnown)
 {
     for (duration length = seconds(2); length <= seconds(9); length += milliseconds(100)) {
         reader_fixture fixture(followerCapacity);
         fixture.startFollowing();
-        faulty_store store(fixture);
+        faulty_store store(fixture, areOthersKnown);
         store.advanceFaulty(length, fault);
         store.advance(contactTime);
         BOOST_TEST(fixture.gateway->dump(fixture.now)["config_version"] == 2,
@@ -157,13 +160,21 @@
 // rejected by the store, until it reads again seconds later.
 BOOST_AUTO_TEST_CASE(rejectedGatewayWithoutReportsIsUpToDateInTime)
 {
-    checkContactTime(read_fault::rejected);
+    checkContactTime(read_fault::rejected, true);
 }
 
 // Guards against the same in a gateway whose reads got no answer.
 BOOST_AUTO_TEST_CASE(silencedGatewayWithoutReportsIsUpToDateInTime)
 {
-    checkContactTime(read_fault::lost);
+    checkContactTime(read_fault::lost, true);
+}
+
+// Guards against the same if the other gateways are declared gone during the fault, so that the
+// gateway is the only one left that it knows.
+BOOST_AUTO_TEST_CASE(gatewayThatLosesAllOthersIsUpToDateInTime)
+{
+    checkContactTime(read_fault::rejected, false);
+    checkContactTime(read_fault::lost, false);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
