Read on new connections after a lost read

Cause: connections of a process go silent together, but only the one on which a read was lost was given up; the next read took another one of the pool. A gateway that begins to watch for itself, because its readers have fallen silent, did so on connections that were idle all the while. Why it works: a read after a failed one, and the first own watch, say that open connections are suspect; from then on the client reuses only connections that were opened later.

--- a/decision/actions.h
+++ b/decision/actions.h
@@ -131,6 +131,8 @@
     bool allowStale = false;
     /// Requests only the current revision, to check that the store answers. The page has no items.
     bool revisionOnly = false;
+    /// The connections that are open now may be dead: this read and later ones must not reuse them.
+    bool needsNewConnection = false;
 };
 
 /// Writes a log record.
--- a/decision/routing/item_reader.cpp
+++ b/decision/routing/item_reader.cpp
@@ -57,6 +57,7 @@
     read_items command;
     command.read = m_readId;
     command.scope = m_settings.scope;
+    command.needsNewConnection = needsNewConnection();
     if (m_isListing) {
         command.afterKey = m_afterKey;
         command.allowStale = m_allowStaleList;
@@ -69,6 +70,13 @@
     actions.push_back(std::move(command));
 }
 
+/// An open connection may be dead after a failed read, or if it was not used while other gateways
+/// watched the scope.
+bool item_reader::needsNewConnection() const
+{
+    return m_failures > 0 || (m_isWatching && !m_hasReadSinceWatching && m_hasSynced);
+}
+
 duration item_reader::nextWatchDuration()
 {
     if (!m_isWatching || !m_hasReadSinceWatching)
--- a/decision/routing/item_reader.h
+++ b/decision/routing/item_reader.h
@@ -126,6 +126,7 @@
     bool needsRead() const { return m_isListing || m_isWatching || m_isCatchingUp; }
     bool isBehind() const { return m_advertisedRevision > m_revision; }
     duration nextWatchDuration();
+    bool needsNewConnection() const;
     bool isWatchInFlight() const { return m_isReadInFlight && !m_isListing; }
     instant watchDeadline() const;
     std::vector<published_item> newItems(const std::vector<published_item> &items) const;
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -145,6 +145,7 @@
     std::uint64_t nextReadId = 1;
     /// Identifier of the check of the store that is in flight.
     std::optional<read_id> pendingCheck;
+    bool wasLastCheckLost = false;
     /// Value of `reader_group::mustWatchStore` when the reads were last started.
     bool wasWatching = true;
     instant nextSweep;
@@ -358,6 +359,7 @@
 void route_gateway::state::checkFinished(instant now, bool isAnswered, action_list &actions)
 {
     pendingCheck.reset();
+    wasLastCheckLost = !isAnswered;
     if (!isAnswered) {
         counters.add("store_checks_failed_total");
         return;
@@ -468,6 +470,7 @@
     command.scope = item_scope::workers;
     command.revisionOnly = true;
     command.allowStale = true;
+    command.needsNewConnection = areReadsFailing() || wasLastCheckLost;
     actions.push_back(command);
 }
 
--- a/servers/curl_loop/http_exchange.cpp
+++ b/servers/curl_loop/http_exchange.cpp
@@ -71,6 +71,11 @@
     curl_easy_setopt(m_handle, CURLOPT_TIMEOUT_MS, toCurlMilliseconds(timeouts.timeLimit));
     curl_easy_setopt(m_handle, CURLOPT_MAXAGE_CONN,
                      static_cast<long>(timeouts.connectionIdleTimeMax / seconds(1)));
+    if (timeouts.connectionAgeMax >= seconds(1))
+        curl_easy_setopt(m_handle, CURLOPT_MAXLIFETIME_CONN,
+                         static_cast<long>(timeouts.connectionAgeMax / seconds(1)));
+    else
+        curl_easy_setopt(m_handle, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(m_handle, CURLOPT_PREREQFUNCTION, &http_exchange::beforeRequest);
     curl_easy_setopt(m_handle, CURLOPT_PREREQDATA, this);
     curl_easy_setopt(m_handle, CURLOPT_HEADERFUNCTION, &http_exchange::onHeaderLine);
--- a/servers/curl_loop/http_exchange.h
+++ b/servers/curl_loop/http_exchange.h
@@ -23,6 +23,8 @@
     duration connectTimeout {0};
     /// A connection that has been idle for longer is not reused.
     duration connectionIdleTimeMax {0};
+    /// A connection that was opened longer ago is not reused. Rounded down to whole seconds.
+    duration connectionAgeMax {seconds(86'400)};
 };
 
 /// One HTTP/1.1 request and its response, in one libcurl handle.
--- a/servers/platform_client/platform_client.cpp
+++ b/servers/platform_client/platform_client.cpp
@@ -133,6 +133,10 @@
         return;
     }
     added->target = m_storeProtocol->target(command);
+    if (command.needsNewConnection) {
+        m_counters.add("platform_new_connections_required_total");
+        m_connectionsSuspectUntil = m_loop->now();
+    }
     startRead(std::move(added));
 }
 
@@ -172,12 +176,22 @@
     started.exchange->headers().suppress("Accept");
     const result<void> prepared = started.exchange->prepare(
         m_handles, m_connections, started.target,
-        {started.timeLimit, m_settings.connectTimeout, connectionIdleTimeMax});
+        {started.timeLimit, m_settings.connectTimeout, connectionIdleTimeMax, connectionAgeMax()});
     if (!prepared)
         return prepared;
     return m_curl->add(started.exchange->handle());
 }
 
+/// Maximum age of a connection that may be reused, so that it was opened after the last time at
+/// which the open ones became suspect.
+duration platform_client::connectionAgeMax() const
+{
+    if (!m_connectionsSuspectUntil)
+        return exchange_timeouts().connectionAgeMax;
+    // libcurl compares whole seconds, and rounds the age of a connection down.
+    return m_loop->now() - *m_connectionsSuspectUntil - seconds(1);
+}
+
 void platform_client::onTransferEnded(CURL *transfer, CURLcode code)
 {
     char *owner = nullptr;
--- a/servers/platform_client/platform_client.h
+++ b/servers/platform_client/platform_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -64,6 +65,7 @@
 
     void startRead(std::unique_ptr<pending_read> added);
     result<void> send(pending_read &started);
+    duration connectionAgeMax() const;
     void onTransferEnded(CURL *transfer, CURLcode code);
     /// Returns an error unless the transfer ended with a complete response.
     result<void> checkTransfer(pending_read &ended, CURLcode code);
@@ -80,6 +82,8 @@
     const store_protocol *m_storeProtocol;
     event_loop *m_loop = nullptr;
     event_sink *m_decision = nullptr;
+    /// Connections that were opened before this time may be dead.
+    std::optional<instant> m_connectionsSuspectUntil;
     counter_set m_counters;
     connection_table m_connections {/*usesKeepAlive=*/true};
     easy_handle_pool m_handles;
--- a/tests/decision/routing/unheard_readers_test.cpp
+++ b/tests/decision/routing/unheard_readers_test.cpp
@@ -177,6 +177,32 @@
     checkContactTime(read_fault::lost, false);
 }
 
+// Guards against repeating a read on a connection that has gone silent together with that of the
+// lost one.
+BOOST_AUTO_TEST_CASE(readsAfterALostOneNeedANewConnection)
+{
+    reader_fixture fixture;
+    BOOST_REQUIRE(fixture.isWatching());
+    BOOST_TEST(!fixture.inFlightRead(item_scope::configuration)->needsNewConnection);
+    fixture.advance(seconds(5));
+    const read_items *list = fixture.inFlightRead(item_scope::configuration);
+    BOOST_REQUIRE(list != nullptr);
+    BOOST_TEST(list->afterRevision == 0U);
+    BOOST_TEST(list->needsNewConnection);
+}
+
+// Guards against the first watch, after the readers have fallen silent, on a connection that went
+// silent at the same time.
+BOOST_AUTO_TEST_CASE(firstOwnWatchNeedsANewConnection)
+{
+    reader_fixture fixture(followerCapacity);
+    fixture.startFollowing();
+    fixture.advance(seconds(2));
+    BOOST_REQUIRE(fixture.isWatching());
+    BOOST_TEST(fixture.inFlightRead(item_scope::configuration)->needsNewConnection);
+    BOOST_TEST(fixture.inFlightRead(item_scope::workers)->needsNewConnection);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace almondnotch
