Replace connections between gateways that have gone silent

Cause: gRPC uses a connection without any answer until the kernel closes it; no time limit of ours ended it. Why it works: a message without an answer makes its connection suspect, and with it all that have not delivered anything since it was sent; the next message opens a new one.

--- a/servers/peer_link/peer_link.cpp
+++ b/servers/peer_link/peer_link.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+/// Time without any answer, while messages are in flight, after which a connection counts as
+/// silent. Peers answer within milliseconds.
+constexpr duration answerTimeMax = milliseconds(900);
+
 /// True for "ip:port" with an IPv4 address, for which gRPC starts no resolver.
 bool isNumericAddress(const std::string &address)
 {
@@ -127,6 +131,7 @@
         deferFailure(command, "in_flight_per_peer");
         return;
     }
+    replaceSuspectChannel(command.peerAddress, *to);
     peer::v1::Envelope envelope;
     envelope.set_protocol(m_settings.protocol);
     envelope.set_sender_vm(m_settings.self.vm);
@@ -141,10 +146,11 @@
     }
     m_counters.add(counterName("peer_messages_sent_total", command.message));
     m_counters.add("peer_bytes_sent_total", bytes);
-    ++to->inFlight;
     to->lastUsed = m_loop->now();
+    if (++to->inFlight == 1)
+        to->unansweredSince = to->lastUsed;
     m_inFlight.emplace(m_lastSendCounter,
-                       message_in_flight {command.peerAddress, command.messageId});
+                       message_in_flight {command.peerAddress, command.messageId, to->lastUsed});
     m_rpc->send(to->channel, m_lastSendCounter, envelope);
     updateGauges();
 }
@@ -165,10 +171,34 @@
         return nullptr;
     peer_channel &added = m_channels[peerAddress];
     added.channel = m_rpc->connect(peerAddress);
+    added.provenAt = m_loop->now();
     m_counters.add("peer_channels_opened_total");
     return &added;
 }
 
+/// Opens a new connection for the next messages if the present one may have gone silent. gRPC would
+/// use it until the kernel closes it.
+void peer_link::replaceSuspectChannel(const std::string &peerAddress, peer_channel &to)
+{
+    const instant now = m_loop->now();
+    if (!peer_rpc::isConnected(*to.channel))
+        return;
+    if (to.inFlight > 0 && now - to.unansweredSince > answerTimeMax)
+        noteSilence(to.unansweredSince);
+    if (to.provenAt >= m_suspectBefore)
+        return;
+    to.channel = m_rpc->connect(peerAddress);
+    to.provenAt = to.unansweredSince = now;
+    m_counters.add("peer_channels_replaced_total");
+}
+
+/// A message that was sent at this time got no answer. Connections of a process go silent together,
+/// so those to other peers are suspect as well, except where a peer has answered since.
+void peer_link::noteSilence(instant since)
+{
+    m_suspectBefore = std::max(m_suspectBefore, since + microseconds(1));
+}
+
 bool peer_link::closeLeastRecentlyUsedChannel()
 {
     auto found = m_channels.end();
@@ -203,6 +233,10 @@
     if (to != m_channels.end()) {
         --to->second.inFlight;
         to->second.lastUsed = m_loop->now();
+        if (failure.empty())
+            to->second.provenAt = to->second.unansweredSince = to->second.lastUsed;
+        else if (to->second.provenAt < message.sentAt && peer_rpc::isConnected(*to->second.channel))
+            noteSilence(message.sentAt);
     }
     updateGauges();
     if (m_inFlight.empty())
--- a/servers/peer_link/peer_link.h
+++ b/servers/peer_link/peer_link.h
@@ -54,12 +54,17 @@
     {
         std::shared_ptr<peer_rpc::channel> channel;
         std::size_t inFlight = 0;
+        /// When the channel was opened or last delivered a message.
+        instant provenAt;
+        /// When the oldest message in flight was sent, or the last answer after it arrived.
+        instant unansweredSince;
         instant lastUsed;
     };
     struct message_in_flight
     {
         std::string peerAddress;
         std::uint64_t messageId = 0;
+        instant sentAt;
     };
     struct sender
     {
@@ -69,6 +74,8 @@
     };
 
     peer_channel *channelTo(const std::string &peerAddress);
+    void replaceSuspectChannel(const std::string &peerAddress, peer_channel &to);
+    void noteSilence(instant since);
     /// \return false if a message is in flight on every channel.
     bool closeLeastRecentlyUsedChannel();
     void closeIdleChannels();
@@ -93,6 +100,8 @@
     std::shared_ptr<bool> m_lifetimeToken;
     std::uint64_t m_lastSendCounter = 0;
     std::map<std::string, peer_channel> m_channels;
+    /// Channels that have not been proven since this time may have gone silent.
+    instant m_suspectBefore;
     /// Messages in flight, by their send counter.
     std::unordered_map<std::uint64_t, message_in_flight> m_inFlight;
     std::map<process_id, sender> m_senders;
--- a/servers/peer_link/peer_rpc.cpp
+++ b/servers/peer_link/peer_rpc.cpp
@@ -45,13 +45,15 @@
 class peer_rpc::channel
 {
 public:
-    explicit channel(const std::shared_ptr<grpc::Channel> &connection)
-        : m_stub(peer::v1::Peer::NewStub(connection))
+    explicit channel(std::shared_ptr<grpc::Channel> connection)
+        : m_connection(std::move(connection)), m_stub(peer::v1::Peer::NewStub(m_connection))
     { }
 
     peer::v1::Peer::Stub &stub() { return *m_stub; }
+    bool isConnected() const { return m_connection->GetState(false) == GRPC_CHANNEL_READY; }
 
 private:
+    std::shared_ptr<grpc::Channel> m_connection;
     std::unique_ptr<peer::v1::Peer::Stub> m_stub;
 };
 
@@ -263,6 +265,11 @@
         "ipv4:" + peerAddress, grpc::InsecureChannelCredentials(), arguments));
 }
 
+bool peer_rpc::isConnected(const channel &to)
+{
+    return to.isConnected();
+}
+
 void peer_rpc::send(const std::shared_ptr<channel> &to, std::uint64_t sendId,
                     const peer::v1::Envelope &envelope)
 {
--- a/servers/peer_link/peer_rpc.h
+++ b/servers/peer_link/peer_rpc.h
@@ -54,6 +54,9 @@
     /// last owner releases the channel.
     std::shared_ptr<channel> connect(const std::string &peerAddress);
 
+    /// True if the channel has a connection, which may have gone silent without being closed.
+    static bool isConnected(const channel &to);
+
     /// Sends an envelope once, within the send time limit.
     void send(const std::shared_ptr<channel> &to, std::uint64_t sendId,
               const peer::v1::Envelope &envelope);
--- a/tests/servers/peer_silence_test.cpp
+++ b/tests/servers/peer_silence_test.cpp
@@ -21,33 +21,82 @@
     return out;
 }
 
+/// A peer link that sends to another one through relays.
+struct peer_silence_fixture : transport_fixture
+{
+    peer_silence_fixture()
+        : receiver(registerPeerLink(serviceManager, linkSettings("receiver")).value()),
+          sender(addSender()), relay(receiver->address())
+    { }
+
+    peer_link *addSender()
+    {
+        std::unique_ptr<peer_link> added = std::make_unique<peer_link>(linkSettings("sender"));
+        peer_link *const borrowed = added.get();
+        BOOST_REQUIRE(
+            serviceManager.add("second_peer_link", start_level::transports, std::move(added)));
+        BOOST_REQUIRE(serviceManager.start());
+        return borrowed;
+    }
+
+    std::size_t deliveredCount() const
+    {
+        return sink->eventsOfType<peer_message_received>().size();
+    }
+
+    void send(const std::string &address)
+    {
+        sender->sendPeerMessage({address, ++lastMessageId, config_data {}});
+    }
+
+    /// Sends a message. \return true if it arrives within the time limit.
+    bool isDelivered(const std::string &address, duration limit = milliseconds(500))
+    {
+        const std::size_t before = deliveredCount();
+        send(address);
+        return runUntil([&]() { return deliveredCount() > before; }, limit);
+    }
+
+    peer_link *receiver;
+    peer_link *sender;
+    silent_relay relay;
+    std::uint64_t lastMessageId = 0;
+};
+
 } // namespace
 
 // Guards against messages that are sent on a connection that has gone silent, as long as it stays
 // open, although a new one would work.
-BOOST_FIXTURE_TEST_CASE(a_silent_connection_is_replaced, transport_fixture)
+BOOST_FIXTURE_TEST_CASE(a_silent_connection_is_replaced, peer_silence_fixture)
 {
-    peer_link *receiver = registerPeerLink(serviceManager, linkSettings("receiver")).value();
-    std::unique_ptr<peer_link> second = std::make_unique<peer_link>(linkSettings("sender"));
-    peer_link *sender = second.get();
-    BOOST_REQUIRE(
-        serviceManager.add("second_peer_link", start_level::transports, std::move(second)));
-    BOOST_REQUIRE(serviceManager.start());
-    silent_relay relay(receiver->address());
-    std::uint64_t messageId = 0;
-    const auto send = [&]() {
-        sender->sendPeerMessage({relay.address(), ++messageId, config_data {}});
-    };
-    const auto deliveredCount
-        = [&]() { return sink->eventsOfType<peer_message_received>().size(); };
-    send();
-    BOOST_REQUIRE(runUntil([&]() { return deliveredCount() == 1; }));
+    BOOST_REQUIRE(isDelivered(relay.address()));
     relay.silence();
     runFor(milliseconds(20));
-    timer_watcher sending(*loop, send);
+    timer_watcher sending(*loop, [this]() { send(relay.address()); });
     sending.startRepeating(milliseconds(500));
-    BOOST_TEST(runUntil([&]() { return deliveredCount() > 1; }, contactTime));
+    const std::size_t before = deliveredCount();
+    BOOST_TEST(runUntil([&]() { return deliveredCount() > before; }, contactTime));
     sending.stop();
 }
 
+// Guards against a message that is lost on each of the other connections that went silent at the
+// same time, although one of them has shown it.
+BOOST_FIXTURE_TEST_CASE(other_connections_of_the_same_age_are_replaced, peer_silence_fixture)
+{
+    silent_relay other(receiver->address());
+    BOOST_REQUIRE(isDelivered(relay.address()));
+    BOOST_REQUIRE(isDelivered(other.address()));
+    relay.silence();
+    other.silence();
+    runFor(milliseconds(20));
+    // The time limit of a send has passed, so that the silence of the first connection is known.
+    BOOST_TEST(!isDelivered(relay.address(), linkSettings("").sendTimeLimit + milliseconds(200)));
+    BOOST_TEST(isDelivered(other.address()));
+    BOOST_TEST(isDelivered(relay.address()));
+    BOOST_TEST(other.acceptedCount() == 2U);
+    // A peer that has answered since keeps its connection.
+    BOOST_TEST(isDelivered(other.address()));
+    BOOST_TEST(other.acceptedCount() == 2U);
+}
+
 } // namespace almondnotch
