Detect dead connections to the store after two seconds

Cause: two keep-alive probes a second apart are waited for, 3 s in all, and the list comes after them.

--- a/servers/curl_loop/connection_table.cpp
+++ b/servers/curl_loop/connection_table.cpp
@@ -10,11 +10,12 @@
 
 namespace {
 
-/// A connection to an unreachable peer fails about three seconds after the last packet from it:
-/// after one second without traffic, two keep-alive probes are sent one second apart.
+/// A connection to an unreachable peer fails about two seconds after the last packet from it: after
+/// one second without traffic, a keep-alive probe is sent, which must be answered within another
+/// second. What the connection was to deliver must be read on a new one within three seconds.
 constexpr int keepAliveIdleSeconds = 1;
 constexpr int keepAliveIntervalSeconds = 1;
-constexpr int keepAliveProbes = 2;
+constexpr int keepAliveProbes = 1;
 /// Sent bytes that stay unacknowledged for this time end the connection (`TCP_USER_TIMEOUT`), in
 /// milliseconds.
 constexpr int userTimeoutMs = 2000;
