--- a/tests/decision/routing/unheard_readers_test.cpp
+++ b/tests/decision/routing/unheard_readers_test.cpp
@@ -34,6 +34,7 @@
         : m_fixture(fixture), m_areOthersKnown(areOthersKnown)
     { }
 
+    /// Advances the clock during a fault.
     void advanceFaulty(duration length, read_fault fault)
     {
         for (duration passed {0}; passed < length; passed += step) {
@@ -45,7 +46,7 @@
                 if (fault == read_fault::rejected)
                     m_fixture.answerRead(scope, fail(error_code::unavailable, "read", "", "busy"));
                 else
-                    notedAsLost(read->read);
+                    noteLost(read->read);
             }
             while (m_checksSeen < m_fixture.revisionReads.size()) {
                 const read_id check = m_fixture.revisionReads[m_checksSeen++].read;
@@ -53,12 +54,13 @@
                     m_fixture.handle(items_read_finished {
                         check, fail(error_code::unavailable, "read", "", "busy")});
                 else
-                    notedAsLost(check);
+                    noteLost(check);
             }
             endLostReads();
         }
     }
 
+    /// Advances the clock without a fault. Reads that were lost before still get no answer.
     void advance(duration length)
     {
         for (duration passed {0}; passed < length; passed += step) {
@@ -113,7 +115,8 @@
                            [read](const lost_read &lost) { return lost.read == read; });
     }
 
-    void notedAsLost(read_id read)
+    /// The read ends without an answer when its time limit has passed.
+    void noteLost(read_id read)
     {
         if (!isLost(read))
             m_lost.push_back({read, m_fixture.now + readTimeLimit});
