Date the proof of a connection from its message, not from the answer

Cause: an answer that was handled late, after the first lost message had been sent, counted as a proof that the connection still worked then, so that neither it nor the others were replaced. Evidence: twelve busy processes, eight tests at once: 3 of 8 red, again with a trace: answer to message 1 handled at 33.127 ms, lost message sent at 32.985 ms. The test waited for a fixed time until the lost message failed; it now waits for that failure itself and checks besides that the message did not arrive. Why it works: the answer to a message proves the connection only for the time at which that was sent.

--- a/servers/peer_link/peer_link.cpp
+++ b/servers/peer_link/peer_link.cpp
@@ -233,10 +233,13 @@
     if (to != m_channels.end()) {
         --to->second.inFlight;
         to->second.lastUsed = m_loop->now();
-        if (failure.empty())
-            to->second.provenAt = to->second.unansweredSince = to->second.lastUsed;
-        else if (to->second.provenAt < message.sentAt && peer_rpc::isConnected(*to->second.channel))
+        if (failure.empty()) {
+            to->second.provenAt = std::max(to->second.provenAt, message.sentAt);
+            to->second.unansweredSince = to->second.lastUsed;
+        } else if (to->second.provenAt < message.sentAt
+                   && peer_rpc::isConnected(*to->second.channel)) {
             noteSilence(message.sentAt);
+        }
     }
     updateGauges();
     if (m_inFlight.empty())
--- a/servers/peer_link/peer_link.h
+++ b/servers/peer_link/peer_link.h
@@ -54,7 +54,8 @@
     {
         std::shared_ptr<peer_rpc::channel> channel;
         std::size_t inFlight = 0;
-        /// When the channel was opened or last delivered a message.
+        /// When the channel was opened, or when the last message that it delivered was sent. The
+        /// time of the answer would be wrong, since an answer can be handled long after it arrived.
         instant provenAt;
         /// When the oldest message in flight was sent, or the last answer after it arrived.
         instant unansweredSince;
--- a/tests/servers/peer_silence_test.cpp
+++ b/tests/servers/peer_silence_test.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <boost/test/unit_test.hpp>
 
 #include "servers/peer_link/register_services.h"
@@ -49,6 +51,14 @@
         sender->sendPeerMessage({address, ++lastMessageId, config_data {}});
     }
 
+    bool hasFailed(std::uint64_t messageId) const
+    {
+        const std::vector<peer_send_failed> failed = sink->eventsOfType<peer_send_failed>();
+        return std::any_of(failed.begin(), failed.end(), [messageId](const peer_send_failed &send) {
+            return send.messageId == messageId;
+        });
+    }
+
     /// Sends a message. \return true if it arrives within the time limit.
     bool isDelivered(const std::string &address, duration limit = milliseconds(500))
     {
@@ -89,8 +99,10 @@
     relay.silence();
     other.silence();
     runFor(milliseconds(20));
-    // The time limit of a send has passed, so that the silence of the first connection is known.
-    BOOST_TEST(!isDelivered(relay.address(), linkSettings("").sendTimeLimit + milliseconds(200)));
+    const std::size_t before = deliveredCount();
+    send(relay.address());
+    BOOST_REQUIRE(runUntil([this]() { return hasFailed(lastMessageId); }));
+    BOOST_TEST(deliveredCount() == before);
     BOOST_TEST(isDelivered(other.address()));
     BOOST_TEST(isDelivered(relay.address()));
     BOOST_TEST(other.acceptedCount() == 2U);
