Ask gRPC for a channel's state only where the channel is suspect

Each message between gateways asked for the state of its channel first, although only a suspect channel is ever replaced.

--- a/servers/peer_link/peer_link.cpp
+++ b/servers/peer_link/peer_link.cpp
@@ -181,12 +181,13 @@
 void peer_link::replaceSuspectChannel(const std::string &peerAddress, peer_channel &to)
 {
     const instant now = m_loop->now();
+    const bool isSilent = to.inFlight > 0 && now - to.unansweredSince > answerTimeMax;
+    if (!isSilent && to.provenAt >= m_suspectBefore)
+        return;
     if (!peer_rpc::isConnected(*to.channel))
         return;
-    if (to.inFlight > 0 && now - to.unansweredSince > answerTimeMax)
+    if (isSilent)
         noteSilence(to.unansweredSince);
-    if (to.provenAt >= m_suspectBefore)
-        return;
     to.channel = m_rpc->connect(peerAddress);
     to.provenAt = to.unansweredSince = now;
     m_counters.add("peer_channels_replaced_total");
