--- a/tests/decision/routing/routing_fixture.cpp
+++ b/tests/decision/routing/routing_fixture.cpp
@@ -247,9 +247,7 @@
     const auto found = m_inFlightReads.find(scope);
     if (found == m_inFlightReads.end())
         throw std::runtime_error("no read of this scope is in flight");
-    const read_id id = found->second.read;
-    m_inFlightReads.erase(found);
-    handle(items_read_finished {id, std::move(page)});
+    endRead(found->second.read, std::move(page));
 }
 
 void routing_fixture::endRead(read_id read, result<item_page> page)
