Give items, workers and requests of the routing a folder each

decision/routing held three subjects in one flat folder: how published items are read and passed on, which workers there are and whether they may get a request, and what happens to a request. Only moves and includes.

--- a/decision/actions.h
+++ b/decision/actions.h
@@ -8,7 +8,7 @@
 #include "core/log_line.h"
 #include "core/time.h"
 #include "decision/peer_messages.h"
-#include "decision/routing/published.h"
+#include "decision/routing/items/published.h"
 #include "decision/types.h"
 
 namespace almondnotch {
--- a/decision/peer_messages.h
+++ b/decision/peer_messages.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "core/time.h"
-#include "decision/routing/published.h"
+#include "decision/routing/items/published.h"
 #include "decision/types.h"
 
 namespace almondnotch {
--- a/decision/routing/item_reader.cpp
+++ b/decision/routing/items/item_reader.cpp
@@ -1,10 +1,10 @@
-#include "decision/routing/item_reader.h"
+#include "decision/routing/items/item_reader.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "core/mechanisms.h"
-#include "decision/routing/store_log.h"
+#include "decision/routing/items/store_log.h"
 
 namespace almondnotch {
 
--- a/decision/routing/item_reader.h
+++ b/decision/routing/items/item_reader.h
@@ -10,7 +10,7 @@
 #include "core/time.h"
 #include "decision/actions.h"
 #include "decision/events.h"
-#include "decision/routing/reader_group.h"
+#include "decision/routing/items/reader_group.h"
 
 namespace almondnotch {
 
--- a/decision/routing/item_relay.cpp
+++ b/decision/routing/items/item_relay.cpp
@@ -1,4 +1,4 @@
-#include "decision/routing/item_relay.h"
+#include "decision/routing/items/item_relay.h"
 
 #include <algorithm>
 
--- a/decision/routing/item_relay.h
+++ b/decision/routing/items/item_relay.h
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include "decision/peer_messages.h"
-#include "decision/routing/item_reader.h"
+#include "decision/routing/items/item_reader.h"
 
 namespace almondnotch {
 
--- a/decision/routing/reader_group.cpp
+++ b/decision/routing/items/reader_group.cpp
@@ -1,4 +1,4 @@
-#include "decision/routing/reader_group.h"
+#include "decision/routing/items/reader_group.h"
 
 #include <algorithm>
 
--- a/decision/routing/store_log.cpp
+++ b/decision/routing/items/store_log.cpp
@@ -1,11 +1,11 @@
-#include "decision/routing/store_log.h"
+#include "decision/routing/items/store_log.h"
 
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "decision/routing/item_reader.h"
-#include "decision/routing/reader_group.h"
+#include "decision/routing/items/item_reader.h"
+#include "decision/routing/items/reader_group.h"
 
 namespace almondnotch {
 
--- a/decision/routing/peer_group.h
+++ b/decision/routing/peer_group.h
@@ -11,8 +11,8 @@
 #include "decision/actions.h"
 #include "decision/fleet/membership.h"
 #include "decision/peer_messages.h"
-#include "decision/routing/reader_group.h"
-#include "decision/routing/request_limit_share.h"
+#include "decision/routing/items/reader_group.h"
+#include "decision/routing/workers/request_limit_share.h"
 
 namespace almondnotch {
 
--- a/decision/routing/request_runner.cpp
+++ b/decision/routing/requests/request_runner.cpp
@@ -1,4 +1,4 @@
-#include "decision/routing/request_runner.h"
+#include "decision/routing/requests/request_runner.h"
 
 #include <algorithm>
 #include <array>
--- a/decision/routing/request_runner.h
+++ b/decision/routing/requests/request_runner.h
@@ -19,14 +19,14 @@
 #include "decision/actions.h"
 #include "decision/calls/quarantine_table.h"
 #include "decision/events.h"
-#include "decision/routing/event_rate.h"
-#include "decision/routing/probe_rate_limiter.h"
-#include "decision/routing/retry_budget.h"
-#include "decision/routing/route_table.h"
-#include "decision/routing/routed_request.h"
+#include "decision/routing/requests/event_rate.h"
+#include "decision/routing/workers/probe_rate_limiter.h"
+#include "decision/routing/requests/retry_budget.h"
+#include "decision/routing/requests/route_table.h"
+#include "decision/routing/requests/routed_request.h"
 #include "decision/routing/routing_settings.h"
-#include "decision/routing/worker_pool.h"
-#include "decision/routing/worker_selector.h"
+#include "decision/routing/workers/worker_pool.h"
+#include "decision/routing/requests/worker_selector.h"
 
 namespace almondnotch {
 
--- a/decision/routing/route_table.cpp
+++ b/decision/routing/requests/route_table.cpp
@@ -1,4 +1,4 @@
-#include "decision/routing/route_table.h"
+#include "decision/routing/requests/route_table.h"
 
 #include <algorithm>
 #include <utility>
--- a/decision/routing/route_table.h
+++ b/decision/routing/requests/route_table.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "core/random_source.h"
-#include "decision/routing/published.h"
+#include "decision/routing/items/published.h"
 
 namespace almondnotch {
 
--- a/decision/routing/routed_request.cpp
+++ b/decision/routing/requests/routed_request.cpp
@@ -1,4 +1,4 @@
-#include "decision/routing/routed_request.h"
+#include "decision/routing/requests/routed_request.h"
 
 #include <algorithm>
 
--- a/decision/routing/routed_request.h
+++ b/decision/routing/requests/routed_request.h
@@ -8,8 +8,8 @@
 
 #include "core/time.h"
 #include "decision/events.h"
-#include "decision/routing/published.h"
-#include "decision/routing/worker_selector.h"
+#include "decision/routing/items/published.h"
+#include "decision/routing/requests/worker_selector.h"
 #include "decision/types.h"
 
 namespace almondnotch {
--- a/decision/routing/startup_queue.cpp
+++ b/decision/routing/requests/startup_queue.cpp
@@ -1,4 +1,4 @@
-#include "decision/routing/startup_queue.h"
+#include "decision/routing/requests/startup_queue.h"
 
 #include <algorithm>
 #include <memory>
--- a/decision/routing/worker_selector.cpp
+++ b/decision/routing/requests/worker_selector.cpp
@@ -1,4 +1,4 @@
-#include "decision/routing/worker_selector.h"
+#include "decision/routing/requests/worker_selector.h"
 
 #include <algorithm>
 #include <cmath>
--- a/decision/routing/worker_selector.h
+++ b/decision/routing/requests/worker_selector.h
@@ -7,7 +7,7 @@
 
 #include "core/random_source.h"
 #include "core/time.h"
-#include "decision/routing/worker_pool.h"
+#include "decision/routing/workers/worker_pool.h"
 
 namespace almondnotch {
 
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -7,17 +7,17 @@
 
 #include "core/random_source.h"
 #include "decision/calls/quarantine_table.h"
-#include "decision/routing/item_reader.h"
-#include "decision/routing/item_relay.h"
+#include "decision/routing/items/item_reader.h"
+#include "decision/routing/items/item_relay.h"
 #include "decision/routing/peer_group.h"
-#include "decision/routing/reader_group.h"
-#include "decision/routing/request_runner.h"
-#include "decision/routing/route_table.h"
-#include "decision/routing/startup_queue.h"
-#include "decision/routing/store_log.h"
-#include "decision/routing/store_outage.h"
-#include "decision/routing/worker_change_log.h"
-#include "decision/routing/worker_pool.h"
+#include "decision/routing/items/reader_group.h"
+#include "decision/routing/requests/request_runner.h"
+#include "decision/routing/requests/route_table.h"
+#include "decision/routing/requests/startup_queue.h"
+#include "decision/routing/items/store_log.h"
+#include "decision/routing/items/store_outage.h"
+#include "decision/routing/workers/worker_change_log.h"
+#include "decision/routing/workers/worker_pool.h"
 
 namespace almondnotch {
 
--- a/decision/routing/routing_settings.h
+++ b/decision/routing/routing_settings.h
@@ -4,7 +4,7 @@
 
 #include "core/time.h"
 #include "decision/routing/peer_group.h"
-#include "decision/routing/reader_group.h"
+#include "decision/routing/items/reader_group.h"
 
 namespace almondnotch {
 
--- a/decision/routing/request_limit_share.cpp
+++ b/decision/routing/workers/request_limit_share.cpp
@@ -1,4 +1,4 @@
-#include "decision/routing/request_limit_share.h"
+#include "decision/routing/workers/request_limit_share.h"
 
 #include <algorithm>
 
--- a/decision/routing/request_limit_share.h
+++ b/decision/routing/workers/request_limit_share.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "decision/routing/published.h"
+#include "decision/routing/items/published.h"
 
 namespace almondnotch {
 
--- a/decision/routing/request_pacer.h
+++ b/decision/routing/workers/request_pacer.h
@@ -4,7 +4,7 @@
 #include <limits>
 
 #include "core/time.h"
-#include "decision/routing/request_limit_share.h"
+#include "decision/routing/workers/request_limit_share.h"
 
 namespace almondnotch {
 
--- a/decision/routing/worker_availability.cpp
+++ b/decision/routing/workers/worker_availability.cpp
@@ -1,4 +1,4 @@
-#include "decision/routing/worker_availability.h"
+#include "decision/routing/workers/worker_availability.h"
 
 #include <algorithm>
 #include <array>
--- a/decision/routing/worker_availability.h
+++ b/decision/routing/workers/worker_availability.h
@@ -3,7 +3,7 @@
 #include <string_view>
 
 #include "core/time.h"
-#include "decision/routing/request_pacer.h"
+#include "decision/routing/workers/request_pacer.h"
 
 namespace almondnotch {
 
--- a/decision/routing/worker_change_log.cpp
+++ b/decision/routing/workers/worker_change_log.cpp
@@ -1,4 +1,4 @@
-#include "decision/routing/worker_change_log.h"
+#include "decision/routing/workers/worker_change_log.h"
 
 #include <cmath>
 #include <string>
--- a/decision/routing/worker_change_log.h
+++ b/decision/routing/workers/worker_change_log.h
@@ -7,8 +7,8 @@
 #include "core/counters.h"
 #include "core/time.h"
 #include "decision/actions.h"
-#include "decision/routing/event_rate.h"
-#include "decision/routing/worker_pool.h"
+#include "decision/routing/requests/event_rate.h"
+#include "decision/routing/workers/worker_pool.h"
 
 namespace almondnotch {
 
--- a/decision/routing/worker_pool.cpp
+++ b/decision/routing/workers/worker_pool.cpp
@@ -1,4 +1,4 @@
-#include "decision/routing/worker_pool.h"
+#include "decision/routing/workers/worker_pool.h"
 
 #include <algorithm>
 #include <array>
--- a/decision/routing/worker_pool.h
+++ b/decision/routing/workers/worker_pool.h
@@ -14,10 +14,10 @@
 #include "core/counters.h"
 #include "core/time.h"
 #include "decision/events.h"
-#include "decision/routing/published.h"
-#include "decision/routing/request_limit_share.h"
-#include "decision/routing/saturation_slowdown.h"
-#include "decision/routing/worker_availability.h"
+#include "decision/routing/items/published.h"
+#include "decision/routing/workers/request_limit_share.h"
+#include "decision/routing/workers/saturation_slowdown.h"
+#include "decision/routing/workers/worker_availability.h"
 #include "decision/types.h"
 
 namespace almondnotch {
--- a/servers/platform_client/store_protocol.h
+++ b/servers/platform_client/store_protocol.h
@@ -4,7 +4,7 @@
 
 #include "core/error.h"
 #include "decision/actions.h"
-#include "decision/routing/published.h"
+#include "decision/routing/items/published.h"
 #include "servers/curl_loop/response_reader.h"
 
 namespace almondnotch {
