--- a/decision/events.h
+++ b/decision/events.h
@@ -42,6 +42,8 @@
     duration pause {0};
     /// Name of a header that was ignored because its value is malformed; empty if there is none.
     std::string malformedHeader {};
+    /// How much longer the worker stays cold, 0 if it is warm; empty if the response does not say.
+    std::optional<duration> warmUpLeft = std::nullopt;
 
     bool operator==(const worker_signals &) const = default;
 };
--- a/decision/peer_messages.h
+++ b/decision/peer_messages.h
@@ -227,6 +227,8 @@
     /// Revisions of the last change that the reader has received in each scope.
     std::uint64_t configurationRevision = 0;
     std::uint64_t workersRevision = 0;
+    /// Era of the store that the revisions belong to, see `item_page::era`.
+    std::uint64_t storeEra = 0;
 
     bool operator==(const reader_report &) const = default;
 };
@@ -246,6 +248,8 @@
     std::uint64_t revision = 0;
     /// At most `updateItemsMax`.
     std::vector<published_item> items;
+    /// Era of the store that the revisions belong to, see `item_page::era`.
+    std::uint64_t era = 0;
 };
 
 using peer_message
--- a/decision/routing/items/published.h
+++ b/decision/routing/items/published.h
@@ -75,6 +75,11 @@
     std::string healthPath;
     /// Maximum number of connections that one worker accepts from all gateways together.
     unsigned connectionsMax = 1;
+    /// How long a worker stays cold after its start; 0 if workers of the service are never cold.
+    duration warmUpTime {0};
+    /// Requests per second that a cold worker tolerates from all gateways together; 0 if the
+    /// service names no limit.
+    double coldRequestsPerSecond = 0;
 
     bool operator==(const service_spec &) const = default;
 };
@@ -103,7 +108,8 @@
 
 using shared_route_config = std::shared_ptr<const route_config>;
 
-/// Parts of the platform's store that are read independently of each other.
+/// Parts of the platform's store that are read independently of each other. The configuration scope
+/// holds everything that operators write: the configuration and the evacuations.
 enum class item_scope { configuration, workers };
 
 /// An item read from the platform's store, or its removal.
@@ -118,6 +124,9 @@
     shared_route_config config;
     /// Set if the item is a valid worker entry.
     std::optional<published_worker> worker;
+    /// Failure domain whose evacuation the item requests, or no longer requests if it was removed;
+    /// empty for all other items.
+    std::string evacuatedDomain {};
     /// Reason why the item cannot be used; empty if it is valid or was removed.
     std::string fault;
     /// What was not understood in an item that can be used; empty if there is nothing.
@@ -133,6 +142,9 @@
     bool hasMore = false;
     /// Revision up to which the response is complete.
     std::uint64_t revision = 0;
+    /// Number of times that the store was restored from a copy; 0 if it does not say. Revisions can
+    /// only be compared within one era.
+    std::uint64_t era = 0;
     /// The watch asked for changes that the store has already compacted.
     bool historyLost = false;
 };
--- a/servers/peer_link/item_codec.cpp
+++ b/servers/peer_link/item_codec.cpp
@@ -93,6 +93,8 @@
         added.set_name(entry.first);
         added.set_health_path(entry.second.healthPath);
         added.set_connections_max(entry.second.connectionsMax);
+        added.set_warm_up_time_us(entry.second.warmUpTime.count());
+        added.set_cold_requests_per_second(entry.second.coldRequestsPerSecond);
     }
     wire::CallerLimits &limits = *out.mutable_limits();
     limits.set_header_bytes_max(config.limits.headerBytesMax);
@@ -113,8 +115,13 @@
             return tl::unexpected(decoded.error());
         config.routes.push_back(std::move(*decoded));
     }
-    for (const wire::ServiceSpec &spec : in.services())
-        config.services[spec.name()] = {spec.health_path(), spec.connections_max()};
+    for (const wire::ServiceSpec &spec : in.services()) {
+        if (!std::isfinite(spec.cold_requests_per_second()) || spec.cold_requests_per_second() < 0)
+            return malformed("a service has a rate that is negative or not finite");
+        config.services[spec.name()]
+            = {spec.health_path(), spec.connections_max(), duration(spec.warm_up_time_us()),
+               spec.cold_requests_per_second()};
+    }
     config.limits.headerBytesMax = in.limits().header_bytes_max();
     config.limits.bodyBytesMax = in.limits().body_bytes_max();
     config.limits.headerTimeout = duration(in.limits().header_timeout_us());
@@ -141,6 +148,7 @@
     item.revision = in.revision();
     item.removed = in.removed();
     item.fault = in.fault();
+    item.evacuatedDomain = in.evacuated_domain();
     if (in.has_worker())
         item.worker = decode(in.worker());
     if (in.has_config()) {
@@ -158,6 +166,7 @@
 {
     out.set_scope(update.scope == item_scope::configuration ? wire::ITEM_SCOPE_CONFIGURATION
                                                             : wire::ITEM_SCOPE_WORKERS);
+    out.set_era(update.era);
     out.set_after_revision(update.afterRevision);
     out.set_revision(update.revision);
     for (const published_item &item : update.items) {
@@ -166,6 +175,7 @@
         added.set_revision(item.revision);
         added.set_removed(item.removed);
         added.set_fault(item.fault);
+        added.set_evacuated_domain(item.evacuatedDomain);
         if (item.config)
             encode(*item.config, *added.mutable_config());
         if (item.worker)
@@ -182,6 +192,7 @@
         return malformed("an update has more items than it may contain");
     items_update update;
     update.scope = *scope;
+    update.era = in.era();
     update.afterRevision = in.after_revision();
     update.revision = in.revision();
     for (const wire::PublishedItem &item : in.items()) {
--- a/servers/peer_link/message_codec.cpp
+++ b/servers/peer_link/message_codec.cpp
@@ -407,14 +407,15 @@
 {
     wire::ReaderReport &out = *envelope.mutable_reader_report();
     out.set_is_current(report.isConnectedToStore);
+    out.set_store_era(report.storeEra);
     out.set_configuration_revision(report.configurationRevision);
     out.set_workers_revision(report.workersRevision);
 }
 
 result<peer_message> decode(const wire::ReaderReport &in)
 {
-    return peer_message(
-        reader_report {in.is_current(), in.configuration_revision(), in.workers_revision()});
+    return peer_message(reader_report {in.is_current(), in.configuration_revision(),
+                                       in.workers_revision(), in.store_era()});
 }
 
 void encode(const items_update &update, wire::Envelope &envelope)
