--- a/decision/routing/requests/request_runner.cpp
+++ b/decision/routing/requests/request_runner.cpp
@@ -16,8 +16,6 @@
 constexpr duration timeLeftMin = milliseconds(3);
 /// How long a request waits for the probes of one round.
 constexpr duration probeRoundTimeout = milliseconds(12);
-/// Timeout of a probe, after which its worker counts as unreachable.
-constexpr duration probeTimeout = milliseconds(400);
 /// A round of probes, which are started at the same time before a request is sent.
 struct probe_round
 {
@@ -42,8 +40,6 @@
 /// Sending a request that misses its objective would then take a slot from one that can still meet
 /// it.
 constexpr double usableFractionMin = 0.2;
-/// Interval at which a worker that limits its requests is probed while nothing else is sent to it.
-constexpr duration limitProbeInterval = seconds(2);
 /// Maximum number of log records per second about failed requests; further failures are only
 /// counted.
 constexpr double failureLogsPerSecondMax = 20;
@@ -58,13 +54,6 @@
 /// A request is deferred only if, after `deferInterval`, at least this multiple of its expected
 /// service time is still left until its objective. `isQueueTooLong` uses the same multiple.
 constexpr double deferHeadroomFactor = 1.35;
-/// Initial service time of a route, as a fraction of its latency objective.
-constexpr double defaultServiceTimeFraction = 0.35;
-/// Weight of the newest sample in the service time of a route.
-constexpr double serviceTimeWeight = 0.05;
-/// Number of samples of its service time that a route needs before its responses are used to
-/// estimate the slowdown near saturation.
-constexpr unsigned serviceTimeSamplesMin = 5;
 /// A hedge is sent at the latest time at which it can still meet the objective, but not before the
 /// previous attempt has taken this multiple of the expected service time.
 constexpr double hedgeDelayFactor = 1.4;
@@ -75,9 +64,6 @@
 /// Fraction of the retry budget's capacity that hedges must leave for retries if their request has
 /// missed its objective.
 constexpr double lateHedgeReserveFraction = 0.5;
-/// Fraction of the shared probe rate and retry burst that the gateways use in total. The rest is a
-/// margin, since each gateway knows the number of gateways only approximately.
-constexpr double budgetSafetyFactor = 0.8;
 /// `Retry-After` is at most this fraction (1/3) of the time left until the deadline, since a caller
 /// does not retry after a longer delay, but at least `retryAfterMin`.
 constexpr int retryAfterDivisor = 3;
@@ -93,7 +79,8 @@
 request_runner::request_runner(const routing_settings &settings,
                                request_runner_dependencies dependencies)
     : m_settings(settings), m_dependencies(dependencies),
-      m_selector(dependencies.pool, dependencies.random, settings.peers.failureDomain)
+      m_selector(dependencies.pool, dependencies.random, settings.peers.failureDomain),
+      m_prober(settings, dependencies.pool, dependencies.counters)
 { }
 
 std::optional<request_runner::failure_cause>
@@ -159,7 +146,7 @@
 {
     selection_criteria out;
     out.service = record.service;
-    out.serviceTime = expectedServiceTime(*record.route);
+    out.serviceTime = m_serviceTimes.expected(*record.route);
     out.objective = record.route->latencyObjective;
     out.timeToObjective = std::max(record.objectiveAt - now, duration {0});
     out.timeToDeadline = record.deadline - now;
@@ -254,7 +241,7 @@
         return false;
     const double rate = m_services[record.service].attemptRate.perSecond(now);
     const duration slack = record.objectiveAt - now
-                           - scaled(expectedServiceTime(*record.route), deferHeadroomFactor);
+                           - scaled(m_serviceTimes.expected(*record.route), deferHeadroomFactor);
     return static_cast<double>(ahead) > rate * toSeconds(std::max(slack, duration {0}));
 }
 
@@ -315,7 +302,7 @@
 bool request_runner::shouldDefer(instant now, const routed_request &record,
                                  const scored_worker &best)
 {
-    const duration serviceTime = expectedServiceTime(*record.route);
+    const duration serviceTime = m_serviceTimes.expected(*record.route);
     if (best.hasFreshReport && best.hasUnsaturatedSlot
         && now + best.expectedTime <= record.objectiveAt)
         return false;
@@ -349,11 +336,8 @@
                 break;
             if (candidate.hasFreshReport || candidate.isLocal != round.isLocal)
                 continue;
-            if (!m_probeByWorker.contains(candidate.worker)) {
-                if (!acquireProbeToken(now))
-                    break;
-                startProbe(candidate.worker, path, actions);
-            }
+            if (!m_prober.ensureProbed(now, candidate.worker, path, actions))
+                break;
             record.awaitedWorkers.insert(candidate.worker);
             --left;
         }
@@ -365,30 +349,6 @@
     return false;
 }
 
-bool request_runner::acquireProbeToken(instant now)
-{
-    const double workers = static_cast<double>(m_dependencies.pool.size());
-    m_probeRateLimiter.refill(now, budgetSafetyFactor * m_settings.budgets.probesPerWorker * workers
-                                       / m_gatewayCount);
-    if (m_probes.size() < m_settings.bounds.probesMax
-        && (m_probeRateLimiter.take() || !isMechanismEnabled("probe_allowance")))
-        return true;
-    m_dependencies.counters.add("probes_denied_total");
-    return false;
-}
-
-void request_runner::startProbe(worker_index worker, const std::string &healthPath,
-                                action_list &actions)
-{
-    const probe_id id {m_nextProbe++};
-    m_probes.emplace(id, worker);
-    m_probeByWorker[worker] = id;
-    const published_worker &entry = m_dependencies.pool.at(worker).entry;
-    m_dependencies.counters.add("probes_total");
-    actions.push_back(
-        almondnotch::start_probe {id, entry.address, probeTimeout, entry.name, healthPath});
-}
-
 /// Called if no worker is usable: retries the selection for a short time unless the request may
 /// already have been executed, then fails the selection.
 void request_runner::handleNoWorker(instant now, routed_request &record, std::string_view reason,
@@ -478,7 +438,7 @@
     record.hedgeAt = instant::never();
     if (!record.isIdempotent() || record.possiblyRunAttempts() >= record.route->attemptsMax)
         return;
-    const duration serviceTime = expectedServiceTime(*record.route);
+    const duration serviceTime = m_serviceTimes.expected(*record.route);
     // Latest time at which a hedge can meet the objective, with a margin of 30% of the service time
     // and 5 ms.
     const instant latest = record.objectiveAt - scaled(serviceTime, 1.3) - milliseconds(5);
@@ -513,7 +473,7 @@
     attempt->rejectedBeforeRun = input.rejectedBeforeRun;
     const bool isAnswer = input.end == attempt_end::answered && !input.rejectedBeforeRun;
     if (isAnswer && !isServerFailure(input.response)) {
-        recordServiceTime(now, record, *attempt);
+        m_serviceTimes.record(now, *record.route, *attempt, m_dependencies.pool);
         finish(now, record, input.response, actions);
         return;
     }
@@ -535,31 +495,8 @@
     if (input.end != attempt_end::broken || record == nullptr)
         return;
     m_dependencies.quarantine.connectionBroke(now, digestOf(*record->request), name);
-    probeAfterDisconnect(now, *record, worker, actions);
-}
-
-/// Probes a worker whose connection broke, to distinguish a crash from a lost connection.
-void request_runner::probeAfterDisconnect(instant now, const routed_request &record,
-                                          worker_index worker, action_list &actions)
-{
-    tryProbe(now, worker, *record.config, actions);
-}
-
-void request_runner::tryProbe(instant now, worker_index worker, const route_config &config,
-                              action_list &actions)
-{
-    const auto spec = config.services.find(m_dependencies.pool.at(worker).entry.service);
-    if (spec == config.services.end() || m_probeByWorker.contains(worker)
-        || !acquireProbeToken(now))
-        return;
-    startProbe(worker, spec->second.healthPath, actions);
-}
-
-void request_runner::probeLimitedWorkers(instant now, const route_config &config,
-                                         action_list &actions)
-{
-    for (const worker_index worker : m_dependencies.pool.limitedWorkers(now - limitProbeInterval))
-        tryProbe(now, worker, config, actions);
+    // Distinguishes a crash from a lost connection.
+    m_prober.tryProbe(now, worker, *record->config, actions);
 }
 
 bool request_runner::tryAcquireRetry(instant now, const routed_request &record,
@@ -616,47 +553,14 @@
                       actions);
 }
 
-void request_runner::recordServiceTime(instant now, const routed_request &record,
-                                       const routed_attempt &attempt)
-{
-    const double slowdown = std::max(attempt.slowdownPercent, 100U) / 100.0;
-    // The sample is not representative if the machine's speed was unknown or far from normal.
-    if (attempt.slowdownPercent == 0 || slowdown > 2)
-        return;
-    duration sample = scaled(now - attempt.startedAt, 1 / slowdown);
-    route_statistics &statistics = m_routes[record.route->name];
-    const duration known = expectedServiceTime(*record.route);
-    if (attempt.isNearSaturation && statistics.sampleCount >= serviceTimeSamplesMin) {
-        m_dependencies.pool.recordSaturation(toSeconds(sample) / toSeconds(known));
-        return;
-    }
-    if (attempt.isNearSaturation)
-        sample = scaled(sample, 1 / m_dependencies.pool.saturation().factor());
-    ++statistics.sampleCount;
-    // The first samples have a larger weight, since the initial service time is only assumed.
-    const double weight = std::max(serviceTimeWeight, 1.0 / (statistics.sampleCount + 1));
-    const duration bounded = std::min(sample, known * 3);
-    statistics.serviceTime = scaled(known, 1 - weight) + scaled(bounded, weight);
-}
-
-duration request_runner::expectedServiceTime(const host_route &route)
-{
-    route_statistics &statistics = m_routes[route.name];
-    if (statistics.serviceTime == duration {0})
-        statistics.serviceTime = scaled(route.latencyObjective, defaultServiceTimeFraction);
-    return std::max<duration>(statistics.serviceTime, milliseconds(1));
-}
-
 void request_runner::probeFinished(instant now, const probe_finished &input, action_list &actions)
 {
-    const auto found = m_probes.find(input.probe);
-    if (found == m_probes.end()) {
+    const std::optional<worker_index> probed = m_prober.probeFinished(input.probe);
+    if (!probed) {
         m_dependencies.invariants.check("probe_ends_once", false);
         return;
     }
-    const worker_index worker = found->second;
-    m_probes.erase(found);
-    m_probeByWorker.erase(worker);
+    const worker_index worker = *probed;
     m_dependencies.pool.probeFinished(now, worker, input);
     const std::string name = m_dependencies.pool.at(worker).entry.name;
     if (input.load)
@@ -712,7 +616,7 @@
 void request_runner::tryHedge(instant now, routed_request &record, action_list &actions)
 {
     record.hedgeAt = now + hedgeRetryInterval;
-    if (record.hedgeAt + expectedServiceTime(*record.route) > record.deadline)
+    if (record.hedgeAt + m_serviceTimes.expected(*record.route) > record.deadline)
         record.hedgeAt = instant::never();
     const double reserve
         = now < record.objectiveAt ? hedgeReserveFraction : lateHedgeReserveFraction;
@@ -774,7 +678,7 @@
         const duration longest
             = std::max((record.deadline - now) / retryAfterDivisor, retryAfterMin);
         const duration usual
-            = record.route == nullptr ? retryAfterMin : expectedServiceTime(*record.route) / 2;
+            = record.route == nullptr ? retryAfterMin : m_serviceTimes.expected(*record.route) / 2;
         details.retryAfter
             = std::clamp(std::max(usual, record.retryNotBefore - now), retryAfterMin, longest);
     }
@@ -831,9 +735,9 @@
           record.route == nullptr ? std::string("0") : std::to_string(record.route->attemptsMax)},
          {"retry_tokens",
           std::to_string(static_cast<int>(m_services[record.service].budget.tokens()))},
-         {"work_ms", record.route == nullptr
-                         ? std::string("0")
-                         : std::to_string(toMilliseconds(expectedServiceTime(*record.route)))}}});
+         {"work_ms", record.route == nullptr ? std::string("0")
+                                             : std::to_string(toMilliseconds(
+                                                 m_serviceTimes.expected(*record.route)))}}});
 }
 
 void request_runner::scheduleTimer(routed_request &record)
@@ -868,9 +772,6 @@
                         {"age_ms", toMilliseconds(now - record.arrivedAt)},
                         {"time_left_ms", toMilliseconds(record.deadline - now)}});
     }
-    nlohmann::json routes = nlohmann::json::object();
-    for (const std::pair<const std::string, route_statistics> &entry : m_routes)
-        routes[entry.first] = {{"work_ms", toMilliseconds(entry.second.serviceTime)}};
     nlohmann::json services = nlohmann::json::object();
     for (const std::pair<const std::string, service_state> &entry : m_services)
         services[entry.first] = {{"retry_tokens", entry.second.budget.tokens()},
@@ -878,10 +779,10 @@
     return {{"crowding_factor", m_dependencies.pool.saturation().factor()},
             {"in_progress", m_requests.size()},
             {"attempts_in_flight", m_attempts.size()},
-            {"probes_in_flight", m_probes.size()},
+            {"probes_in_flight", m_prober.inFlight()},
             {"gateways", m_gatewayCount},
             {"requests", rows},
-            {"routes", routes},
+            {"routes", m_serviceTimes.dump()},
             {"services", services}};
 }
 
--- a/decision/routing/requests/request_runner.h
+++ b/decision/routing/requests/request_runner.h
@@ -20,13 +20,14 @@
 #include "decision/calls/quarantine_table.h"
 #include "decision/events.h"
 #include "decision/routing/requests/event_rate.h"
-#include "decision/routing/workers/probe_rate_limiter.h"
 #include "decision/routing/requests/retry_budget.h"
 #include "decision/routing/requests/route_table.h"
 #include "decision/routing/requests/routed_request.h"
+#include "decision/routing/requests/service_times.h"
+#include "decision/routing/requests/worker_selector.h"
 #include "decision/routing/routing_settings.h"
 #include "decision/routing/workers/worker_pool.h"
-#include "decision/routing/requests/worker_selector.h"
+#include "decision/routing/workers/worker_prober.h"
 
 namespace almondnotch {
 
@@ -54,10 +55,11 @@
     void attemptFinished(instant now, const attempt_finished &input, action_list &actions);
     void probeFinished(instant now, const probe_finished &input, action_list &actions);
     void timerExpired(instant now, action_list &actions);
-    /// Probes limited workers that have not named their limit recently, since a gateway that sends
-    /// no requests to a worker would not learn that its limit has ended.
-    /// \param config configuration in force.
-    void probeLimitedWorkers(instant now, const route_config &config, action_list &actions);
+    /// See `worker_prober::probeLimitedWorkers`.
+    void probeLimitedWorkers(instant now, const route_config &config, action_list &actions)
+    {
+        m_prober.probeLimitedWorkers(now, config, actions);
+    }
     /// Withdraws the attempts at a worker that were not sent yet.
     void withdrawUnsent(const std::string &worker, action_list &actions) const;
     /// Request that an attempt belongs to; null if the request has ended.
@@ -70,7 +72,11 @@
     void closeConnectionsAfterResponses() { m_closeConnections = true; }
     /// From now on, new requests are rejected unless their deadline passes by `end`.
     void rejectRequestsEndingAfter(instant end) { m_latestEnd = end; }
-    void setGatewayCount(unsigned count) { m_gatewayCount = count; }
+    void setGatewayCount(unsigned count)
+    {
+        m_gatewayCount = count;
+        m_prober.setGatewayCount(count);
+    }
     void setRemovalGracePeriods(const removal_grace_periods &gracePeriods)
     {
         m_gracePeriods = gracePeriods;
@@ -108,14 +114,6 @@
         /// Rate at which this gateway starts attempts at workers of the service.
         event_rate attemptRate;
     };
-    /// Statistics of a route, learned from its responses.
-    struct route_statistics
-    {
-        /// Moving average of the service time on an idle worker at normal speed.
-        duration serviceTime {0};
-        /// Number of responses that `serviceTime` is based on.
-        unsigned sampleCount = 0;
-    };
 
     std::optional<failure_cause> admit(instant now, routed_request &record, route_table *table);
     bool isQuarantined(instant now, const call_request &request) const;
@@ -135,14 +133,6 @@
     /// \return true if the request now waits for probe results.
     bool probeCandidates(instant now, routed_request &record,
                          const std::vector<scored_worker> &ranked, action_list &actions);
-    void startProbe(worker_index worker, const std::string &healthPath, action_list &actions);
-    /// Probes the worker unless a probe of it is in flight, the probe budget is used up or the
-    /// configuration does not know its service.
-    void tryProbe(instant now, worker_index worker, const route_config &config,
-                  action_list &actions);
-    bool acquireProbeToken(instant now);
-    void probeAfterDisconnect(instant now, const routed_request &record, worker_index worker,
-                              action_list &actions);
     void startAttempt(instant now, routed_request &record, const scored_worker &chosen,
                       action_list &actions);
     void handleNoWorker(instant now, routed_request &record, std::string_view reason,
@@ -154,12 +144,9 @@
     bool tryAcquireRetry(instant now, const routed_request &record, const attempt_finished &input);
     void attemptFailed(instant now, routed_request &record, const attempt_finished &input,
                        action_list &actions);
-    void recordServiceTime(instant now, const routed_request &record,
-                           const routed_attempt &attempt);
     void recordOutcome(instant now, const routed_request *record, worker_index worker,
                        const attempt_finished &input, action_list &actions);
     selection_criteria selectionCriteria(instant now, const routed_request &record);
-    duration expectedServiceTime(const host_route &route);
     double retryTokensMax() const;
     unsigned connectionShare(const routed_request &record) const;
     void finishWithProblem(instant now, routed_request &record, const failure_cause &cause,
@@ -174,6 +161,7 @@
     const routing_settings &m_settings;
     request_runner_dependencies m_dependencies;
     worker_selector m_selector;
+    worker_prober m_prober;
     bool m_closeConnections = false;
     /// Latest deadline with which new requests are accepted.
     instant m_latestEnd = instant::never();
@@ -182,17 +170,13 @@
     std::unordered_map<call_id, std::unique_ptr<routed_request>> m_requests;
     /// Attempts in flight. An attempt can outlive its request.
     std::unordered_map<attempt_id, std::pair<call_id, worker_index>> m_attempts;
-    probe_rate_limiter m_probeRateLimiter;
-    std::map<probe_id, worker_index> m_probes;
-    std::map<worker_index, probe_id> m_probeByWorker;
     /// Times at which timers of requests are due. Stale entries are skipped.
     std::set<std::pair<instant, call_id>> m_timers;
-    std::map<std::string, route_statistics, std::less<>> m_routes;
+    service_times m_serviceTimes;
     std::map<std::string, service_state, std::less<>> m_services;
     std::map<std::string, std::set<pending_request>, std::less<>> m_pendingRequests;
     event_rate m_failureLogRate;
     std::uint64_t m_nextAttempt = 1;
-    std::uint64_t m_nextProbe = 1;
 };
 
 } // namespace almondnotch
--- a/decision/routing/routing_settings.h
+++ b/decision/routing/routing_settings.h
@@ -3,8 +3,8 @@
 #include <cstdint>
 
 #include "core/time.h"
-#include "decision/routing/peer_group.h"
 #include "decision/routing/items/reader_group.h"
+#include "decision/routing/peer_group.h"
 
 namespace almondnotch {
 
@@ -21,6 +21,10 @@
     double probesPerWorker = 60;
 };
 
+/// Fraction of the shared probe rate and retry burst that the gateways use in total. The rest is a
+/// margin, since each gateway knows the number of gateways only approximately.
+constexpr double budgetSafetyFactor = 0.8;
+
 /// Limits on requests and probes in flight, and on the quarantine.
 struct request_bounds
 {
--- a/tests/decision/routing/overload_test.cpp
+++ b/tests/decision/routing/overload_test.cpp
@@ -1,7 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
-#include "decision/routing/workers/saturation_slowdown.h"
 #include "decision/routing/requests/worker_selector.h"
+#include "decision/routing/workers/saturation_slowdown.h"
 #include "tests/decision/routing/routing_fixture.h"
 
 using namespace almondnotch;
