Send requests to workers that have joined

Cause: a worker without a connection costs 6% more, the random variation is 10%, so that with a dozen connected workers the lowest cost is always that of a connected one. A worker that has joined now counts as connected for 5 s after its warm-up.

--- a/decision/routing/requests/worker_selector.cpp
+++ b/decision/routing/requests/worker_selector.cpp
@@ -80,7 +80,10 @@
     const double penalty
         = failures + (out.isLocal ? 0.0 : crossDomainCostFraction)
           + (out.expectedTime > criteria.timeToObjective ? missedObjectiveCostFraction : 0.0);
-    const bool isConnected = worker.hasReport && age < connectionKeepAlive;
+    // A worker that has joined is not connected yet. Without the exception, the connected workers
+    // would get all requests as long as they have free slots.
+    const bool isConnected
+        = (worker.hasReport && age < connectionKeepAlive) || now < worker.joiningUntil;
     out.cost = scaled(out.expectedTime + scaled(criteria.objective, penalty),
                       1 + jitterFraction * m_random.uniform()
                           + (isConnected ? 0.0 : newConnectionCostFraction)
--- a/decision/routing/workers/worker_pool.cpp
+++ b/decision/routing/workers/worker_pool.cpp
@@ -28,6 +28,9 @@
 /// Removals count as many if they are at least this number of workers and this fraction of all.
 constexpr std::ptrdiff_t massRemovalCountMin = 3;
 constexpr double massRemovalShare = 0.4;
+/// How long after its warm-up a worker counts as one that has joined recently: long enough for all
+/// gateways to have sent it requests.
+constexpr duration joiningTime = seconds(5);
 /// How long a removed worker is kept, for attempts in flight and in case its entry returns.
 constexpr duration removedWorkerRetention = seconds(20);
 
@@ -73,6 +76,7 @@
     }
     for (const std::string &name : missing)
         remove(now, name);
+    m_isListed = true;
     return missing;
 }
 
@@ -122,6 +126,8 @@
     fresh.entry = entry;
     fresh.availability.entryRead(entry.leaving);
     fresh.warmUpEnd = now + entry.warmUpLeft;
+    if (m_isListed)
+        fresh.joiningUntil = fresh.warmUpEnd + joiningTime;
     fresh.report.slots = entry.slots;
     mutableAt(index) = fresh;
     m_byName.emplace(entry.name, index);
--- a/decision/routing/workers/worker_pool.h
+++ b/decision/routing/workers/worker_pool.h
@@ -30,6 +30,8 @@
     worker_availability availability;
     /// End of the worker's warm-up.
     instant warmUpEnd;
+    /// Until then, the worker counts as one that has joined recently.
+    instant joiningUntil;
     load_report report;
     /// When `report` was received; the origin of the clock if none was.
     instant reportedAt;
@@ -182,6 +184,8 @@
     /// When each worker began to drain or was removed, by its name.
     std::map<std::string, instant> m_drainOrRemovalAt;
     std::vector<worker_change> m_changes;
+    /// The first complete list was applied. Workers that are added later have joined.
+    bool m_isListed = false;
     gateway_group m_gatewayGroup;
     /// See `usableFraction`, by service.
     std::map<std::string, double, std::less<>> m_usableFraction;
