Check a route configuration before it is sent

almondnotchctl config check FILE [--against IN-FORCE]: errors, entries that can never match, limits that contradict each other, and what differs from the version in force; exit status for scripts and JSON.

--- a/main/control/command_table.cpp
+++ b/main/control/command_table.cpp
@@ -1,6 +1,7 @@
 #include "main/control/command.h"
 #include "main/control/local_commands.h"
 #include "main/control/online_commands.h"
+#include "main/control/route_config_command.h"
 
 namespace almondnotch {
 
@@ -37,6 +38,17 @@
          "almondnotchctl manifest edited/ --config_version 42 --out publish/ > manifest.toml",
          {"config_version", "out", "output"},
          &runManifest},
+        {"config",
+         "check FILE",
+         2,
+         2,
+         "Check a route configuration before it is sent to the platform.",
+         "Prints errors, entries that can never match and limits that contradict each other and,\n"
+         "with --against, what differs from the configuration in force. The exit code is 1 if\n"
+         "anything was found, whether there are differences or not.",
+         "almondnotchctl config check next.json --against in-force.json",
+         {"against", "output"},
+         &runConfig},
         {"dump",
          "[TABLE]",
          0,
--- a/main/control/options.cpp
+++ b/main/control/options.cpp
@@ -19,6 +19,7 @@
 DEFINE_string(method, "GET", "HTTP method of the call to explain");
 DEFINE_uint64(config_version, 0, "version of the manifest; must be greater than the published one");
 DEFINE_string(out, "", "directory to which the parts are written");
+DEFINE_string(against, "", "file with the configuration in force, to compare with");
 // NOLINTEND(readability-identifier-naming)
 
 namespace almondnotch {
@@ -29,9 +30,9 @@
 
 const std::vector<std::string> &optionNames()
 {
-    static const std::vector<std::string> names {"operator", "entry",          "output",
-                                                 "watch",    "interval_ms",    "watch_count",
-                                                 "method",   "config_version", "out"};
+    static const std::vector<std::string> names {
+        "operator",    "entry",  "output",         "watch", "interval_ms",
+        "watch_count", "method", "config_version", "out",   "against"};
     return names;
 }
 
@@ -92,6 +93,7 @@
     options.method = FLAGS_method;
     options.configVersion = FLAGS_config_version;
     options.outDirectory = FLAGS_out;
+    options.against = FLAGS_against;
     return options;
 }
 
--- a/main/control/options.h
+++ b/main/control/options.h
@@ -23,6 +23,8 @@
     std::string method;
     std::uint64_t configVersion = 0;
     std::string outDirectory;
+    /// File with the configuration in force; empty if there is nothing to compare with.
+    std::string against;
     bool help = false;
     /// Names of the options that were given.
     std::vector<std::string> givenOptions;
