Evacuate failure domains and bound what cold workers get

Cause: no code knew the operator's request to send nothing to a failure domain, and nothing bounded what all gateways together send to a worker that has just started or come back.

Change: evacuations are items of the configuration scope (list, watch, relay). evacuations holds them, worker_availability forbids requests on every sending path, unsent attempts are withdrawn. cold_limits and cold_request_share bound the requests of cold workers of services that name a rate: users by rendezvous hashing, token buckets, no messages. worker_change and pooled_worker move out of worker_pool. Store, health header and configuration are read in platform/.

Measured: routing_evacuation_test (15 cases), routing_test (84), the tests of request limits, worker signals, drain, silence and unheard readers, and platform_test (24) pass. The new tests need the new interfaces, so they don't compile on the code before; with the mechanism off (ALMONDNOTCH_MUTANT) 8 of 15 cases fail for "evacuations" (18 checks) and 5 for "cold_request_share" (24 checks).

--- a/decision/routing/items/item_reader.cpp
+++ b/decision/routing/items/item_reader.cpp
@@ -256,7 +256,10 @@
     m_hasSynced = true;
     m_afterKey.clear();
     // Without a configuration, the gateway cannot serve until it is published.
-    if (!m_listedItems.empty() || m_settings.scope == item_scope::workers)
+    const bool hasConfiguration
+        = std::any_of(m_listedItems.begin(), m_listedItems.end(),
+                      [](const published_item &item) { return item.evacuatedDomain.empty(); });
+    if (hasConfiguration || m_settings.scope == item_scope::workers)
         m_nextReadAt = std::max(now, m_firstWatchHoldoffUntil);
     batches.push_back({true, std::exchange(m_listedItems, {}), knownRevision, m_revision});
 }
--- a/decision/routing/items/store_log.cpp
+++ b/decision/routing/items/store_log.cpp
@@ -41,6 +41,22 @@
              revisionField(revision)}};
 }
 
+write_log configWarningRecord(const published_item &item)
+{
+    return {log_level::warning,
+            "config",
+            "A part of the configuration was not understood.",
+            {{"fault", item.warning}}};
+}
+
+write_log unusableItemRecord(const published_item &item)
+{
+    return {log_level::warning,
+            "store",
+            "An item of the store is invalid.",
+            {{"name", item.name}, {"fault", item.fault}}};
+}
+
 write_log readFailedRecord(instant now, const item_reader &reader, const reader_group &readers,
                            const error &cause)
 {
--- a/decision/routing/items/store_log.h
+++ b/decision/routing/items/store_log.h
@@ -20,6 +20,10 @@
 /// that contained it.
 write_log configAppliedRecord(const route_config &config, std::string_view source,
                               std::uint64_t revision);
+/// A part of an applied configuration was not understood.
+write_log configWarningRecord(const published_item &item);
+/// An item cannot be used.
+write_log unusableItemRecord(const published_item &item);
 /// A read failed. The record says when the scope is read next, and how long no reader has reported
 /// that the store answers it.
 write_log readFailedRecord(instant now, const item_reader &reader, const reader_group &readers,
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -116,7 +116,8 @@
     void sendDueReports(instant now, action_list &actions);
     void relayChanges(instant now, item_scope scope, const item_batch &batch,
                       const std::vector<std::string> &removedNames, action_list &actions);
-    void applyConfig(const item_batch &batch, std::string_view source, action_list &actions);
+    void applyConfig(instant now, const item_batch &batch, std::string_view source,
+                     action_list &actions);
     std::vector<std::string> applyWorkers(instant now, const item_batch &batch,
                                           std::string_view source, action_list &actions);
     void handleWorkerChanges(instant now, std::string_view source, const shared_request &request,
@@ -160,8 +161,8 @@
 };
 
 route_gateway::state::state(routing_settings initialSettings)
-    : settings(std::move(initialSettings)), random(settings.seed), pool(counters),
-      changeLog(counters),
+    : settings(std::move(initialSettings)), random(settings.seed),
+      pool(counters, settings.coldRequests), changeLog(counters),
       quarantine(settings.bounds.quarantineTime, settings.bounds.crashRecordsMax, counters),
       runner(settings, {pool, quarantine, random, invariants, counters}),
       peers(settings.peers, random, counters),
@@ -384,7 +385,7 @@
 }
 
 /// \param source how the batch was obtained: "list", "watch" or "relay".
-/// \return names of the workers that were removed because they are missing from a snapshot.
+/// \return names of the items that are known and missing from a snapshot: workers and evacuations.
 std::vector<std::string> route_gateway::state::applyBatch(instant now, item_scope scope,
                                                           const item_batch &batch,
                                                           std::string_view source,
@@ -392,8 +393,12 @@
 {
     if (scope == item_scope::workers)
         return applyWorkers(now, batch, source, actions);
-    applyConfig(batch, source, actions);
-    return {};
+    // Evacuations go first: the gateway becomes ready with its first configuration.
+    const evacuation_update evacuated = pool.applyEvacuations(now, batch.items, batch.isSnapshot);
+    logEvacuations(evacuated, source, batch.revision, actions);
+    handleWorkerChanges(now, source, nullptr, actions);
+    applyConfig(now, batch, source, actions);
+    return evacuated.removedNames;
 }
 
 /// Starts the reads of the store that are due. Lists are always read; changes only if no other
@@ -474,8 +479,8 @@
     actions.push_back(command);
 }
 
-void route_gateway::state::applyConfig(const item_batch &batch, std::string_view source,
-                                       action_list &actions)
+void route_gateway::state::applyConfig(instant now, const item_batch &batch,
+                                       std::string_view source, action_list &actions)
 {
     for (const published_item &item : batch.items) {
         if (!item.config) {
@@ -486,13 +491,11 @@
         if (table != nullptr && item.config->version <= table->config()->version)
             continue;
         table = std::make_unique<route_table>(item.config);
+        pool.setConfig(now, item.config);
         counters.set("configuration_version", static_cast<double>(item.config->version));
         actions.push_back(configAppliedRecord(*item.config, source, batch.revision));
         if (!item.warning.empty())
-            actions.push_back(write_log {log_level::warning,
-                                         "config",
-                                         "A part of the configuration was not understood.",
-                                         {{"fault", item.warning}}});
+            actions.push_back(configWarningRecord(item));
     }
 }
 
@@ -562,10 +565,7 @@
     if (item.fault.empty())
         return;
     counters.add("store_items_unusable_total");
-    actions.push_back(write_log {log_level::warning,
-                                 "store",
-                                 "An item of the store is invalid.",
-                                 {{"name", item.name}, {"fault", item.fault}}});
+    actions.push_back(unusableItemRecord(item));
 }
 
 void route_gateway::state::on(instant now, const drain_requested & /*input*/, action_list &actions)
--- a/decision/routing/routing_settings.h
+++ b/decision/routing/routing_settings.h
@@ -5,6 +5,7 @@
 #include "core/time.h"
 #include "decision/routing/items/reader_group.h"
 #include "decision/routing/peer_group.h"
+#include "decision/routing/workers/cold_request_share.h"
 
 namespace almondnotch {
 
@@ -61,6 +62,8 @@
     reader_group_settings readers;
     shared_budgets budgets;
     request_bounds bounds;
+    /// Bound on the requests of cold workers whose service names a rate.
+    cold_request_bounds coldRequests;
 };
 
 } // namespace almondnotch
--- a/decision/routing/workers/worker_availability.cpp
+++ b/decision/routing/workers/worker_availability.cpp
@@ -16,8 +16,8 @@
 
 std::string_view toString(unavailability reason)
 {
-    static constexpr std::array<std::string_view, 6> names {"none",     "removed", "leaving",
-                                                            "replaced", "paused",  "limit reached"};
+    static constexpr std::array<std::string_view, 8> names {
+        "none", "removed", "leaving", "replaced", "paused", "limit reached", "evacuated", "cold"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -35,10 +35,25 @@
     m_pausedUntil = std::max(m_pausedUntil, now + std::min(length, pauseMax));
 }
 
+void worker_availability::limitWhileCold(instant now, instant warmUpEnd,
+                                         const request_limit_share &share)
+{
+    m_coldUntil = warmUpEnd;
+    m_coldPacer.setShare(now, share);
+}
+
+void worker_availability::requestSent(instant now)
+{
+    m_pacer.requestSent(now);
+    m_coldPacer.requestSent(now);
+}
+
 unavailability worker_availability::reason(instant now, duration removalGracePeriod) const
 {
     if (m_isReplaced)
         return unavailability::replaced;
+    if (m_isEvacuated && isMechanismEnabled("evacuations"))
+        return unavailability::evacuated;
     if (isLeaving() && isMechanismEnabled("leaving_workers"))
         return unavailability::leaving;
     if (isRemoved() && now - m_removedAt >= removalGracePeriod)
@@ -47,6 +62,9 @@
         return unavailability::paused;
     if (!m_pacer.allows(now) && isMechanismEnabled("request_pacing"))
         return unavailability::limit_reached;
+    if (isLimitedWhileCold(now) && !m_coldPacer.allows(now)
+        && isMechanismEnabled("cold_request_share"))
+        return unavailability::cold;
     return unavailability::none;
 }
 
--- a/decision/routing/workers/worker_availability.h
+++ b/decision/routing/workers/worker_availability.h
@@ -21,6 +21,10 @@
     paused,
     /// This gateway has used up its share of the request limit that the worker names.
     limit_reached,
+    /// The operator has asked to send nothing to the worker's failure domain.
+    evacuated,
+    /// This gateway has used up its share of what a cold worker may get.
+    cold,
 };
 
 /// Name of the reason in dumps.
@@ -49,6 +53,13 @@
     /// A response of the worker asks for a pause. The longest pause applies.
     void pauseRequested(instant now, duration length);
 
+    /// The evacuation of the worker's failure domain has begun or ended.
+    void setEvacuated(bool isEvacuated) { m_isEvacuated = isEvacuated; }
+    /// Limits the requests of this gateway until the worker is warm.
+    void limitWhileCold(instant now, instant warmUpEnd, const request_limit_share &share);
+    /// A request is sent to the worker.
+    void requestSent(instant now);
+
     /// Keeps this gateway's share of the request limit of the worker.
     request_pacer &pacer() { return m_pacer; }
     const request_pacer &pacer() const { return m_pacer; }
@@ -63,7 +74,14 @@
     bool isPaused(instant now) const { return now < m_pausedUntil; }
     /// End of the pause that the worker has asked for; in the past if there is none.
     instant pausedUntil() const { return m_pausedUntil; }
-    /// True if this run of the worker takes new requests, apart from its pause and its limit.
+    bool isEvacuated() const { return m_isEvacuated; }
+    /// True while the requests of this gateway are limited because the worker is cold.
+    bool isLimitedWhileCold(instant now) const
+    {
+        return now < m_coldUntil && m_coldPacer.isLimited();
+    }
+    /// True if this run of the worker takes new requests, apart from its pause, its limit and an
+    /// evacuation.
     bool isInUse() const { return !isRemoved() && !isLeaving() && !m_isReplaced; }
 
     /// \param removalGracePeriod time for which the worker stays usable after its entry was
@@ -78,6 +96,10 @@
     bool m_isReplaced = false;
     instant m_pausedUntil;
     request_pacer m_pacer;
+    bool m_isEvacuated = false;
+    instant m_coldUntil;
+    /// Counts requests also while the worker is warm, since it may become cold again.
+    request_pacer m_coldPacer;
 };
 
 } // namespace almondnotch
--- a/decision/routing/workers/worker_pool.cpp
+++ b/decision/routing/workers/worker_pool.cpp
@@ -1,7 +1,6 @@
 #include "decision/routing/workers/worker_pool.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <set>
 
@@ -33,20 +32,6 @@
 
 } // namespace
 
-std::string_view toString(worker_change_kind kind)
-{
-    static constexpr std::array<std::string_view, 8> names {
-        "draining",    "removed",  "available again",  "limits its requests",
-        "limit ended", "replaced", "asks for a pause", "sent a malformed header"};
-    return names.at(static_cast<std::size_t>(kind));
-}
-
-bool worker_change::endsUse() const
-{
-    return kind == worker_change_kind::drain_started || kind == worker_change_kind::removed
-           || kind == worker_change_kind::replaced || kind == worker_change_kind::paused;
-}
-
 void worker_pool::apply(instant now, const published_item &item)
 {
     if (!item.removed && !item.worker)
@@ -80,7 +65,10 @@
 void worker_pool::entryChanged(instant now, pooled_worker &known, const published_worker &entry)
 {
     const bool wasInUse = known.availability.isInUse();
-    known.entry = entry;
+    const duration warmUpBefore = std::exchange(known.entry, entry).warmUpLeft;
+    // An entry that says the same as before says nothing new.
+    if (entry.warmUpLeft != warmUpBefore)
+        m_coldLimits.entrySaid(now, known);
     known.availability.entryRead(entry.leaving);
     const bool isInUse = known.availability.isInUse();
     if (isInUse)
@@ -123,6 +111,8 @@
     fresh.availability.entryRead(entry.leaving);
     fresh.warmUpEnd = now + entry.warmUpLeft;
     fresh.report.slots = entry.slots;
+    fresh.availability.setEvacuated(m_evacuations.includes(entry.failureDomain));
+    m_coldLimits.update(now, fresh);
     mutableAt(index) = fresh;
     m_byName.emplace(entry.name, index);
     m_byService[entry.service].push_back(index);
@@ -174,7 +164,9 @@
 void worker_pool::attemptStarted(instant now, worker_index worker)
 {
     pooled_worker &target = mutableAt(worker);
-    target.availability.pacer().requestSent(now);
+    target.availability.requestSent(now);
+    if (target.availability.isLimitedWhileCold(now))
+        m_counters.add("requests_to_cold_workers_total");
     ++target.inFlight;
     ++target.sentSinceReport;
 }
@@ -199,6 +191,8 @@
     }
     if (signals.requestRateMax)
         applyRequestLimit(now, worker, *signals.requestRateMax);
+    if (signals.warmUpLeft)
+        m_coldLimits.workerSaid(now, worker, *signals.warmUpLeft);
     if (signals.isLeaving)
         applyLeave(now, worker);
     if (signals.pause > duration {0})
@@ -252,13 +246,47 @@
                        : request_limit_share {});
 }
 
+void worker_pool::setConfig(instant now, shared_route_config config)
+{
+    m_coldLimits.setConfig(std::move(config));
+    for (pooled_worker &worker : m_workers)
+        m_coldLimits.update(now, worker);
+}
+
+evacuation_update worker_pool::applyEvacuations(instant now,
+                                                const std::vector<published_item> &items,
+                                                bool isSnapshot)
+{
+    evacuation_update update = m_evacuations.apply(items, isSnapshot);
+    if (update.begun.empty() && update.ended.empty())
+        return update;
+    m_counters.add("evacuations_begun_total", update.begun.size());
+    m_counters.add("evacuations_ended_total", update.ended.size());
+    for (pooled_worker &worker : m_workers) {
+        const bool wasEvacuated = worker.availability.isEvacuated();
+        const bool isEvacuated = m_evacuations.includes(worker.entry.failureDomain);
+        if (wasEvacuated == isEvacuated)
+            continue;
+        worker.availability.setEvacuated(isEvacuated);
+        m_changes.push_back({worker.entry.name, isEvacuated
+                                                    ? worker_change_kind::evacuated
+                                                    : worker_change_kind::evacuation_ended});
+        if (!isEvacuated)
+            m_coldLimits.evacuationEnded(now, worker);
+    }
+    return update;
+}
+
 void worker_pool::setGatewayGroup(instant now, const gateway_group &group)
 {
     if (group == m_gatewayGroup)
         return;
     m_gatewayGroup = group;
-    for (pooled_worker &worker : m_workers)
+    m_coldLimits.setGatewayGroup(group);
+    for (pooled_worker &worker : m_workers) {
         updatePacer(now, worker);
+        m_coldLimits.update(now, worker);
+    }
 }
 
 std::vector<worker_index> worker_pool::limitedWorkers(instant before) const
@@ -267,7 +295,7 @@
     for (const std::pair<const std::string, worker_index> &named : m_byName) {
         const pooled_worker &worker = at(named.second);
         if (std::isfinite(worker.requestRateMax) && worker.limitNamedAt < before
-            && worker.availability.isInUse())
+            && worker.availability.isInUse() && !worker.availability.isEvacuated())
             out.push_back(named.second);
     }
     return out;
@@ -408,31 +436,21 @@
     return found == m_byService.end() ? none : found->second;
 }
 
+std::vector<worker_index> worker_pool::usableWorkersOf(instant now, std::string_view service) const
+{
+    std::vector<worker_index> out;
+    for (const worker_index index : workersOf(service)) {
+        if (at(index).availability.reason(now, duration {0}) == unavailability::none)
+            out.push_back(index);
+    }
+    return out;
+}
+
 nlohmann::json worker_pool::dump(instant now) const
 {
     nlohmann::json rows = nlohmann::json::array();
-    for (const std::pair<const std::string, worker_index> &named : m_byName) {
-        const pooled_worker &worker = at(named.second);
-        rows.push_back(
-            {{"name", worker.entry.name},
-             {"service", worker.entry.service},
-             {"address", worker.entry.address},
-             {"failure_domain", worker.entry.failureDomain},
-             {"leaving", worker.availability.isLeaving()},
-             {"removed", worker.availability.isRemoved()},
-             {"unavailable", toString(worker.availability.reason(now, duration {0}))},
-             {"running", worker.report.running},
-             {"queued", worker.report.queued},
-             {"slots", worker.report.slots},
-             {"slowdown_percent", worker.report.slowdownPercent},
-             {"report_age_ms", worker.hasReport ? toMilliseconds(now - worker.reportedAt) : -1},
-             {"in_flight", worker.inFlight},
-             {"limit_per_s", std::isfinite(worker.requestRateMax)
-                                 ? nlohmann::json(worker.requestRateMax)
-                                 : nlohmann::json()},
-             {"failure_share", worker.failureRate},
-             {"shunned_ms", std::max<std::int64_t>(0, toMilliseconds(worker.ejectedUntil - now))}});
-    }
+    for (const std::pair<const std::string, worker_index> &named : m_byName)
+        rows.push_back(dumpOf(now, at(named.second)));
     return rows;
 }
 
--- a/decision/routing/workers/worker_pool.h
+++ b/decision/routing/workers/worker_pool.h
@@ -15,79 +15,16 @@
 #include "core/time.h"
 #include "decision/events.h"
 #include "decision/routing/items/published.h"
+#include "decision/routing/workers/cold_limits.h"
+#include "decision/routing/workers/evacuations.h"
+#include "decision/routing/workers/pooled_worker.h"
 #include "decision/routing/workers/request_limit_share.h"
 #include "decision/routing/workers/saturation_slowdown.h"
-#include "decision/routing/workers/worker_availability.h"
+#include "decision/routing/workers/worker_change.h"
 #include "decision/types.h"
 
 namespace almondnotch {
 
-/// State of one worker: its entry, its last load report, and the results of its attempts.
-struct pooled_worker
-{
-    published_worker entry;
-    /// Whether the worker gets new requests.
-    worker_availability availability;
-    /// End of the worker's warm-up.
-    instant warmUpEnd;
-    load_report report;
-    /// When `report` was received; the origin of the clock if none was.
-    instant reportedAt;
-    bool hasReport = false;
-    /// Attempts of this gateway in flight.
-    unsigned inFlight = 0;
-    /// Attempts in flight that were sent after the last report and are not counted in it.
-    unsigned sentSinceReport = 0;
-    /// Moving average of the failure rate, 0 to 1. Successes reduce it. The decay in the time since
-    /// `lastFailureAt` is not included; it is applied when the value is used.
-    double failureRate = 0;
-    instant lastFailureAt;
-    unsigned consecutiveFailures = 0;
-    /// End of the worker's ejection. Until then it gets no requests while other workers of the
-    /// service are usable.
-    instant ejectedUntil;
-    /// Duration of the last ejection; 0 after a success.
-    duration ejectionTime {0};
-    /// Requests per second that the worker accepts from all gateways together, by its last
-    /// response; infinity if it has named no limit.
-    double requestRateMax = std::numeric_limits<double>::infinity();
-    /// When a response last named `requestRateMax`.
-    instant limitNamedAt;
-};
-
-/// How the availability of a worker changed, or why it did not.
-enum class worker_change_kind {
-    drain_started,
-    removed,
-    available_again,
-    limited,
-    limit_ended,
-    replaced,
-    paused,
-    malformed_header
-};
-
-/// Name of the kind in log records.
-std::string_view toString(worker_change_kind kind);
-
-/// A change of whether, or how often, a worker gets new requests.
-struct worker_change
-{
-    std::string worker;
-    worker_change_kind kind = worker_change_kind::removed;
-    /// Requests per second that the worker accepts from all gateways together, for `limited`.
-    double requestRateMax = std::numeric_limits<double>::infinity();
-    /// How long the worker wants no requests, for `paused`.
-    duration pause {0};
-    /// Name of the header that was ignored, for `malformed_header`.
-    std::string header {};
-
-    /// True if unsent attempts must not be sent to the worker any more.
-    bool endsUse() const;
-
-    bool operator==(const worker_change &) const = default;
-};
-
 /// Maximum slowdown with which a machine counts as running at full speed, as a multiple of the
 /// usual execution time.
 constexpr double fullSpeedSlowdownMax = 1.6;
@@ -97,7 +34,9 @@
 {
 public:
     /// \param counters must outlive the pool.
-    explicit worker_pool(counter_set &counters) : m_counters(counters) { }
+    explicit worker_pool(counter_set &counters, const cold_request_bounds &coldBounds = {})
+        : m_counters(counters), m_coldLimits(coldBounds)
+    { }
 
     /// Applies a change of one entry. If the entry was removed or is invalid, the worker is
     /// removed.
@@ -105,6 +44,13 @@
     /// Applies a complete list: workers that are missing from it are removed.
     /// \return the names of the removed workers.
     std::vector<std::string> applySnapshot(instant now, const std::vector<published_item> &items);
+    /// Applies the evacuations among the items of the configuration scope. Workers of a failure
+    /// domain whose evacuation ends count as cold, if their service names how long that lasts and
+    /// the rate that a cold worker tolerates.
+    evacuation_update applyEvacuations(instant now, const std::vector<published_item> &items,
+                                       bool isSnapshot);
+    /// Sets the configuration whose services the workers belong to.
+    void setConfig(instant now, shared_route_config config);
     /// Another gateway has reported that a worker is draining or was removed. The worker gets no
     /// new requests.
     /// \param age time since any gateway first observed this.
@@ -143,6 +89,8 @@
     /// Workers of a service, including removed and draining ones.
     const std::vector<worker_index> &workersOf(std::string_view service) const;
     std::size_t size() const { return m_byName.size(); }
+    /// Workers of a service that this gateway may send a request to now. Ejected ones are included.
+    std::vector<worker_index> usableWorkersOf(instant now, std::string_view service) const;
     /// Fraction of the recent answered probes of a service that found a free slot on a machine at
     /// full speed. Counts probes of this gateway only.
     double usableFraction(std::string_view service) const;
@@ -183,6 +131,8 @@
     std::map<std::string, instant> m_drainOrRemovalAt;
     std::vector<worker_change> m_changes;
     gateway_group m_gatewayGroup;
+    cold_limits m_coldLimits;
+    evacuations m_evacuations;
     /// See `usableFraction`, by service.
     std::map<std::string, double, std::less<>> m_usableFraction;
     double m_meanSlowdown = 2.0;
--- a/main/daemon/daemon_declarations.cpp
+++ b/main/daemon/daemon_declarations.cpp
@@ -179,6 +179,12 @@
         real("routing.probes_per_worker", 60, 1, 100000, "probes/s",
              "Maximum rate of probes per worker, summed over all gateways and averaged over all "
              "workers."),
+        real("routing.cold_overshoot", 1, 0, 1000, "",
+             "Factor on the rate that a service names for its cold workers. It bounds, together "
+             "with routing.cold_slack, what a cold worker gets from all gateways in any second."),
+        real("routing.cold_slack", 0, 0, 1000000, "requests",
+             "Number of requests that a cold worker may get in any second in addition to the rate "
+             "times routing.cold_overshoot. Applies only to services that name a rate."),
     };
 }
 
--- a/main/daemon/daemon_settings.cpp
+++ b/main/daemon/daemon_settings.cpp
@@ -260,6 +260,8 @@
     routing.budgets.retryFraction = retrySafetyFactor * values.real("routing.retry_share");
     reader.read("routing.retry_slack", routing.budgets.retryBurst);
     routing.budgets.probesPerWorker = values.real("routing.probes_per_worker");
+    routing.coldRequests
+        = {values.real("routing.cold_overshoot"), values.real("routing.cold_slack")};
     routing.pauseThreshold = gatewaySettings.pauseThreshold;
     routing.bounds.inProgressMax = gatewaySettings.calls.inProgressMax;
     routing.bounds.quarantineTime = gatewaySettings.calls.quarantineTime;
--- a/tests/platform/item_decoder_test.cpp
+++ b/tests/platform/item_decoder_test.cpp
@@ -195,4 +195,21 @@
     }
 }
 
+// Guards against services whose warm-up is lost, and against a rate that makes no sense.
+BOOST_AUTO_TEST_CASE(warmUpOfAServiceIsDecoded)
+{
+    const std::string plain = R"("s1":{"healthPath":"/health",)";
+    const published_item item = decodedConfiguration(
+        replaced(configuration, plain, plain + R"("warmup":"3s","warmupPerS":3.9,)"));
+    BOOST_REQUIRE(item.config != nullptr);
+    BOOST_TEST((item.config->services.at("s1").warmUpTime == seconds(3)));
+    BOOST_TEST(item.config->services.at("s1").coldRequestsPerSecond == 3.9);
+    BOOST_TEST((item.config->services.at("s2").warmUpTime == duration {0}));
+    BOOST_TEST(item.config->services.at("s2").coldRequestsPerSecond == 0.0);
+    for (const char *const field :
+         {R"("warmup":3,)", R"("warmupPerS":-1,)", R"("warmupPerS":"4",)"})
+        BOOST_TEST(decodedConfiguration(replaced(configuration, plain, plain + field)).config
+                   == nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/protocols_test.cpp
+++ b/tests/platform/protocols_test.cpp
@@ -225,6 +225,74 @@
     BOOST_TEST((signalsOf(503, {"Retry-After: 1", "Retry-After: 2"}).pause == duration {0}));
 }
 
+// Guards against a cold worker that is not heard, and against malformed headers that make a worker
+// cold or warm.
+BOOST_AUTO_TEST_CASE(warmUpIsParsed)
+{
+    const auto signalsOf = [](const std::vector<std::string> &headers) {
+        start_probe command;
+        command.workerName = "i-1";
+        std::vector<std::string> lines {"X-Almondnotch-Instance-Id: i-1", "Content-Length: 0"};
+        lines.insert(lines.end(), headers.begin(), headers.end());
+        probe_finished outcome;
+        response_reader reader = response(200, lines);
+        platform::workerProtocol().parseProbeResponse(reader, command, outcome);
+        return outcome.signals;
+    };
+    const std::string name = "X-Almondnotch-Warmup-Remaining: ";
+    BOOST_TEST((signalsOf({name + "1500"}).warmUpLeft == milliseconds(1500)));
+    BOOST_TEST((signalsOf({name + "0"}).warmUpLeft == milliseconds(0)));
+    BOOST_TEST((signalsOf({name + "2.5s"}).warmUpLeft == milliseconds(2500)));
+    BOOST_TEST(!signalsOf({}).warmUpLeft.has_value());
+    for (const char *const text : {"-1", "nan", "1e3", "2x", "", "999999999999"}) {
+        const worker_signals read = signalsOf({name + text});
+        BOOST_TEST(!read.warmUpLeft.has_value(), "accepted " << text);
+        BOOST_TEST(read.malformedHeader == "X-Almondnotch-Warmup-Remaining");
+    }
+    BOOST_TEST(!signalsOf({name + "1", name + "2"}).warmUpLeft.has_value());
+}
+
+// Guards against evacuations that are not read, or are taken for a configuration.
+BOOST_AUTO_TEST_CASE(evacuationsAreReadWithTheConfiguration)
+{
+    read_items command;
+    command.scope = item_scope::configuration;
+    const store_protocol &store = platform::storeProtocol();
+    BOOST_TEST(store.target(command) == "/v1/kv-range?prefix=op/");
+    const auto decode = [&command, &store](const std::string &listName, const std::string &rows) {
+        const std::string body = "{\"" + listName + "\":[" + rows + "],\"currentRev\":9}";
+        response_reader reader
+            = response(200, {"Content-Length: " + std::to_string(body.size())}, body);
+        const result<item_page> page = store.decode(command, reader);
+        BOOST_REQUIRE(page.has_value());
+        return page->items;
+    };
+    // "e30=" is "{}".
+    const std::vector<published_item> listed
+        = decode("items", R"({"key":"op/config","value":"e30=","revision":3},)"
+                          R"({"key":"op/evacuate/gp-a","value":"e30=","revision":4},)"
+                          R"({"key":"op/evacuate/","value":"e30=","revision":5},)"
+                          R"({"key":"op/other","value":"e30=","revision":6},)"
+                          R"({"key":"op/configs","value":"e30=","revision":7},)"
+                          R"({"key":"op/evacuate/gp-b","value":"?","revision":8})");
+    BOOST_REQUIRE_EQUAL(listed.size(), 3U);
+    BOOST_TEST(listed[0].evacuatedDomain.empty());
+    BOOST_TEST(!listed[0].fault.empty());
+    BOOST_TEST(listed[1].evacuatedDomain == "gp-a");
+    BOOST_TEST(listed[1].revision == 4U);
+    BOOST_TEST(listed[1].fault.empty());
+    BOOST_TEST(listed[2].evacuatedDomain == "gp-b");
+    command.afterRevision = 5;
+    command.wait = seconds(1);
+    BOOST_TEST(store.target(command) == "/v1/kv-watch?prefix=op/&after=5&waitMs=1000");
+    const std::vector<published_item> changed
+        = decode("events", R"({"key":"op/evacuate/gp-a","revision":9,"removed":true})");
+    BOOST_REQUIRE_EQUAL(changed.size(), 1U);
+    BOOST_TEST(changed[0].removed);
+    BOOST_TEST(changed[0].name == listed[1].name);
+    BOOST_TEST(changed[0].evacuatedDomain == "gp-a");
+}
+
 // Guards against missing the signals in the response to a probe.
 BOOST_AUTO_TEST_CASE(probeResponseCarriesSignals)
 {
