Serve requests behind one another on a connection side by side

Cause: the entry stood on libmicrohttpd, which handles one request of a connection at a time, so that reads sent at once waited for one another.

GET and HEAD without a body run side by side up to entry.pipelined_requests_max; any other request runs alone. A close moves behind the requests that were passed on; a disconnect cancels each; a caller that does not read is cut after entry.unread_time_max_ms.

Package: libboost1.74-dev, the package that holds Boost's headers and is installed already as a dependency of libboost-test-dev; libboost-dev is an empty package that would have to be installed.

Tests: test_pipelined_requests fails on the code before (requests wait for one another).

--- a/main/daemon/daemon_declarations.cpp
+++ b/main/daemon/daemon_declarations.cpp
@@ -83,6 +83,14 @@
         integer(
             "entry.receive_time_max_ms", 30000, 100, 600000, "ms",
             "Maximum time for receiving a request, from the request line to the end of the body."),
+        integer("entry.unread_time_max_ms", 10000, 100, 600000, "ms",
+                "A connection whose caller reads no byte of a pending response for this time is "
+                "closed."),
+        integer("entry.pipelined_requests_max", 16, 1, 1000, "requests",
+                "Maximum number of requests of one connection that are in progress at the same "
+                "time. Only GET and HEAD requests without a body are; any other request waits for "
+                "those before it, and those behind it wait for its response. 1 makes all of them "
+                "wait."),
         integer("entry.body_bytes_max", 1048576, 1024, 16777216, "bytes",
                 "Maximum size of a request body; a larger one is rejected with 413."),
         integer("entry.header_bytes_max", 16384, 1024, 65536, "bytes",
--- a/main/daemon/daemon_settings.cpp
+++ b/main/daemon/daemon_settings.cpp
@@ -286,6 +286,8 @@
     target.idleTimeout = seconds(values.integer("entry.idle_timeout_s"));
     reader.read("entry.connections_max", target.connectionsMax);
     reader.readMilliseconds("entry.receive_time_max_ms", target.receiveTimeMax);
+    reader.readMilliseconds("entry.unread_time_max_ms", target.unreadTimeMax);
+    reader.read("entry.pipelined_requests_max", target.pipelinedRequestsMax);
     reader.read("entry.body_bytes_max", target.bodyBytesMax);
     reader.read("entry.header_bytes_max", target.headerBytesMax);
     reader.read("entry.held_body_bytes_max", target.heldBodyBytesMax);
--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -5,7 +5,7 @@
 packages=(
   g++ cmake ninja-build ccache pkg-config clang-format clang-tidy python3
   libev-dev libgrpc++-dev libprotobuf-dev libcurl4-openssl-dev libmicrohttpd-dev
-  libgflags-dev liblog4cxx-dev libexpected-dev libboost-test-dev libtomlplusplus-dev
+  libgflags-dev liblog4cxx-dev libexpected-dev libboost1.74-dev libboost-test-dev libtomlplusplus-dev
   libxxhash-dev nlohmann-json3-dev libssl-dev libbenchmark-dev
 )
 
--- a/servers/http_entry/entry_settings.h
+++ b/servers/http_entry/entry_settings.h
@@ -31,6 +31,11 @@
     /// Maximum total size of the bodies of all responses that callers have not read yet, without
     /// the first 16 KiB of each, bytes. A response beyond it is replaced by an error.
     std::size_t heldResponseBytesMax = std::size_t {32} * 1024 * 1024;
+    /// Maximum number of requests of one connection whose response has not been passed to the
+    /// writer. 1 makes a connection's requests wait for one another.
+    unsigned pipelinedRequestsMax = 16;
+    /// A connection whose caller reads no byte of a pending response for this time is closed.
+    duration unreadTimeMax {seconds(10)};
     /// Seed for generated request identifiers. Must differ between processes.
     std::uint64_t seed = 0;
 };
--- a/servers/http_entry/response_writer.cpp
+++ b/servers/http_entry/response_writer.cpp
@@ -1,11 +1,12 @@
 #include "servers/http_entry/response_writer.h"
 
 #include <algorithm>
-#include <cstdint>
+#include <ctime>
 #include <memory>
 #include <string_view>
 #include <utility>
 
+#include <boost/beast/http/status.hpp>
 #include <nlohmann/json.hpp>
 
 #include "servers/http_entry/header_filter.h"
@@ -25,31 +26,6 @@
            });
 }
 
-void releaseBody(void *closure)
-{
-    delete static_cast<shared_response *>(closure);
-}
-
-MHD_Response *responseWithBody(const shared_response &source)
-{
-    if (source->body.empty())
-        return MHD_create_response_from_buffer(0, nullptr, MHD_RESPMEM_PERSISTENT);
-    // libmicrohttpd expects a mutable pointer but only reads from it.
-    std::unique_ptr<shared_response> bodyOwner = std::make_unique<shared_response>(source);
-    MHD_Response *created = MHD_create_response_from_buffer_with_free_callback_cls(
-        source->body.size(), const_cast<char *>(source->body.data()), &releaseBody,
-        bodyOwner.get());
-    if (created != nullptr)
-        static_cast<void>(bodyOwner.release());
-    return created;
-}
-
-ssize_t refuseContent(void * /*closure*/, std::uint64_t /*position*/, char * /*buffer*/,
-                      std::size_t /*limit*/)
-{
-    return MHD_CONTENT_READER_END_WITH_ERROR;
-}
-
 const header_field *findField(const call_response &response, std::string_view name)
 {
     const auto found = std::find_if(
@@ -64,29 +40,46 @@
            && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
 
-/// Builds a response that has no body but keeps the worker's `Content-Length`. If the worker sent
-/// none, the response has none either, since 0 would be wrong (RFC 9110 section 8.6). Without a
-/// length, libmicrohttpd 0.9.75 would write the last chunk of a chunked body, which the caller
-/// would read as the start of the next response. MHD_RF_HTTP_1_0_COMPATIBLE_STRICT prevents that
-/// and closes the connection after the response.
-MHD_Response *responseWithoutBody(const call_response &source)
+void addField(std::string &head, std::string_view name, std::string_view value)
 {
-    const header_field *length = findField(source, "Content-Length");
-    const std::uint64_t size = length != nullptr && isNumber(length->value)
-                                   ? std::stoull(length->value)
-                                   : MHD_SIZE_UNKNOWN;
-    MHD_Response *created
-        = MHD_create_response_from_callback(size, 1024, &refuseContent, nullptr, nullptr);
-    if (created != nullptr && size == MHD_SIZE_UNKNOWN)
-        MHD_set_response_options(created, MHD_RF_HTTP_1_0_COMPATIBLE_STRICT, MHD_RO_END);
-    return created;
+    head.append(name).append(": ");
+    const std::size_t start = head.size();
+    head.append(value).append("\r\n");
+    // A tab in a field value is equivalent to a space (RFC 9110 section 5.5).
+    std::replace(head.begin() + static_cast<std::ptrdiff_t>(start), head.end(), '\t', ' ');
 }
 
-void addField(MHD_Response *response, const std::string &name, std::string value)
+/// Date in the format of RFC 9110 section 5.6.7, for example "Sun, 06 Nov 1994 08:49:37 GMT".
+std::string formatDate(std::int64_t unixSeconds)
 {
-    // libmicrohttpd rejects tabs in field values, where a tab is equivalent to a space.
-    std::replace(value.begin(), value.end(), '\t', ' ');
-    MHD_add_response_header(response, name.c_str(), value.c_str());
+    const std::time_t time = unixSeconds;
+    std::tm parts {};
+    gmtime_r(&time, &parts);
+    char text[32];
+    return {text, std::strftime(text, sizeof text, "%a, %d %b %Y %H:%M:%S GMT", &parts)};
+}
+
+std::string statusLine(int status)
+{
+    namespace http = boost::beast::http;
+    const http::status known = http::int_to_status(static_cast<unsigned>(status));
+    const boost::beast::string_view reason
+        = known == http::status::unknown ? "Unknown" : http::obsolete_reason(known);
+    return "HTTP/1.1 " + std::to_string(status) + " " + std::string(reason.data(), reason.size())
+           + "\r\n";
+}
+
+/// Value of `Content-Length`; empty if the response has none. A response without a body keeps the
+/// worker's, since 0 would be wrong (RFC 9110 section 8.6).
+std::string contentLength(const call_response &response, bool isHeadRequest)
+{
+    constexpr int noContent = 204;
+    if (response.status == noContent)
+        return {};
+    if (!response.body.empty() || !isBodyOmitted(response, isHeadRequest))
+        return std::to_string(response.body.size());
+    const header_field *const length = findField(response, "Content-Length");
+    return length != nullptr && isNumber(length->value) ? length->value : std::string();
 }
 
 } // namespace
@@ -108,21 +101,38 @@
     return std::nullopt;
 }
 
-MHD_Response *makeMhdResponse(const shared_response &response, const response_options &options)
+bool isBodyOmitted(const call_response &response, bool isHeadRequest)
+{
+    constexpr int noContent = 204;
+    constexpr int notModified = 304;
+    return isHeadRequest || response.status == noContent || response.status == notModified;
+}
+
+bool isLengthUnknown(const call_response &response, bool isHeadRequest)
+{
+    constexpr int noContent = 204;
+    return response.status != noContent && contentLength(response, isHeadRequest).empty();
+}
+
+std::string makeResponseHead(const call_response &response, const response_options &options,
+                             std::int64_t unixSeconds)
 {
-    const bool isBodyOmitted
-        = response->body.empty() && (options.isHeadRequest || response->status == 304);
-    MHD_Response *created
-        = isBodyOmitted ? responseWithoutBody(*response) : responseWithBody(response);
-    if (created == nullptr)
-        return nullptr;
-    for (const header_field &field : forwardableFields(response->headers))
-        addField(created, field.name, field.value);
+    std::string head = statusLine(response.status);
+    if (findField(response, "Date") == nullptr)
+        addField(head, "Date", formatDate(unixSeconds));
+    for (const header_field &field : forwardableFields(response.headers))
+        addField(head, field.name, field.value);
     for (const header_field &field : options.addedFields)
-        addField(created, field.name, field.value);
+        addField(head, field.name, field.value);
+    const std::string length = contentLength(response, options.isHeadRequest);
+    if (!length.empty())
+        addField(head, "Content-Length", length);
     if (options.closeConnection)
-        addField(created, "Connection", "close");
-    return created;
+        addField(head, "Connection", "close");
+    else if (options.announceKeepAlive)
+        addField(head, "Connection", "Keep-Alive");
+    head += "\r\n";
+    return head;
 }
 
 shared_response makeEntryResponse(const std::string &service, const send_entry_response &command)
--- a/tests/platform/end_to_end_test.py
+++ b/tests/platform/end_to_end_test.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import os
+import socket
 import sys
 import threading
 import time
@@ -89,6 +90,73 @@
         status, _, _ = caller.send("GET", "/elsewhere/", self.attempt())
         self.assertEqual(status, 404)
 
+    @staticmethod
+    def time_pipelined(gateway, requests):
+        """Sends (method, path, attempt) requests at once on a new connection. Returns their responses
+        as (status, headers, body, seconds)."""
+        with socket.create_connection(("127.0.0.1", gateway.entry_port), timeout=5) as connection:
+            sent_at = time.monotonic()
+            connection.sendall("".join(
+                f"{method} {path} HTTP/1.1\r\nHost: {standins.HOST}\r\nContent-Length: 0\r\n"
+                f"X-Almondnotch-Attempt-Id: {attempt}\r\n"
+                "X-Almondnotch-Deadline-Remaining: 1500\r\n\r\n"
+                for method, path, attempt in requests).encode())
+            stream = connection.makefile("rb")
+            answers = []
+            for _ in requests:
+                status = int(stream.readline().split()[1])
+                headers = http.client.parse_headers(stream)
+                body = stream.read(int(headers["Content-Length"]))
+                answers.append((status, headers, body, time.monotonic() - sent_at))
+            return answers
+
+    def test_pipelined_requests(self):
+        """Guards against requests behind one another on a connection that wait for one another, or
+        get each other's responses. A booking among them runs alone."""
+        gateway = self.start()
+        for worker in self.workers:
+            worker.service_time = 0.2
+        caller = standins.Caller(gateway.entry_port)
+        self.check_response(caller.send("GET", "/read/0", self.attempt()), f"{self.attempts:016x}")
+        started = time.monotonic()
+        self.check_response(caller.send("GET", "/read/1", self.attempt()), f"{self.attempts:016x}")
+        alone = time.monotonic() - started
+        for round_number in range(3):
+            requests = [("GET", f"/read/{i}", self.attempt()) for i in range(4)]
+            answers = self.time_pipelined(gateway, requests)
+            for (_, _, attempt), (status, headers, body, seconds) in zip(requests, answers):
+                self.check_response((status, headers, body), attempt)
+                self.assertLess(seconds, 1.75 * alone, f"round {round_number}: {attempt}")
+        requests = [("GET", "/read/1", self.attempt()), ("POST", "/book/1", self.attempt()),
+                    ("GET", "/read/2", self.attempt()), ("GET", "/read/3", self.attempt())]
+        answers = self.time_pipelined(gateway, requests)
+        runs = []
+        for (_, _, attempt), (status, headers, body, _) in zip(requests, answers):
+            self.check_response((status, headers, body), attempt)
+            run, = self.runs(attempt)
+            runs.append(run[4])
+        self.assertGreater(runs[1], runs[0] + 0.19)
+        self.assertGreater(min(runs[2:]), runs[1] + 0.19)
+
+    def test_abandoned_pipelined_requests(self):
+        """Guards against work for requests behind one another whose caller has left."""
+        gateway = self.start()
+        for worker in self.workers:
+            worker.service_time = 0.3
+        requests = [("GET", f"/read/{i}", self.attempt()) for i in range(3)]
+        with socket.create_connection(("127.0.0.1", gateway.entry_port), timeout=5) as connection:
+            connection.sendall("".join(
+                f"GET {path} HTTP/1.1\r\nHost: {standins.HOST}\r\n"
+                f"X-Almondnotch-Attempt-Id: {attempt}\r\n\r\n"
+                for _, path, attempt in requests).encode())
+            standins.wait_for(lambda: all(self.runs(attempt) for _, _, attempt in requests), 2)
+
+        def disconnects():
+            text = gateway.get(gateway.operator_port, "/metrics")[1].decode()
+            return sum(int(line.split()[1]) for line in text.splitlines()
+                       if line.startswith("almondnotch_entry_callers_disconnected_total"))
+        standins.wait_for(lambda: disconnects() == 3, 0.25)
+
     def test_faulty_answers(self):
         """Guards against forwarding responses that belong to another request, have no seal header
         or are truncated."""
--- a/tests/platform/mutated_input_test.cpp
+++ b/tests/platform/mutated_input_test.cpp
@@ -11,6 +11,7 @@
 #include "platform/item_decoder.h"
 #include "platform/store.h"
 #include "platform/workers.h"
+#include "servers/http_entry/request_parser.h"
 #include "servers/peer_link/message_codec.h"
 
 using namespace almondnotch;
@@ -162,6 +163,54 @@
     BOOST_TEST((!page || page->items.size() < 10));
 }
 
+constexpr std::size_t requestHeadBytesMax = 2000;
+constexpr std::uint64_t requestFramingBytesMax = 3000;
+
+/// Parses the requests of a connection as the entry does.
+/// \param random divides the bytes into parts as they may arrive; null for all at once.
+/// \return the targets and bodies, one after the other.
+std::string parseRequests(const std::string &bytes, random_source *random)
+{
+    std::string parsed;
+    std::unique_ptr<request_parser> parser;
+    std::string unread;
+    std::size_t at = 0;
+    while (at < bytes.size()) {
+        const std::size_t left = bytes.size() - at;
+        const std::size_t part = random == nullptr ? left : 1 + random->below(left);
+        unread.append(bytes, at, part);
+        at += part;
+        std::string_view input = unread;
+        parse_step step = parse_step::complete;
+        while (step != parse_step::need_more && (parser || !input.empty())) {
+            if (!parser)
+                parser
+                    = std::make_unique<request_parser>(requestHeadBytesMax, requestFramingBytesMax);
+            step = parser->next(input);
+            if (step == parse_step::failed) {
+                BOOST_TEST((parser->fault().status >= 400 && parser->fault().status < 600));
+                return parsed;
+            }
+            if (step == parse_step::head)
+                parsed += parser->head().target + "\n";
+            if (step == parse_step::body)
+                parsed += parser->bodyPart();
+            if (step == parse_step::complete)
+                parser.reset();
+        }
+        unread = std::string(input);
+        BOOST_TEST(unread.size() <= requestHeadBytesMax);
+    }
+    return parsed;
+}
+
+void decodeRequests(const std::string &bytes)
+{
+    // The requests do not depend on how the bytes arrive.
+    random_source random(bytes.size());
+    BOOST_TEST((parseRequests(bytes, nullptr) == parseRequests(bytes, &random)));
+}
+
 void decodeEnvelope(const std::string &bytes)
 {
     peer::v1::Envelope envelope;
@@ -303,6 +352,16 @@
                     });
 }
 
+BOOST_AUTO_TEST_CASE(pipelinedRequests)
+{
+    decodeMutations("GET /a HTTP/1.1\r\nHost: a\r\nX-A: b\r\n c\r\n\r\n"
+                    "POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
+                    "PUT /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "4;e=\"f\"\r\nwxyz\r\nA\r\n0123456789\r\n0\r\nX-T: t\r\n\r\n"
+                    "HEAD /d HTTP/1.0\r\nConnection: close, x-a\r\n\r\n",
+                    decodeRequests);
+}
+
 BOOST_AUTO_TEST_CASE(peerMessages)
 {
     fleet_digest digest;
