Limit hedges by a share that the operator sets, in a module of their own

Cause: hedges drew on the retry budget alone, were due only by the latency objective, and their rules were spread over request_runner. A copy could go to a worker that was warming up, a copy that failed took a retry from the budget although nothing was retried, a copy could be sent without a token if others took the last ones during its probe, and copies were sent that could not end before the drain.

Change: hedge_policy decides when, to whom and when not. routing.hedge_share limits copies to a fraction of the idempotent requests (default 1: the retry budget alone, as before; 0: none), routing.hedge_quantile sends them after a quantile of the route's latencies (default 0: by the objective, as before). Counters of copies sent, won, lost, not sent by reason, and of cancelled work. The log of failed requests moves out of request_runner.

On the code before, warmingWorkerGetsNoHedge saw a copy at the worker that was warming up, failedCopyTakesNoRetry saw retries_total 1 instead of 0, and hedges_lost_total did not exist; the other cases use the new settings.

--- a/decision/routing/requests/request_runner.cpp
+++ b/decision/routing/requests/request_runner.cpp
@@ -40,9 +40,6 @@
 /// Sending a request that misses its objective would then take a slot from one that can still meet
 /// it.
 constexpr double usableFractionMin = 0.2;
-/// Maximum number of log records per second about failed requests; further failures are only
-/// counted.
-constexpr double failureLogsPerSecondMax = 20;
 /// Maximum number of attempts of a request, including those that certainly were not executed and
 /// do not count towards `host_route::attemptsMax`.
 constexpr std::size_t transmissionsMax = 6;
@@ -54,16 +51,6 @@
 /// A request is deferred only if, after `deferInterval`, at least this multiple of its expected
 /// service time is still left until its objective. `isQueueTooLong` uses the same multiple.
 constexpr double deferHeadroomFactor = 1.35;
-/// A hedge is sent at the latest time at which it can still meet the objective, but not before the
-/// previous attempt has taken this multiple of the expected service time.
-constexpr double hedgeDelayFactor = 1.4;
-/// Interval at which a hedge that could not be sent is retried.
-constexpr duration hedgeRetryInterval = milliseconds(30);
-/// Fraction of the retry budget's capacity that hedges must leave for retries.
-constexpr double hedgeReserveFraction = 0.2;
-/// Fraction of the retry budget's capacity that hedges must leave for retries if their request has
-/// missed its objective.
-constexpr double lateHedgeReserveFraction = 0.5;
 /// `Retry-After` is at most this fraction (1/3) of the time left until the deadline, since a caller
 /// does not retry after a longer delay, but at least `retryAfterMin`.
 constexpr int retryAfterDivisor = 3;
@@ -80,7 +67,9 @@
                                request_runner_dependencies dependencies)
     : m_settings(settings), m_dependencies(dependencies),
       m_selector(dependencies.pool, dependencies.random, settings.peers.failureDomain),
-      m_prober(settings, dependencies.pool, dependencies.counters)
+      m_prober(settings, dependencies.pool, dependencies.counters),
+      m_hedges(settings.hedges, dependencies.counters),
+      m_failureLog(dependencies.pool, dependencies.counters)
 { }
 
 std::optional<request_runner::failure_cause>
@@ -130,9 +119,11 @@
     record.deadline = now + input.request->timeout.value_or(seconds(1));
     const std::optional<failure_cause> refused = admit(now, record, table);
     m_dependencies.counters.add("requests_total");
-    if (!refused)
+    if (!refused) {
         m_services[record.service].budget.requestArrived(m_settings.budgets.retryFraction,
                                                          retryTokensMax());
+        m_hedges.requestArrived(record);
+    }
     m_requests.emplace(input.call, std::move(owned));
     if (refused) {
         finishWithProblem(now, record, *refused, actions);
@@ -165,11 +156,10 @@
         handleNoWorker(now, record, "no worker of the service is usable", actions);
         return;
     }
-    // A hedge must not take a slot that the first attempt of another request may need.
-    const auto first = std::find_if(
-        ranked.begin(), ranked.end(), [&record](const scored_worker &rankedWorker) {
-            return rankedWorker.isAcceptable() && (!record.isHedge || rankedWorker.isLightlyLoaded);
-        });
+    const auto first = std::find_if(ranked.begin(), ranked.end(),
+                                    [this, now, &record](const scored_worker &rankedWorker) {
+                                        return accepts(now, record, rankedWorker);
+                                    });
     const bool hasAcceptable = first != ranked.end();
     if (hasAcceptable && (first->isLocal || record.probeRounds >= localProbeRounds)) {
         startAttempt(now, record, *first, actions);
@@ -184,6 +174,7 @@
         return;
     }
     if (record.isHedge) {
+        record.hedgeRefusal = hedge_refusal::no_worker;
         endSelection(record);
         scheduleTimer(record);
         return;
@@ -191,6 +182,14 @@
     deferOrFallBack(now, record, ranked.front(), actions);
 }
 
+bool request_runner::accepts(instant now, const routed_request &record, const scored_worker &worker)
+{
+    if (!record.isHedge)
+        return worker.isAcceptable();
+    const duration serviceTime = m_serviceTimes.expected(*record.route);
+    return hedge_policy::isTarget(now, record, serviceTime, worker);
+}
+
 /// Called if no worker is acceptable: defers the request, sends it to `best`, the worker with the
 /// lowest cost, or rejects it.
 void request_runner::deferOrFallBack(instant now, routed_request &record, const scored_worker &best,
@@ -287,9 +286,8 @@
         const bool wasAwaitingProbe = record->awaitedWorkers.erase(worker) > 0;
         const std::optional<scored_worker> offered
             = m_selector.assess(now, selectionCriteria(now, *record), worker, m_gracePeriods);
-        const bool isTaken = offered && offered->isAcceptable()
-                             && (offered->isLocal || wasAwaitingProbe)
-                             && (!record->isHedge || offered->isLightlyLoaded);
+        const bool isTaken
+            = offered && accepts(now, *record, *offered) && (offered->isLocal || wasAwaitingProbe);
         if (isTaken)
             startAttempt(now, *record, *offered, actions);
         else if (wasAwaitingProbe && record->awaitedWorkers.empty())
@@ -376,6 +374,7 @@
                                    action_list &actions)
 {
     if (record.runningAttempts() > 0) {
+        record.hedgeRefusal = hedge_refusal::no_worker;
         endSelection(record);
         scheduleTimer(record);
         return;
@@ -406,15 +405,17 @@
     m_dependencies.invariants.check("at_most_once_sent_once",
                                     record.isIdempotent() || !record.mayHaveRun(),
                                     record.request->requestId);
-    if (record.isHedge) {
-        m_services[record.service].budget.take();
-        m_dependencies.counters.add("hedges_total");
-    }
+    const bool isHedge = record.isHedge;
     endSelection(record);
+    // Other requests may have used up the limits while workers were probed for this one.
+    if (isHedge && !m_hedges.take(record, m_services[record.service].budget)) {
+        scheduleTimer(record);
+        return;
+    }
     m_services[record.service].attemptRate.count(now);
     record.attempts.push_back({id, chosen.worker, now,
                                chosen.hasFreshReport ? worker.report.slowdownPercent : 0,
-                               chosen.isNearSaturation, std::nullopt, false});
+                               chosen.isNearSaturation, std::nullopt, false, isHedge});
     m_attempts.emplace(id, std::pair(record.call, chosen.worker));
     m_dependencies.pool.attemptStarted(now, chosen.worker);
     start_attempt command;
@@ -429,22 +430,10 @@
     command.freshConnection = !record.isIdempotent();
     m_dependencies.counters.add("attempts_total");
     actions.push_back(std::move(command));
-    scheduleHedge(now, record);
+    record.hedgeAt = m_hedges.dueAt(now, record, m_serviceTimes.expected(*record.route));
     scheduleTimer(record);
 }
 
-void request_runner::scheduleHedge(instant now, routed_request &record)
-{
-    record.hedgeAt = instant::never();
-    if (!record.isIdempotent() || record.possiblyRunAttempts() >= record.route->attemptsMax)
-        return;
-    const duration serviceTime = m_serviceTimes.expected(*record.route);
-    // Latest time at which a hedge can meet the objective, with a margin of 30% of the service time
-    // and 5 ms.
-    const instant latest = record.objectiveAt - scaled(serviceTime, 1.3) - milliseconds(5);
-    record.hedgeAt = std::max(now + scaled(serviceTime, hedgeDelayFactor), latest);
-}
-
 void request_runner::attemptFinished(instant now, const attempt_finished &input,
                                      action_list &actions)
 {
@@ -474,6 +463,8 @@
     const bool isAnswer = input.end == attempt_end::answered && !input.rejectedBeforeRun;
     if (isAnswer && !isServerFailure(input.response)) {
         m_serviceTimes.record(now, *record.route, *attempt, m_dependencies.pool);
+        m_hedges.attemptAnswered(now, record, *attempt);
+        record.answeredBy = attempt->attempt;
         finish(now, record, input.response, actions);
         return;
     }
@@ -524,16 +515,20 @@
 void request_runner::attemptFailed(instant now, routed_request &record,
                                    const attempt_finished &input, action_list &actions)
 {
-    if (tryAcquireRetry(now, record, input)) {
-        if (record.runningAttempts() == 0) {
-            record.hedgeAt = instant::never();
-            beginSelection(record, false);
-            selectWorker(now, record, actions);
+    if (record.runningAttempts() > 0) {
+        // The other copy may still be answered. If this one did not run, it may be replaced.
+        if (record.hedgeAt == instant::never()) {
+            record.hedgeAt = m_hedges.dueAt(now, record, m_serviceTimes.expected(*record.route));
+            scheduleTimer(record);
         }
         return;
     }
-    if (record.runningAttempts() > 0 || record.isSelecting)
+    if (tryAcquireRetry(now, record, input)) {
+        record.hedgeAt = instant::never();
+        beginSelection(record, false);
+        selectWorker(now, record, actions);
         return;
+    }
     if (record.failureResponse) {
         finish(now, record, record.failureResponse, actions);
         return;
@@ -570,7 +565,8 @@
     reconsiderPendingRequests(now, worker, actions);
 }
 
-void request_runner::callerDisconnected(const caller_disconnected &input, action_list &actions)
+void request_runner::callerDisconnected(instant now, const caller_disconnected &input,
+                                        action_list &actions)
 {
     routed_request *record = find(input.call);
     if (record == nullptr)
@@ -581,6 +577,7 @@
             actions.push_back(cancel_attempt {attempt.attempt});
     }
     endSelection(*record);
+    m_hedges.requestEnded(now, *record);
     m_requests.erase(input.call);
 }
 
@@ -615,23 +612,53 @@
 
 void request_runner::tryHedge(instant now, routed_request &record, action_list &actions)
 {
-    record.hedgeAt = now + hedgeRetryInterval;
-    if (record.hedgeAt + m_serviceTimes.expected(*record.route) > record.deadline)
-        record.hedgeAt = instant::never();
-    const double reserve
-        = now < record.objectiveAt ? hedgeReserveFraction : lateHedgeReserveFraction;
-    if (record.runningAttempts() == 0
-        || !m_services[record.service].budget.hasTokens(1 + reserve * retryTokensMax())) {
+    const hedge_conditions conditions = hedgeConditions(now, record);
+    record.hedgeAt = hedge_policy::nextTryAt(now, record, conditions.serviceTime);
+    record.hedgeRefusal
+        = m_hedges.refusal(now, record, conditions, m_services[record.service].budget);
+    if (record.runningAttempts() == 0 || record.hedgeRefusal != hedge_refusal::none) {
         scheduleTimer(record);
         return;
     }
+    const instant latest = hedge_policy::latestAt(record, conditions.serviceTime);
+    // Workers are probed only at the first try and at the first one in which other failure domains
+    // count; further tries rely on reports that other requests obtained.
+    const bool mayProbe
+        = record.hedgeProbedAt == instant() || (record.hedgeProbedAt < latest && now >= latest);
     beginSelection(record, true);
-    // Only the first try probes workers; later ones rely on reports that other requests obtained.
-    record.probeRounds = record.hasTriedHedge ? probeRoundPlan.size() : 0;
-    record.hasTriedHedge = true;
+    record.probeRounds = mayProbe ? 0 : probeRoundPlan.size();
+    if (mayProbe)
+        record.hedgeProbedAt = now;
+    record.remoteProbesAllowedAt = std::max(record.remoteProbesAllowedAt, latest);
     selectWorker(now, record, actions);
 }
 
+hedge_conditions request_runner::hedgeConditions(instant now, const routed_request &record)
+{
+    hedge_conditions out;
+    out.serviceTime = m_serviceTimes.expected(*record.route);
+    out.isShortOfRoom = isShortOfRoom(record);
+    out.isQuarantined = isQuarantined(now, *record.request);
+    out.drainEnd = m_latestEnd;
+    out.retryTokensMax = retryTokensMax();
+    return out;
+}
+
+/// True if another request of the service waits because no worker is acceptable, or if hardly any
+/// worker of the service can be used.
+bool request_runner::isShortOfRoom(const routed_request &record) const
+{
+    if (m_dependencies.pool.usableFraction(record.service) < usableFractionMin)
+        return true;
+    const auto pending = m_pendingRequests.find(record.service);
+    return pending != m_pendingRequests.end()
+           && std::any_of(pending->second.begin(), pending->second.end(),
+                          [this](const pending_request &waiting) {
+                              const auto found = m_requests.find(waiting.call);
+                              return found != m_requests.end() && found->second->wasDeferred;
+                          });
+}
+
 void request_runner::withdrawUnsent(const std::string &worker, action_list &actions) const
 {
     for (const std::pair<const attempt_id, std::pair<call_id, worker_index>> &started :
@@ -696,50 +723,18 @@
             actions.push_back(cancel_attempt {attempt.attempt});
     }
     endSelection(record);
+    if (record.route != nullptr)
+        m_hedges.requestEnded(now, record);
     m_dependencies.counters.add("responses_total{class=\"" + std::to_string(response->status / 100)
                                 + "xx\"}");
-    logFailure(now, record, response, actions);
+    const duration expected
+        = record.route == nullptr ? duration {0} : m_serviceTimes.expected(*record.route);
+    m_failureLog.write(now, record, *response, m_services[record.service].budget.tokens(), expected,
+                       actions);
     actions.push_back(send_response {record.call, response, m_closeConnections});
     m_requests.erase(record.call); // Destroys `record`.
 }
 
-void request_runner::logFailure(instant now, const routed_request &record,
-                                const shared_response &response, action_list &actions)
-{
-    if (response->status < 500)
-        return;
-    if (m_failureLogRate.perSecond(now) >= failureLogsPerSecondMax) {
-        m_dependencies.counters.add("log_lines_left_out_total");
-        return;
-    }
-    m_failureLogRate.count(now);
-    std::string tried;
-    for (const routed_attempt &attempt : record.attempts) {
-        const pooled_worker &worker = m_dependencies.pool.at(attempt.worker);
-        tried += (tried.empty() ? "" : " ") + worker.entry.name + ":"
-                 + std::string(attempt.end ? toString(*attempt.end) : "running") + ":"
-                 + std::to_string(toMilliseconds(now - attempt.startedAt))
-                 + "ms:" + std::to_string(attempt.slowdownPercent) + "%";
-    }
-    actions.push_back(write_log {
-        log_level::warning,
-        "request",
-        "The request failed.",
-        {{"request_id", record.request->requestId},
-         {"status", std::to_string(response->status)},
-         {"service", record.service},
-         {"age_ms", std::to_string(toMilliseconds(now - record.arrivedAt))},
-         {"time_left_ms", std::to_string(toMilliseconds(record.deadline - now))},
-         {"attempts", tried},
-         {"attempts_max",
-          record.route == nullptr ? std::string("0") : std::to_string(record.route->attemptsMax)},
-         {"retry_tokens",
-          std::to_string(static_cast<int>(m_services[record.service].budget.tokens()))},
-         {"work_ms", record.route == nullptr ? std::string("0")
-                                             : std::to_string(toMilliseconds(
-                                                 m_serviceTimes.expected(*record.route)))}}});
-}
-
 void request_runner::scheduleTimer(routed_request &record)
 {
     m_timers.emplace(record.nextTimer(), record.call);
@@ -783,6 +778,7 @@
             {"gateways", m_gatewayCount},
             {"requests", rows},
             {"routes", m_serviceTimes.dump()},
+            {"hedges", m_hedges.dump()},
             {"services", services}};
 }
 
--- a/decision/routing/requests/request_runner.h
+++ b/decision/routing/requests/request_runner.h
@@ -20,6 +20,8 @@
 #include "decision/calls/quarantine_table.h"
 #include "decision/events.h"
 #include "decision/routing/requests/event_rate.h"
+#include "decision/routing/requests/failure_log.h"
+#include "decision/routing/requests/hedge_policy.h"
 #include "decision/routing/requests/retry_budget.h"
 #include "decision/routing/requests/route_table.h"
 #include "decision/routing/requests/routed_request.h"
@@ -51,7 +53,7 @@
     /// \param table null until a configuration is known.
     void callReceived(instant now, const call_received &input, route_table *table,
                       action_list &actions);
-    void callerDisconnected(const caller_disconnected &input, action_list &actions);
+    void callerDisconnected(instant now, const caller_disconnected &input, action_list &actions);
     void attemptFinished(instant now, const attempt_finished &input, action_list &actions);
     void probeFinished(instant now, const probe_finished &input, action_list &actions);
     void timerExpired(instant now, action_list &actions);
@@ -138,7 +140,10 @@
     void handleNoWorker(instant now, routed_request &record, std::string_view reason,
                         action_list &actions);
     void tryHedge(instant now, routed_request &record, action_list &actions);
-    void scheduleHedge(instant now, routed_request &record);
+    /// Whether the worker may be selected for the request without searching further.
+    bool accepts(instant now, const routed_request &record, const scored_worker &worker);
+    hedge_conditions hedgeConditions(instant now, const routed_request &record);
+    bool isShortOfRoom(const routed_request &record) const;
     /// Decides whether the request is retried, and takes a token from the retry budget if one is
     /// needed.
     bool tryAcquireRetry(instant now, const routed_request &record, const attempt_finished &input);
@@ -153,8 +158,6 @@
                            action_list &actions);
     void finish(instant now, routed_request &record, const shared_response &finalResponse,
                 action_list &actions);
-    void logFailure(instant now, const routed_request &record, const shared_response &response,
-                    action_list &actions);
     void scheduleTimer(routed_request &record);
     routed_request *find(call_id call);
 
@@ -173,9 +176,10 @@
     /// Times at which timers of requests are due. Stale entries are skipped.
     std::set<std::pair<instant, call_id>> m_timers;
     service_times m_serviceTimes;
+    hedge_policy m_hedges;
     std::map<std::string, service_state, std::less<>> m_services;
     std::map<std::string, std::set<pending_request>, std::less<>> m_pendingRequests;
-    event_rate m_failureLogRate;
+    failure_log m_failureLog;
     std::uint64_t m_nextAttempt = 1;
 };
 
--- a/decision/routing/requests/routed_request.h
+++ b/decision/routing/requests/routed_request.h
@@ -29,10 +29,30 @@
     std::optional<attempt_end> end;
     /// The worker refused the request and reported that it did not execute it.
     bool rejectedBeforeRun = false;
+    /// It was sent while an earlier attempt was in flight.
+    bool isHedge = false;
 
     bool mayHaveRun() const { return !rejectedBeforeRun && end != attempt_end::not_sent; }
 };
 
+/// Why a hedge that was due was not sent.
+enum class hedge_refusal {
+    /// It may be sent.
+    none,
+    /// `hedge_settings::share` is used up.
+    share_used,
+    /// The retry budget of the service is used up but for the reserve for retries.
+    retry_budget,
+    /// The service is short of room.
+    no_room,
+    /// The gateway's drain ends too soon.
+    leaving,
+    /// The request has crashed workers.
+    quarantined,
+    /// No worker is free enough for a hedge.
+    no_worker,
+};
+
 /// A request in progress.
 struct routed_request
 {
@@ -67,7 +87,12 @@
     instant reselectAt = instant::never();
     /// When a hedge is due; `never` if none is planned.
     instant hedgeAt = instant::never();
-    bool hasTriedHedge = false;
+    /// When workers were last probed for a hedge; the origin of the clock if they were not.
+    instant hedgeProbedAt;
+    /// Why no hedge was sent when it was last tried.
+    hedge_refusal hedgeRefusal = hedge_refusal::none;
+    /// Attempt whose answer is returned to the caller.
+    std::optional<attempt_id> answeredBy;
     /// If the request is refused, its caller is told not to return before this time.
     instant retryNotBefore;
     /// Failure response of a worker. It is forwarded to the caller if no other attempt succeeds.
--- a/decision/routing/requests/worker_selector.cpp
+++ b/decision/routing/requests/worker_selector.cpp
@@ -55,7 +55,8 @@
     if (!out.hasFreshReport)
         slowdown = reportConfidence * slowdown + (1 - reportConfidence) * m_pool.meanSlowdown();
     out.isAtFullSpeed = slowdown <= fullSpeedSlowdownMax;
-    if (now < worker.warmUpEnd)
+    out.isWarmingUp = now < worker.warmUpEnd;
+    if (out.isWarmingUp)
         slowdown = std::max(slowdown, warmUpSlowdown);
     const double reported = worker.report.running + worker.report.queued;
     const double occupiedSlots
--- a/decision/routing/requests/worker_selector.h
+++ b/decision/routing/requests/worker_selector.h
@@ -58,6 +58,8 @@
     bool isLightlyLoaded = false;
     /// The slowdown of the machine is at most `fullSpeedSlowdownMax`.
     bool isAtFullSpeed = false;
+    /// The worker has started recently and is still slow.
+    bool isWarmingUp = false;
 
     /// The worker has a fresh report, an unsaturated slot and full speed, so there is no need to
     /// search for a better one. Remote workers and hedges are subject to further conditions, see
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -240,12 +240,11 @@
     runner.callReceived(now, input, table.get(), actions);
 }
 
-void route_gateway::state::on(instant /*now*/, const caller_disconnected &input,
-                              action_list &actions)
+void route_gateway::state::on(instant now, const caller_disconnected &input, action_list &actions)
 {
     if (startupQueue.remove(input.call))
         return;
-    runner.callerDisconnected(input, actions);
+    runner.callerDisconnected(now, input, actions);
 }
 
 void route_gateway::state::on(instant now, const attempt_finished &input, action_list &actions)
--- a/decision/routing/routing_settings.h
+++ b/decision/routing/routing_settings.h
@@ -21,6 +21,17 @@
     double probesPerWorker = 60;
 };
 
+/// Limits on hedges: second copies of idempotent requests whose answers are late.
+struct hedge_settings
+{
+    /// Maximum number of hedges, as a fraction of the idempotent requests of a service; 0 switches
+    /// hedges off. With 1, the retry budget alone limits them.
+    double share = 1;
+    /// Quantile of the latencies of a route after which a hedge is due. With 0, it is due at the
+    /// last moment at which it can meet the latency objective.
+    double quantile = 0;
+};
+
 /// Fraction of the shared probe rate and retry burst that the gateways use in total. The rest is a
 /// margin, since each gateway knows the number of gateways only approximately.
 constexpr double budgetSafetyFactor = 0.8;
@@ -60,6 +71,7 @@
     peer_group_settings peers;
     reader_group_settings readers;
     shared_budgets budgets;
+    hedge_settings hedges;
     request_bounds bounds;
 };
 
--- a/main/daemon/daemon_declarations.cpp
+++ b/main/daemon/daemon_declarations.cpp
@@ -176,6 +176,17 @@
             "routing.retry_slack", 50, 0, 1000000, "retries",
             "Number of retries and hedges of a service in ten seconds, summed over all gateways, "
             "that are allowed in addition to routing.retry_share."),
+        real(
+            "routing.hedge_share", 1, 0, 1, "hedges/request",
+            "Maximum number of hedges of a service, summed over all gateways, as a fraction of its "
+            "idempotent requests. A hedge is a second copy of a request whose answer is late. 0 "
+            "switches hedges off; with 1, only routing.retry_share and routing.retry_slack limit "
+            "them, within which they count at any value."),
+        real(
+            "routing.hedge_quantile", 0, 0, 0.999, "",
+            "Quantile of the recent latencies of a route after which a hedge is due, or 0 if it is "
+            "due only at the last moment at which it can meet the route's latency objective. At "
+            "any value it is due at that moment."),
         real("routing.probes_per_worker", 60, 1, 100000, "probes/s",
              "Maximum rate of probes per worker, summed over all gateways and averaged over all "
              "workers."),
--- a/main/daemon/daemon_settings.cpp
+++ b/main/daemon/daemon_settings.cpp
@@ -259,6 +259,8 @@
     reader.readSeconds("routing.watch_s", routing.watchTimeout);
     routing.budgets.retryFraction = retrySafetyFactor * values.real("routing.retry_share");
     reader.read("routing.retry_slack", routing.budgets.retryBurst);
+    routing.hedges.share = values.real("routing.hedge_share");
+    routing.hedges.quantile = values.real("routing.hedge_quantile");
     routing.budgets.probesPerWorker = values.real("routing.probes_per_worker");
     routing.pauseThreshold = gatewaySettings.pauseThreshold;
     routing.bounds.inProgressMax = gatewaySettings.calls.inProgressMax;
