--- a/tests/decision/routing/hedging_test.cpp
+++ b/tests/decision/routing/hedging_test.cpp
@@ -100,13 +100,13 @@
             running.emplace_back(fixture.now + work, attempt);
         }
         for (const cancel_attempt &cancelled : fixture.take<cancel_attempt>()) {
-            const auto lost
+            const auto found
                 = std::find_if(running.begin(), running.end(),
                                [&cancelled](const std::pair<instant, start_attempt> &row) {
                                    return row.second.attempt == cancelled.attempt;
                                });
-            const start_attempt attempt = lost->second;
-            running.erase(lost);
+            const start_attempt attempt = found->second;
+            running.erase(found);
             fixture.endAttempt(attempt, attempt_end::cancelled);
         }
         const auto due = std::partition(running.begin(), running.end(),
