Take no response with a status code outside of 100 to 599 for an answer

Cause: the reader of responses took the first three digits after the first space for the status code and bounded them only below. Workers' responses with 600 and 999 were passed on to callers, "2000" and "200OK" read as 200 unless libcurl refused them, and their connections stayed in use.

Change: a status line has exactly three digits between its first space and the next one or its end, and a code of RFC 9110, section 15. Any other response is broken: the request may have run, callers get 502 if it isn't sent again, and the connection is closed. Interim responses are handled as before.

On the code before, responses_without_a_valid_status_code_are_broken failed with 18 errors (600, 999 and 200OK were answers and their connections were used again); the real-process test test_odd_status_codes failed for 600 and 999 ("600 != 502"). 000, 0, 099, signed, spaced, four-digit and missing codes were broken already. Both pass now.

--- a/servers/curl_loop/response_reader.cpp
+++ b/servers/curl_loop/response_reader.cpp
@@ -20,6 +20,23 @@
     return value;
 }
 
+/// Status code of a status line such as "HTTP/1.1 200 OK": three digits between the first space and
+/// the next one or the end of the line. Nothing if it is missing or outside of the range of RFC
+/// 9110, section 15; such a response is no answer to the request, which may have run nevertheless.
+std::optional<int> parseStatusCode(std::string_view line)
+{
+    constexpr std::size_t digits = 3;
+    const std::string_view content = trimmed(line);
+    const std::size_t space = content.find(' ');
+    if (space == std::string_view::npos)
+        return std::nullopt;
+    const std::string_view rest = content.substr(space + 1);
+    if (rest.size() < digits || (rest.size() > digits && rest[digits] != ' '))
+        return std::nullopt;
+    const std::optional<int> code = parseDigits<int>(rest.substr(0, digits));
+    return code && *code >= 100 && *code <= 599 ? code : std::nullopt;
+}
+
 } // namespace
 
 bool response_reader::addHeaderLine(std::string_view line)
@@ -52,15 +69,11 @@
     return true;
 }
 
-/// Begins a response. The status code is the three digits after the first space, as in
-/// "HTTP/1.1 200 OK".
+/// Begins a response.
 bool response_reader::addStatusLine(std::string_view line)
 {
-    const std::size_t space = line.find(' ');
-    const std::optional<int> status = space == std::string_view::npos
-                                          ? std::nullopt
-                                          : parseDigits<int>(line.substr(space + 1, 3));
-    if (!status || *status < 100)
+    const std::optional<int> status = parseStatusCode(line);
+    if (!status)
         return reject("the status line is malformed");
     if (++m_statusLines > interimResponsesMax + 1)
         return rejectTooLarge("there are more than " + std::to_string(interimResponsesMax)
--- a/tests/platform/end_to_end_test.py
+++ b/tests/platform/end_to_end_test.py
@@ -122,6 +122,28 @@
                 with self.subTest(place=place, resets=resets):
                     self.send_to_broken_workers(gateway, response, resets)
 
+    def test_odd_status_codes(self):
+        """Guards against a response whose status code isn't one of HTTP and that reaches the caller as
+        an answer, or whose connection is used again."""
+        gateway = self.start()
+        caller = standins.Caller(gateway.entry_port)
+        for status in ("000", "0", "099", "600", "999", "2000", "+20", "0200"):
+            with self.subTest(status=status):
+                for worker in self.workers:
+                    worker.mode, worker.odd_status = "odd-status", status
+                for method, path, body in (("GET", "/read/1", None), ("POST", "/book/1", b"y")):
+                    attempt = self.attempt()
+                    answer, headers, _ = caller.send(method, path, attempt, body)
+                    self.assertEqual(answer, 502)
+                    self.assertNotIn("X-Almondnotch-Server-Seal", headers)
+                    self.assertEqual(len(self.runs(attempt)), 1 if body else 2)
+                for worker in self.workers:
+                    worker.mode = "healthy"
+                time.sleep(1)  # The workers are ejected for their failures.
+                for method, path, body in (("GET", "/read/1", None), ("POST", "/book/1", b"y")):
+                    attempt = self.attempt()
+                    self.check_response(caller.send(method, path, attempt, body), attempt)
+
     def send_to_broken_workers(self, gateway, response, resets):
         """Sends requests while all workers break off their responses."""
         caller = standins.Caller(gateway.entry_port)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -221,6 +221,8 @@
     unnamed-refusal-again  the same, with rejections that do not name their request
     broken          runs the request and sends the part of a response that `broken_response` holds, then
                     closes the connection, or resets it if `resets` is set
+    odd-status      runs the request and sends a whole response whose status code is `odd_status`, on a
+                    connection that it keeps open
     large           the same as healthy, with a body of LARGE_BYTES
     extra-half      sends the response and then half of it once more
     endless-head, endless-body, endless-noise  never stops sending header lines, chunks of a body, or
@@ -244,6 +246,7 @@
         # Identifier and time of each request, and of each rejection that asked for a pause.
         self.arrivals, self.pauses = [], []
         self.broken_response, self.resets = BROKEN_RESPONSES["within the status line"], False
+        self.odd_status = "000"
         self.lock = threading.Lock()
         self.running = 0
         worker = self
@@ -358,6 +361,8 @@
         elif self.mode == "silent":
             time.sleep(2)
             handler.reset()
+        elif self.mode == "odd-status":
+            handler.reply(self.odd_status, head, text)
         elif self.mode == "failing":
             handler.reply(500, head, text)
         elif self.mode == "unsealed":
--- a/tests/servers/worker_transport_test.cpp
+++ b/tests/servers/worker_transport_test.cpp
@@ -104,6 +104,59 @@
     }
 }
 
+// Guards against an answer that has no status code of HTTP and is forwarded, and against a later
+// answer that is read from its connection.
+BOOST_FIXTURE_TEST_CASE(responses_without_a_valid_status_code_are_broken, worker_fixture)
+{
+    std::string statusLine;
+    std::vector<http_fake::connection_id> connections;
+    http_fake *fakeServer = nullptr;
+    const std::unique_ptr<http_fake> worker
+        = startFakeServer([&](http_fake::connection_id connection, const received_request &) {
+              connections.push_back(connection);
+              fakeServer->respond(connection, statusLine + "\r\nContent-Length: 0\r\n\r\n");
+          });
+    fakeServer = worker.get();
+    for (const char *const code :
+         {"000", "0",   "00",   "099",  "99",    "600", "999", "2000", "0200", "200OK",
+          "+20", "-20", "-200", " 200", "\t200", "2 0", "20x", "0x1",  "",     "OK"}) {
+        for (const bool idempotent : {true, false}) {
+            statusLine = "HTTP/1.1 " + std::string(code) + " X";
+            const attempt_finished ended
+                = runAttempt(makeAttempt(worker->address(), "/x", idempotent));
+            BOOST_CHECK_MESSAGE(ended.end == attempt_end::broken, toString(ended.end)
+                                                                      << " for \"" << code << '"');
+            BOOST_CHECK(!ended.response);
+            statusLine = "HTTP/1.1 200 OK";
+            const attempt_finished next
+                = runAttempt(makeAttempt(worker->address(), "/y", idempotent));
+            BOOST_CHECK(next.end == attempt_end::answered);
+            BOOST_CHECK(connections.back() != connections.at(connections.size() - 2));
+        }
+    }
+}
+
+// Guards against refusing the codes at the ends of the range, unassigned ones, and a status line
+// that ends after its code.
+BOOST_FIXTURE_TEST_CASE(all_status_codes_of_final_responses_are_forwarded, worker_fixture)
+{
+    std::string status;
+    http_fake *fakeServer = nullptr;
+    const std::unique_ptr<http_fake> worker = startFakeServer(
+        [&](http_fake::connection_id connection, const received_request &) {
+            fakeServer->respond(connection, "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n");
+        });
+    fakeServer = worker.get();
+    for (const int code : {200, 299, 418, 499, 500, 599}) {
+        for (const char *const phrase : {"", " ", " OK", " Not like this 600"}) {
+            status = std::to_string(code) + phrase;
+            const attempt_finished ended = runAttempt(makeAttempt(worker->address(), "/x", true));
+            BOOST_REQUIRE(ended.response);
+            BOOST_CHECK_EQUAL(ended.response->status, code);
+        }
+    }
+}
+
 // Guards against a part of a response that a worker sends without end and whose bytes no bound
 // counts: the gateway would read it until the time limit.
 BOOST_FIXTURE_TEST_CASE(every_part_of_a_response_is_bounded, worker_fixture)
