Test a store that comes back from a copy

Cause: after such a copy revisions are given out again, and items at a revision that was seen before are dropped as known.

The stand-in of the store can be brought back from a copy, and answers 410 to a watch from a revision that it doesn't have.

--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -60,7 +60,8 @@
 
 class Store:
     """A fake of the platform's key-value store with revisions, lists, watches, compaction and
-    outages. `is_down` rejects requests; `is_silent` loses those that arrive, also after it ends."""
+    outages. `is_down` rejects requests; `is_silent` loses those that arrive, also after it ends.
+    `restore` brings it back from a copy. Its answers name the `era` if there is one."""
 
     LOST_REQUEST_SECONDS = 30
 
@@ -69,6 +70,7 @@
         self.items, self.events = {}, []
         self.revision, self.compacted, self.request_count = 1, 0, 0
         self.is_down, self.is_silent, self.interruptions = False, False, 0
+        self.era = None
         store = self
 
         class StoreHandler(Handler):
@@ -105,6 +107,19 @@
             self.interruptions += 1
             self.changed.notify_all()
 
+    def copy(self):
+        """Returns a copy for `restore`."""
+        with self.changed:
+            return dict(self.items), list(self.events), self.revision
+
+    def restore(self, copy):
+        """Continues from a copy in a later era. Open watches wait for revisions that are given out
+        again."""
+        with self.changed:
+            self.items, self.events, self.revision = dict(copy[0]), list(copy[1]), copy[2]
+            self.era += 1
+            self.changed.notify_all()
+
     def answer(self, handler):
         target = urlsplit(handler.path)
         query = {name: values[0] for name, values in parse_qs(target.query).items()}
@@ -129,7 +144,11 @@
                           if key.startswith(query["prefix"]) and key > query.get("after", ""))
             body = {"items": [self.items[key] for key in keys[:page]],
                     "hasMore": len(keys) > page, "currentRev": self.revision}
-        handler.reply(200, body=json.dumps(body).encode())
+        self._reply(handler, body)
+
+    def _reply(self, handler, body):
+        headers = [] if self.era is None else [("Store-Era", str(self.era))]
+        handler.reply(410 if body is None else 200, headers, json.dumps(body).encode())
 
     def _watch(self, handler, query):
         after, interruptions = int(query["after"]), self.interruptions
@@ -140,8 +159,8 @@
                     if event["revision"] > after and event["key"].startswith(query["prefix"])]
 
         with self.changed:
-            if after < self.compacted:
-                handler.reply(410)
+            if after < self.compacted or after > self.revision:
+                self._reply(handler, None)
                 return
             while not matching_events() and time.monotonic() < limit \
                     and self.interruptions == interruptions and not self.is_down:
@@ -150,7 +169,7 @@
                 handler.close_connection = True
                 return
             body = {"events": matching_events(), "currentRev": self.revision}
-        handler.reply(200, body=json.dumps(body).encode())
+        self._reply(handler, body)
 
 
 def odd_registrations():
