Order what was read from the store by era and revision

Cause: item_reader compared revisions of a store that came back from a copy with those before.

Change: a page, an update and a report carry the era of the store. Workers that had left stay out of use under entries that may be the copy's: those up to the lower of the revision known before and that of the era's first list. Peers' drains are believed while an entry may be the copy's. An update never ends after the revision up to which its list is complete.

--- a/decision/routing/items/item_reader.cpp
+++ b/decision/routing/items/item_reader.cpp
@@ -5,6 +5,7 @@
 
 #include "core/mechanisms.h"
 #include "decision/routing/items/store_log.h"
+#include "decision/routing/items/store_outage.h"
 
 namespace almondnotch {
 
@@ -30,6 +31,9 @@
 constexpr duration watchAnswerMargin = milliseconds(400);
 /// Number of consecutive failed reads from which the store counts as unavailable.
 constexpr unsigned unavailableFailuresMin = 2;
+/// How much longer than the gateways that watch the store another one waits before it lists the
+/// scope to remove what was not written again, so that the removal is rather relayed.
+constexpr duration confirmationRelayTime = milliseconds(500);
 /// Maximum number of updates that are buffered until the changes before them arrive.
 constexpr std::size_t outOfOrderUpdatesMax = 8;
 
@@ -70,11 +74,12 @@
     actions.push_back(std::move(command));
 }
 
-/// An open connection may be dead after a failed read, or if it was not used while other gateways
-/// watched the scope.
+/// An open connection may be dead after a failed read, if the store was away before it came back
+/// from a copy, or if it was not used while other gateways watched the scope.
 bool item_reader::needsNewConnection() const
 {
-    return m_failures > 0 || (m_isWatching && !m_hasReadSinceWatching && m_hasSynced);
+    return m_failures > 0 || (m_hasSynced && isEraOutdated())
+           || (m_isWatching && !m_hasReadSinceWatching && m_hasSynced);
 }
 
 duration item_reader::nextWatchDuration()
@@ -118,15 +123,53 @@
     until = std::min(until, now);
 }
 
-void item_reader::revisionAdvertised(instant now, std::uint64_t revision)
+void item_reader::eraSeen(instant now, std::uint64_t era)
 {
+    if (era <= m_latestEra)
+        return;
+    m_latestEra = era;
+    m_mustRelist = true;
+    // The answer to a list that was just sent tells its era itself.
+    const bool isFirstPageInFlight = m_isListing && m_isReadInFlight && m_afterKey.empty();
+    if (!m_hasSynced || (isFirstPageInFlight && readAge(now) <= catchUpDelay))
+        return;
+    relist(now);
+    // A follower first waits for the list that the readers relay.
+    m_nextReadAt = m_isWatching ? now : now + catchUpDelay;
+}
+
+/// Checks the era of an answer. If the answer cannot be used, the scope is listed again.
+/// \return true if the answer can be used.
+bool item_reader::acceptEra(instant now, const item_page &page)
+{
+    if (isEarlierEra(page.era)) {
+        m_counters.add("store_answers_outdated_total");
+        readFailed(now);
+        restart(m_nextReadAt);
+        return false;
+    }
+    m_latestEra = std::max(m_latestEra, page.era);
+    m_mustRelist = m_mustRelist || isEraOutdated();
+    if (m_isListing && (m_afterKey.empty() || m_listEra == 0))
+        m_listEra = page.era;
+    const bool isUsable = m_isListing ? page.era == 0 || page.era == m_listEra : !isEraOutdated();
+    if (!isUsable)
+        relist(now);
+    return isUsable;
+}
+
+void item_reader::revisionAdvertised(instant now, std::uint64_t era, std::uint64_t revision)
+{
+    if (isEarlierEra(era))
+        return;
+    eraSeen(now, era);
     if (m_isListing && !m_isReadInFlight) {
         // The reads of this gateway failed, but the store answers other gateways again. The scope
         // need not be listed as long as the store still has the changes since `m_revision`.
         m_isListing = m_mustRelist;
         m_nextReadAt = std::min<instant>(m_nextReadAt, now + catchUpDelay);
     }
-    if (m_isListing || revision <= std::max(m_revision, m_advertisedRevision))
+    if (m_isListing || isEraOutdated() || revision <= std::max(m_revision, m_advertisedRevision))
         return;
     m_advertisedRevision = revision;
     m_catchUpDeadline = now + catchUpTimeLimit;
@@ -139,8 +182,16 @@
 instant item_reader::nextWake() const
 {
     if (m_isReadInFlight)
-        return m_isListing ? instant::never() : watchDeadline();
-    return needsRead() ? m_nextReadAt : instant::never();
+        return m_isListing ? instant::never() : std::min(watchDeadline(), confirmationTime());
+    return std::min(needsRead() ? m_nextReadAt : instant::never(), confirmationTime());
+}
+
+/// When the scope is listed to remove what was not written again; `never` if nothing is missing.
+instant item_reader::confirmationTime() const
+{
+    if (m_unconfirmedNames.empty() || m_isListing)
+        return instant::never();
+    return m_isWatching ? m_confirmAt : m_confirmAt + confirmationRelayTime;
 }
 
 /// Time by which the watch in flight has to be answered.
@@ -169,7 +220,60 @@
     m_revision = std::max(m_revision, update.revision);
     m_lastChangeRevision = std::max(m_lastChangeRevision, update.revision);
     if (!fresh.empty())
-        batches.push_back({false, std::move(fresh), previousRevision, m_revision});
+        deliver({false, std::move(fresh), previousRevision, m_revision}, batches);
+    return true;
+}
+
+/// Begins the latest era that is known, whose first list is complete up to `listRevision`.
+void item_reader::startEra(instant now, std::uint64_t listRevision)
+{
+    m_counters.add("store_eras_begun_total");
+    m_era = m_latestEra;
+    m_copyRevision = std::min(m_revision, listRevision);
+    m_revision = listRevision;
+    m_lastChangeRevision = listRevision;
+    m_unconfirmedNames = m_knownNames;
+    m_confirmAt = now + store_outage::renewalTimeMax;
+    m_advertisedRevision = 0;
+    std::erase_if(m_outOfOrder, [this](const items_update &stored) { return stored.era != m_era; });
+}
+
+/// Hands over a batch, and notes which items it names.
+void item_reader::deliver(item_batch batch, std::vector<item_batch> &batches)
+{
+    batch.era = m_era;
+    batch.copyRevision = m_copyRevision;
+    if (batch.isSnapshot) {
+        m_knownNames.clear();
+        m_unconfirmedNames.clear();
+    }
+    for (const published_item &item : batch.items) {
+        m_unconfirmedNames.erase(item.name);
+        if (item.removed)
+            m_knownNames.erase(item.name);
+        else
+            m_knownNames.insert(item.name);
+    }
+    batches.push_back(std::move(batch));
+}
+
+/// Begins a later era with the list that another gateway relays, in place of an own one.
+/// \return false if the era of the update has begun already.
+bool item_reader::applyEraStart(instant now, const items_update &update,
+                                std::vector<item_batch> &batches)
+{
+    if (!isEraOutdated())
+        return false;
+    startEra(now, update.revision);
+    m_isListing = false;
+    m_mustRelist = false;
+    m_isReadInFlight = false;
+    m_nextReadAt = now;
+    m_afterKey.clear();
+    m_listedItems.clear();
+    item_batch batch {false, update.items, 0, m_revision};
+    batch.startsEra = true;
+    deliver(std::move(batch), batches);
     return true;
 }
 
@@ -181,12 +285,17 @@
     // them.
     if (!m_hasSynced)
         return batches;
-    if (!applyUpdate(update, batches)) {
-        m_counters.add("items_updates_early_total");
-        if (m_outOfOrder.size() >= outOfOrderUpdatesMax)
-            m_outOfOrder.erase(m_outOfOrder.begin());
-        m_outOfOrder.push_back(update);
-        revisionAdvertised(now, update.revision);
+    if (isEarlierEra(update.era)) {
+        m_counters.add("items_updates_outdated_total");
+        return batches;
+    }
+    eraSeen(now, update.era);
+    const bool isEraStart = update.era != 0 && update.afterRevision == 0;
+    if (isEraStart ? !applyEraStart(now, update, batches)
+                   : isEraOutdated() || !applyUpdate(update, batches)) {
+        if (!isEraStart)
+            storeUpdate(update);
+        revisionAdvertised(now, update.era, update.revision);
         return batches;
     }
     while (std::erase_if(m_outOfOrder,
@@ -198,6 +307,15 @@
     return batches;
 }
 
+/// Keeps an update until the changes before it arrive.
+void item_reader::storeUpdate(const items_update &update)
+{
+    m_counters.add("items_updates_early_total");
+    if (m_outOfOrder.size() >= outOfOrderUpdatesMax)
+        m_outOfOrder.erase(m_outOfOrder.begin());
+    m_outOfOrder.push_back(update);
+}
+
 bool item_reader::isStoreUnavailable() const
 {
     return m_failuresSinceWatching >= unavailableFailuresMin;
@@ -217,8 +335,12 @@
             restart(m_nextReadAt);
         return true;
     }
-    m_failures = 0;
-    m_failuresSinceWatching = 0;
+    if (!isEarlierEra(input.page->era)) {
+        m_failures = 0;
+        m_failuresSinceWatching = 0;
+    }
+    if (!acceptEra(now, *input.page))
+        return true;
     m_hasReadSinceWatching = m_hasReadSinceWatching || m_isWatching;
     if (input.page->historyLost) {
         m_counters.add("store_history_lost_total");
@@ -243,13 +365,17 @@
         return;
     }
     // A list from a replica that lags behind would undo changes that have already been applied.
-    if (m_listRevision < m_revision) {
+    const bool startsEra = m_hasSynced && isEraOutdated();
+    if (!startsEra && m_listRevision < m_revision) {
         m_counters.add("store_lists_outdated_total");
         readFailed(now);
         restart(m_nextReadAt);
         return;
     }
     const std::uint64_t knownRevision = std::exchange(m_lastChangeRevision, m_listRevision);
+    if (startsEra)
+        startEra(now, m_listRevision);
+    m_era = m_latestEra;
     m_revision = m_listRevision;
     m_isListing = false;
     m_mustRelist = false;
@@ -258,7 +384,10 @@
     // Without a configuration, the gateway cannot serve until it is published.
     if (!m_listedItems.empty() || m_settings.scope == item_scope::workers)
         m_nextReadAt = std::max(now, m_firstWatchHoldoffUntil);
-    batches.push_back({true, std::exchange(m_listedItems, {}), knownRevision, m_revision});
+    item_batch batch {!startsEra, std::exchange(m_listedItems, {}), startsEra ? 0 : knownRevision,
+                      m_revision};
+    batch.startsEra = startsEra;
+    deliver(std::move(batch), batches);
 }
 
 void item_reader::watchFinished(instant now, const item_page &page,
@@ -277,7 +406,7 @@
                        : std::max<instant>(now + m_settings.watchDelay, m_watchHoldoffUntil);
     if (fresh.empty())
         return;
-    batches.push_back({false, std::move(fresh), m_lastChangeRevision, m_revision});
+    deliver({false, std::move(fresh), m_lastChangeRevision, m_revision}, batches);
     m_lastChangeRevision = m_revision;
 }
 
@@ -332,6 +461,8 @@
         readFailed(now);
         relist(now);
     }
+    if (now >= confirmationTime())
+        relist(now);
     if (!m_isReadInFlight && needsRead() && m_nextReadAt <= now)
         sendRead(now, nextReadId, actions);
 }
--- a/decision/routing/items/item_reader.h
+++ b/decision/routing/items/item_reader.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,14 @@
     /// changes up to `afterRevision` were known before; 0 for the first one.
     std::uint64_t afterRevision = 0;
     std::uint64_t revision = 0;
+    /// Era of the store that the revisions belong to, see `item_page::era`.
+    std::uint64_t era = 0;
+    /// The store came back from a copy, and `items` begins with all that it holds of the scope. It
+    /// is no snapshot: items that are missing may be written again, see `item_reader::era`.
+    bool startsEra = false;
+    /// Items of at most this revision may be those of the copy from which the store came back, and
+    /// thus older than what is known; 0 if it has not come back from one.
+    std::uint64_t copyRevision = 0;
 };
 
 /// Reads one scope of the platform's store: lists it page by page and then watches it. Lists it
@@ -55,6 +64,13 @@
 ///
 /// If another gateway watches the scope and relays its changes, the reader does not watch. It then
 /// lists the scope once and requests changes only when some are missing.
+///
+/// A store that comes back from a copy begins a new era, in which it gives out revisions again.
+/// Revisions are therefore compared only within an era: answers, updates and reports of an earlier
+/// era are ignored, and a later one makes the reader list the scope, unless another gateway relays
+/// the list. Items that are missing from this list were perhaps lost and may be written again. The
+/// scope is listed once more after `renewalTimeMax` if some of them still were not, and only that
+/// list removes them.
 class item_reader
 {
 public:
@@ -93,15 +109,20 @@
     /// The store has answered another read of this gateway. A failed read is repeated as soon as
     /// `answeredBackoff` allows.
     void storeAnswered(instant now);
-    /// Another gateway has advertised that the store has changes up to `revision`. If they do not
-    /// arrive shortly, they are requested from the store, or the scope is listed again if a watch
-    /// in flight should have delivered them. If the last reads failed, the advertisement shows that
-    /// the store answers again. The list that would follow the failure is then omitted, unless the
-    /// scope was never listed or changes were missed.
-    void revisionAdvertised(instant now, std::uint64_t revision);
+    /// An answer of the store, or another gateway, shows that the store is in this era; 0 if it
+    /// does not say. If the era is later than all known ones, the scope is listed again.
+    void eraSeen(instant now, std::uint64_t era);
+    /// Another gateway has advertised that the store has changes up to `revision` of `era`. If they
+    /// do not arrive shortly, they are requested from the store, or the scope is listed again if a
+    /// watch in flight should have delivered them. If the last reads failed, the advertisement
+    /// shows that the store answers again. The list that would follow the failure is then omitted,
+    /// unless the scope was never listed or changes were missed.
+    void revisionAdvertised(instant now, std::uint64_t era, std::uint64_t revision);
     /// Applies changes that another gateway has relayed. If earlier changes are still missing, the
     /// relayed ones are buffered until these arrive, since messages of different gateways can
-    /// arrive out of order. Before the first list is complete, relayed changes are ignored.
+    /// arrive out of order. Before the first list is complete, relayed changes are ignored. An
+    /// update of a later era that begins at revision 0 takes the place of the list of that era; in
+    /// the era that it begins, it says nothing about removals, so its items are not applied.
     /// \return the changes that were not known before.
     std::vector<item_batch> updateReceived(instant now, const items_update &update);
 
@@ -116,14 +137,29 @@
     bool isStoreUnavailable() const;
     /// How long the read in flight has been waiting for its answer; 0 if there is none.
     duration readAge(instant now) const { return m_isReadInFlight ? now - m_sentAt : duration {0}; }
-    /// Revision of the store up to which all changes are known.
+    /// Era of the store that the known items were read in; 0 if the store does not say.
+    std::uint64_t era() const { return m_era; }
+    /// True if this era has ended; false if it is 0 because the store or the peer does not say.
+    bool isEarlierEra(std::uint64_t era) const { return era != 0 && era < m_latestEra; }
+    /// True if an answer or another gateway showed a later era than that of the known items.
+    bool isEraOutdated() const { return m_latestEra > m_era; }
+    /// Revision of the store, in its era, up to which all changes are known.
     std::uint64_t revision() const { return m_revision; }
-    /// Revision of the last known change.
-    std::uint64_t lastChangeRevision() const { return m_lastChangeRevision; }
+    /// Revision of the last known change; 0 if the known items are those of another era than this.
+    std::uint64_t lastChangeRevision(std::uint64_t era) const
+    {
+        return era == m_era ? m_lastChangeRevision : 0;
+    }
 
 private:
     void endHoldoff(instant now, instant &until);
     bool needsRead() const { return m_isListing || m_isWatching || m_isCatchingUp; }
+    bool acceptEra(instant now, const item_page &page);
+    void startEra(instant now, std::uint64_t listRevision);
+    void deliver(item_batch batch, std::vector<item_batch> &batches);
+    bool applyEraStart(instant now, const items_update &update, std::vector<item_batch> &batches);
+    void storeUpdate(const items_update &update);
+    instant confirmationTime() const;
     bool isBehind() const { return m_advertisedRevision > m_revision; }
     duration nextWatchDuration();
     bool needsNewConnection() const;
@@ -156,12 +192,24 @@
     /// Last key of the previous page of the list; empty before the first page.
     std::string m_afterKey;
     std::vector<published_item> m_listedItems;
+    /// Era of the first page of the list, see `item_page::era`.
+    std::uint64_t m_listEra = 0;
     /// Lowest revision of the pages of the list read so far. The next watch starts there, so that
     /// it delivers the changes that any of the pages lacks: those made while the list was read, and
     /// those that a replica which answered one of the pages did not have yet.
     std::uint64_t m_listRevision = 0;
     std::uint64_t m_revision = 0;
     std::uint64_t m_lastChangeRevision = 0;
+    /// Era of the known items, and the latest one that an answer or another gateway has shown.
+    std::uint64_t m_era = 0;
+    std::uint64_t m_latestEra = 0;
+    /// See `item_batch::copyRevision`.
+    std::uint64_t m_copyRevision = 0;
+    /// Names of the known items, and of those that were not yet seen in this era.
+    std::set<std::string, std::less<>> m_knownNames;
+    std::set<std::string, std::less<>> m_unconfirmedNames;
+    /// When the scope is listed to remove the unconfirmed items.
+    instant m_confirmAt = instant::never();
     bool m_isWatching = true;
     bool m_hasReadSinceWatching = false;
     /// The next read requests changes that another gateway has advertised.
--- a/decision/routing/items/item_relay.cpp
+++ b/decision/routing/items/item_relay.cpp
@@ -45,17 +45,22 @@
 {
     const bool isFirstSnapshot = batch.isSnapshot && batch.afterRevision == 0;
     const std::vector<published_item> changes = changesOf(batch, removedNames);
+    // The list that begins an era says nothing about removals, so it cannot be split into updates
+    // that are applied by revision.
+    if (batch.startsEra && changes.size() > updateItemsMax)
+        return {};
     if (isFirstSnapshot || changes.size() > updatesPerBatchMax * updateItemsMax
         || !std::all_of(changes.begin(), changes.end(), fitsIntoUpdate))
         return {};
-    std::vector<items_update> out {{scope, batch.afterRevision, batch.revision, {}}};
+    std::vector<items_update> out {{scope, batch.afterRevision, batch.revision, {}, batch.era}};
     for (const published_item &item : changes) {
         std::vector<published_item> &items = out.back().items;
         // An update covers whole revisions, so it cannot end between two items of the same one.
         if (items.size() >= updateItemsMax && items.back().revision < item.revision) {
-            const std::uint64_t endRevision = items.back().revision;
+            // Items of a list can be later than the revision up to which it is complete.
+            const std::uint64_t endRevision = std::min(items.back().revision, batch.revision);
             out.back().revision = endRevision;
-            out.push_back({scope, endRevision, batch.revision, {}});
+            out.push_back({scope, endRevision, batch.revision, {}, batch.era});
         }
         out.back().items.push_back(item);
         if (out.back().items.size() > updateItemsMax)
--- a/decision/routing/items/store_log.cpp
+++ b/decision/routing/items/store_log.cpp
@@ -11,10 +11,14 @@
 
 namespace {
 
+header_field scopeField(item_scope scope)
+{
+    return {"scope", scope == item_scope::configuration ? "configuration" : "workers"};
+}
+
 header_field scopeField(const item_reader &reader)
 {
-    const bool isConfig = reader.scope() == item_scope::configuration;
-    return {"scope", isConfig ? "configuration" : "workers"};
+    return scopeField(reader.scope());
 }
 
 header_field millisecondsField(const char *name, duration length)
@@ -41,6 +45,17 @@
              revisionField(revision)}};
 }
 
+write_log eraBegunRecord(item_scope scope, const item_batch &batch, std::string_view source)
+{
+    return {log_level::warning,
+            "store",
+            "The store came back from a copy.",
+            {scopeField(scope),
+             {"era", std::to_string(batch.era)},
+             {"source", std::string(source)},
+             revisionField(batch.revision)}};
+}
+
 write_log readFailedRecord(instant now, const item_reader &reader, const reader_group &readers,
                            const error &cause)
 {
--- a/decision/routing/items/store_log.h
+++ b/decision/routing/items/store_log.h
@@ -11,6 +11,7 @@
 
 class item_reader;
 class reader_group;
+struct item_batch;
 
 /// Log records about the reads of the store. They tell, for each change of the gateway's knowledge,
 /// where it came from, and for each delay, what the gateway waits for.
@@ -20,6 +21,8 @@
 /// that contained it.
 write_log configAppliedRecord(const route_config &config, std::string_view source,
                               std::uint64_t revision);
+/// The store came back from a copy. \param source see `configAppliedRecord`.
+write_log eraBegunRecord(item_scope scope, const item_batch &batch, std::string_view source);
 /// A read failed. The record says when the scope is read next, and how long no reader has reported
 /// that the store answers it.
 write_log readFailedRecord(instant now, const item_reader &reader, const reader_group &readers,
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -110,6 +110,7 @@
     void logStoreState(bool wasFailing, const items_read_finished &input, action_list &actions);
     void updateOutage(instant now);
     void checkFinished(instant now, bool isAnswered, action_list &actions);
+    void seeEra(instant now, std::uint64_t era);
     bool areReadsFailing() const;
     void startDueReads(instant now, action_list &actions);
     void releaseStartupQueue(instant now, action_list &actions);
@@ -282,12 +283,9 @@
 void route_gateway::state::on(instant now, const process_id & /*from*/, const fleet_digest &digest,
                               action_list &actions)
 {
-    // While the store answers, the entries read from it are more recent than gossip.
     const bool isStoreUnreachable = workerReader.consecutiveFailures() > 0;
-    for (const worker_drain &drain : digest.drains) {
-        if (isStoreUnreachable)
-            pool.applyDrain(now, drain.worker, drain.age);
-    }
+    for (const worker_drain &drain : digest.drains)
+        pool.applyDrain(now, drain.worker, drain.age, isStoreUnreachable);
     handleWorkerChanges(now, "gossip", nullptr, actions);
     for (const crash_record &crash : digest.crashes)
         quarantine.addRemoteCrash(now, crash);
@@ -298,10 +296,15 @@
 void route_gateway::state::on(instant now, const process_id &from, const reader_report &report,
                               action_list &actions)
 {
+    if (configReader.isEarlierEra(report.storeEra) || workerReader.isEarlierEra(report.storeEra)) {
+        counters.add("reader_reports_outdated_total");
+        return;
+    }
     readers.reportArrived(now, from.vm, report.isConnectedToStore);
+    seeEra(now, report.storeEra);
     if (report.isConnectedToStore) {
-        configReader.revisionAdvertised(now, report.configurationRevision);
-        workerReader.revisionAdvertised(now, report.workersRevision);
+        configReader.revisionAdvertised(now, report.storeEra, report.configurationRevision);
+        workerReader.revisionAdvertised(now, report.storeEra, report.workersRevision);
     }
     startDueReads(now, actions);
 }
@@ -312,6 +315,7 @@
     item_reader &reader = update.scope == item_scope::configuration ? configReader : workerReader;
     for (const item_batch &batch : reader.updateReceived(now, update))
         applyBatch(now, update.scope, batch, "relay", actions);
+    seeEra(now, update.era);
     startDueReads(now, actions);
 }
 
@@ -326,6 +330,8 @@
     if (input.page)
         readers.storeAnswered(now);
     if (pendingCheck == input.read) {
+        if (input.page)
+            seeEra(now, input.page->era);
         checkFinished(now, input.page.has_value(), actions);
         return;
     }
@@ -338,10 +344,13 @@
     if (!input.page && isAwaited)
         actions.push_back(readFailedRecord(now, reader, readers, input.page.error()));
     for (const item_batch &fetched : batches) {
+        const bool isList = fetched.isSnapshot || fetched.startsEra;
         const std::vector<std::string> removedNames
-            = applyBatch(now, scope, fetched, fetched.isSnapshot ? "list" : "watch", actions);
+            = applyBatch(now, scope, fetched, isList ? "list" : "watch", actions);
         relayChanges(now, scope, fetched, removedNames, actions);
     }
+    if (input.page)
+        seeEra(now, input.page->era);
     logStoreState(wasFailing, input, actions);
     startDueReads(now, actions);
     if (!hasJoined && isReady()) {
@@ -369,6 +378,13 @@
     startDueReads(now, actions);
 }
 
+/// Both scopes are in the same store, so an answer about one shows the era of the other as well.
+void route_gateway::state::seeEra(instant now, std::uint64_t era)
+{
+    configReader.eraSeen(now, era);
+    workerReader.eraSeen(now, era);
+}
+
 bool route_gateway::state::areReadsFailing() const
 {
     return configReader.consecutiveFailures() + workerReader.consecutiveFailures() > 0;
@@ -390,6 +406,8 @@
                                                           std::string_view source,
                                                           action_list &actions)
 {
+    if (batch.startsEra)
+        actions.push_back(eraBegunRecord(scope, batch, source));
     if (scope == item_scope::workers)
         return applyWorkers(now, batch, source, actions);
     applyConfig(batch, source, actions);
@@ -456,9 +474,10 @@
                                  && configReader.consecutiveFailures() < 2
                                  && workerReader.consecutiveFailures() < 2;
     if (readers.takeDueReport(now, areReadsCurrent)) {
+        const std::uint64_t era = std::max(configReader.era(), workerReader.era());
         const reader_report report {areReadsCurrent && readers.hasRecentAnswer(now),
-                                    configReader.lastChangeRevision(),
-                                    workerReader.lastChangeRevision()};
+                                    configReader.lastChangeRevision(era),
+                                    workerReader.lastChangeRevision(era), era};
         counters.add("reader_reports_sent_total");
         peers.broadcastToFailureDomain(report, actions);
     }
@@ -503,12 +522,14 @@
 {
     for (const published_item &item : batch.items)
         logUnusable(item, actions);
+    if (batch.startsEra)
+        pool.storeRestored();
     std::vector<std::string> removedNames;
     if (batch.isSnapshot) {
-        removedNames = pool.applySnapshot(now, batch.items);
+        removedNames = pool.applySnapshot(now, batch.items, batch.copyRevision);
     } else {
         for (const published_item &item : batch.items)
-            pool.apply(now, item);
+            pool.apply(now, item, batch.copyRevision);
     }
     counters.set("workers_known", static_cast<double>(pool.size()));
     peers.raiseAssumedGatewayCount(static_cast<unsigned>(pool.size()));
@@ -675,7 +696,8 @@
             {"stage", toString(all.stage)},
             {"config_version", all.table == nullptr ? 0 : all.table->config()->version},
             {"store",
-             {{"config_revision", all.configReader.revision()},
+             {{"era", all.workerReader.era()},
+              {"config_revision", all.configReader.revision()},
               {"config_failures", all.configReader.consecutiveFailures()},
               {"workers_revision", all.workerReader.revision()},
               {"workers_failures", all.workerReader.consecutiveFailures()},
--- a/decision/routing/workers/worker_availability.cpp
+++ b/decision/routing/workers/worker_availability.cpp
@@ -21,13 +21,17 @@
     return names.at(static_cast<std::size_t>(reason));
 }
 
-void worker_availability::entryRead(bool isLeaving)
+void worker_availability::entryRead(bool isLeaving, entry_origin origin)
 {
+    m_removedAt = instant::never();
+    m_isEntryFromCopy = origin == entry_origin::copy;
+    if (m_hasLeftBeforeCopy && m_isEntryFromCopy)
+        return;
+    m_hasLeftBeforeCopy = false;
     if (m_entrySaysLeaving && !isLeaving)
         m_workerSaysLeaving = false;
     m_entrySaysLeaving = isLeaving;
     m_peerSaysLeaving = false;
-    m_removedAt = instant::never();
 }
 
 void worker_availability::pauseRequested(instant now, duration length)
--- a/decision/routing/workers/worker_availability.h
+++ b/decision/routing/workers/worker_availability.h
@@ -26,6 +26,15 @@
 /// Name of the reason in dumps.
 std::string_view toString(unavailability reason);
 
+/// Who wrote an entry that was read from the store.
+enum class entry_origin {
+    /// The worker, since all that was known of it before.
+    worker,
+    /// Perhaps the copy from which the store came back, so the entry may be older than what is
+    /// known.
+    copy,
+};
+
 /// Decides whether new requests may be sent to one run of a worker. Everything that forbids them
 /// meets here, so every first attempt, retry and hedge asks this object when it is sent.
 ///
@@ -35,12 +44,19 @@
 {
 public:
     /// An entry of this run was read from the store.
-    void entryRead(bool isLeaving);
+    void entryRead(bool isLeaving, entry_origin origin = entry_origin::worker);
+    /// The store came back from a copy. If the worker has left, entries of the copy do not change
+    /// this.
+    void storeRestored() { m_hasLeftBeforeCopy = isRemoved() || isLeaving(); }
     /// The entry disappeared from the store, or was replaced by that of another run.
     void entryRemoved(instant now) { m_removedAt = now; }
     /// Another gateway has said that the worker is draining or was removed. Applies until the next
     /// entry is read from the store.
-    void leaveReportedByPeer() { m_peerSaysLeaving = true; }
+    void leaveReportedByPeer()
+    {
+        m_peerSaysLeaving = true;
+        m_hasLeftBeforeCopy = m_hasLeftBeforeCopy || m_isEntryFromCopy;
+    }
     /// A response of the worker says that it leaves. Applies until its entry in the store stops
     /// saying so, or the worker starts again.
     void leaveAnnounced() { m_workerSaysLeaving = true; }
@@ -53,12 +69,15 @@
     request_pacer &pacer() { return m_pacer; }
     const request_pacer &pacer() const { return m_pacer; }
 
+    /// True if the entry of this run may be older than what other gateways know of it.
+    bool isEntryFromCopy() const { return m_isEntryFromCopy; }
     bool isRemoved() const { return m_removedAt != instant::never(); }
     /// When the entry disappeared from the store; `never` while it exists.
     instant removedAt() const { return m_removedAt; }
     bool isLeaving() const
     {
-        return m_entrySaysLeaving || m_peerSaysLeaving || m_workerSaysLeaving;
+        return m_entrySaysLeaving || m_peerSaysLeaving || m_workerSaysLeaving
+               || m_hasLeftBeforeCopy;
     }
     bool isPaused(instant now) const { return now < m_pausedUntil; }
     /// End of the pause that the worker has asked for; in the past if there is none.
@@ -75,6 +94,8 @@
     bool m_entrySaysLeaving = false;
     bool m_peerSaysLeaving = false;
     bool m_workerSaysLeaving = false;
+    bool m_hasLeftBeforeCopy = false;
+    bool m_isEntryFromCopy = false;
     bool m_isReplaced = false;
     instant m_pausedUntil;
     request_pacer m_pacer;
--- a/decision/routing/workers/worker_pool.cpp
+++ b/decision/routing/workers/worker_pool.cpp
@@ -47,22 +47,25 @@
            || kind == worker_change_kind::replaced || kind == worker_change_kind::paused;
 }
 
-void worker_pool::apply(instant now, const published_item &item)
+void worker_pool::apply(instant now, const published_item &item, std::uint64_t copyRevision)
 {
     if (!item.removed && !item.worker)
         m_counters.add("worker_entries_unusable_total");
     if (item.worker)
-        add(now, *item.worker);
+        add(now, *item.worker,
+            copyRevision > 0 && item.revision <= copyRevision ? entry_origin::copy
+                                                              : entry_origin::worker);
     else
         remove(now, item.name);
 }
 
 std::vector<std::string> worker_pool::applySnapshot(instant now,
-                                                    const std::vector<published_item> &items)
+                                                    const std::vector<published_item> &items,
+                                                    std::uint64_t copyRevision)
 {
     std::set<std::string, std::less<>> listed;
     for (const published_item &item : items) {
-        apply(now, item);
+        apply(now, item, copyRevision);
         if (item.worker)
             listed.insert(item.name);
     }
@@ -76,12 +79,19 @@
     return missing;
 }
 
+void worker_pool::storeRestored()
+{
+    for (pooled_worker &worker : m_workers)
+        worker.availability.storeRestored();
+}
+
 /// Applies a new entry of the run that `known` describes.
-void worker_pool::entryChanged(instant now, pooled_worker &known, const published_worker &entry)
+void worker_pool::entryChanged(instant now, pooled_worker &known, const published_worker &entry,
+                               entry_origin origin)
 {
     const bool wasInUse = known.availability.isInUse();
     known.entry = entry;
-    known.availability.entryRead(entry.leaving);
+    known.availability.entryRead(entry.leaving, origin);
     const bool isInUse = known.availability.isInUse();
     if (isInUse)
         m_drainOrRemovalAt.erase(entry.name);
@@ -92,7 +102,7 @@
                                                  : worker_change_kind::drain_started});
 }
 
-void worker_pool::add(instant now, const published_worker &entry)
+void worker_pool::add(instant now, const published_worker &entry, entry_origin origin)
 {
     const auto found = m_byName.find(entry.name);
     if (found != m_byName.end()) {
@@ -101,9 +111,12 @@
                                && known.entry.address == entry.address
                                && known.entry.service == entry.service;
         if (isSameRun) {
-            entryChanged(now, known, entry);
+            entryChanged(now, known, entry, origin);
             return;
         }
+        // The copy may hold the entry of an earlier run of the worker.
+        if (origin == entry_origin::copy && entry.startedUnixMs < known.entry.startedUnixMs)
+            return;
         // Attempts in flight still refer to the old record; `sweep` drops it after they have ended.
         known.availability.entryRemoved(now);
         m_changes.push_back({entry.name, worker_change_kind::removed});
@@ -120,7 +133,7 @@
     }
     pooled_worker fresh;
     fresh.entry = entry;
-    fresh.availability.entryRead(entry.leaving);
+    fresh.availability.entryRead(entry.leaving, origin);
     fresh.warmUpEnd = now + entry.warmUpLeft;
     fresh.report.slots = entry.slots;
     mutableAt(index) = fresh;
@@ -145,13 +158,15 @@
     m_changes.push_back({name, worker_change_kind::removed});
 }
 
-void worker_pool::applyDrain(instant now, const std::string &name, duration age)
+void worker_pool::applyDrain(instant now, const std::string &name, duration age,
+                             bool isStoreUnreachable)
 {
     const auto found = m_byName.find(name);
     if (found == m_byName.end())
         return;
     pooled_worker &worker = mutableAt(found->second);
-    if (!worker.availability.isInUse())
+    if (!worker.availability.isInUse()
+        || !(isStoreUnreachable || worker.availability.isEntryFromCopy()))
         return;
     worker.availability.leaveReportedByPeer();
     m_drainOrRemovalAt.emplace(name, now - age);
--- a/decision/routing/workers/worker_pool.h
+++ b/decision/routing/workers/worker_pool.h
@@ -101,14 +101,20 @@
 
     /// Applies a change of one entry. If the entry was removed or is invalid, the worker is
     /// removed.
-    void apply(instant now, const published_item &item);
+    /// \param copyRevision see `item_batch::copyRevision`.
+    void apply(instant now, const published_item &item, std::uint64_t copyRevision = 0);
     /// Applies a complete list: workers that are missing from it are removed.
     /// \return the names of the removed workers.
-    std::vector<std::string> applySnapshot(instant now, const std::vector<published_item> &items);
+    std::vector<std::string> applySnapshot(instant now, const std::vector<published_item> &items,
+                                           std::uint64_t copyRevision = 0);
+    /// The store came back from a copy. Workers that have left get no requests until an entry was
+    /// written after that.
+    void storeRestored();
     /// Another gateway has reported that a worker is draining or was removed. The worker gets no
-    /// new requests.
+    /// new requests. Ignored if its entry is more recent than what other gateways say: the store
+    /// answers, and the entry is not one of a copy.
     /// \param age time since any gateway first observed this.
-    void applyDrain(instant now, const std::string &name, duration age);
+    void applyDrain(instant now, const std::string &name, duration age, bool isStoreUnreachable);
     /// Workers that began to drain or were removed within the last `window`, with the time since
     /// then.
     std::vector<std::pair<std::string, duration>> recentDrains(instant now, duration window) const;
@@ -158,8 +164,9 @@
 
 private:
     void updateAverages(const pooled_worker &worker);
-    void add(instant now, const published_worker &entry);
-    void entryChanged(instant now, pooled_worker &known, const published_worker &entry);
+    void add(instant now, const published_worker &entry, entry_origin origin);
+    void entryChanged(instant now, pooled_worker &known, const published_worker &entry,
+                      entry_origin origin);
     void remove(instant now, const std::string &name);
     static void recordSuccess(pooled_worker &worker);
     void recordFailure(instant now, pooled_worker &worker, bool ejectsImmediately);
--- a/tests/platform/protocols_test.cpp
+++ b/tests/platform/protocols_test.cpp
@@ -242,6 +242,22 @@
     BOOST_TEST(!signalsOf("i-2").isLeaving);
 }
 
+// Guards against taking a malformed era of the store for one, also in a response without a body.
+BOOST_AUTO_TEST_CASE(eraOfTheStoreIsParsed)
+{
+    const auto eraOf = [](const std::vector<std::string> &headers) {
+        read_items command;
+        command.afterRevision = 1;
+        response_reader reader = response(410, headers);
+        return platform::storeProtocol().decode(command, reader)->era;
+    };
+    BOOST_TEST(eraOf({"Content-Length: 0", "Store-Era: 7"}) == 7U);
+    BOOST_TEST(eraOf({"Content-Length: 0"}) == 0U);
+    for (const char *malformed : {"", "-1", "7x", "7, 8", "99999999999999999999"})
+        BOOST_TEST(eraOf({"Content-Length: 0", std::string("Store-Era: ") + malformed}) == 0U);
+    BOOST_TEST(eraOf({"Content-Length: 0", "Store-Era: 7", "Store-Era: 8"}) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(callerHeadersGiveHostIdAndDeadline)
 {
     request_head head;
