--- a/decision/routing/items/item_reader.cpp
+++ b/decision/routing/items/item_reader.cpp
@@ -229,7 +229,8 @@
 {
     m_counters.add("store_eras_begun_total");
     m_era = m_latestEra;
-    m_copyRevision = std::min(m_revision, listRevision);
+    m_highestRevision = std::max(m_highestRevision, m_revision);
+    m_copyRevision = std::min(m_highestRevision, listRevision);
     m_revision = listRevision;
     m_lastChangeRevision = listRevision;
     m_unconfirmedNames = m_knownNames;
@@ -298,13 +299,19 @@
         revisionAdvertised(now, update.era, update.revision);
         return batches;
     }
+    applyStoredUpdates(batches);
+    m_isCatchingUp = m_isCatchingUp && isBehind();
+    return batches;
+}
+
+/// Applies the stored updates to which no earlier change is missing any more.
+void item_reader::applyStoredUpdates(std::vector<item_batch> &batches)
+{
     while (std::erase_if(m_outOfOrder,
                          [this, &batches](const items_update &outOfOrder) {
                              return applyUpdate(outOfOrder, batches);
                          })
            > 0) { }
-    m_isCatchingUp = m_isCatchingUp && isBehind();
-    return batches;
 }
 
 /// Keeps an update until the changes before it arrive.
@@ -391,6 +398,8 @@
                       m_revision};
     batch.startsEra = startsEra;
     deliver(std::move(batch), batches);
+    if (startsEra)
+        applyStoredUpdates(batches);
 }
 
 void item_reader::watchFinished(instant now, const item_page &page,
--- a/decision/routing/items/item_reader.h
+++ b/decision/routing/items/item_reader.h
@@ -159,6 +159,7 @@
     void deliver(item_batch batch, std::vector<item_batch> &batches);
     bool applyEraStart(instant now, const items_update &update, std::vector<item_batch> &batches);
     void storeUpdate(const items_update &update);
+    void applyStoredUpdates(std::vector<item_batch> &batches);
     instant confirmationTime() const;
     bool isBehind() const { return m_advertisedRevision > m_revision; }
     duration nextWatchDuration();
@@ -205,6 +206,8 @@
     std::uint64_t m_latestEra = 0;
     /// See `item_batch::copyRevision`.
     std::uint64_t m_copyRevision = 0;
+    /// Highest revision known in any earlier era. A copy may be older than the previous one.
+    std::uint64_t m_highestRevision = 0;
     /// Names of the known items, and of those that were not yet seen in this era.
     std::set<std::string, std::less<>> m_knownNames;
     std::set<std::string, std::less<>> m_unconfirmedNames;
--- a/decision/routing/requests/hedge_policy.cpp
+++ b/decision/routing/requests/hedge_policy.cpp
@@ -61,7 +61,8 @@
 instant hedge_policy::dueAt(instant now, const routed_request &record, duration serviceTime) const
 {
     if (m_settings.share <= 0 || !record.isIdempotent()
-        || record.possiblyRunAttempts() >= record.route->attemptsMax)
+        || record.possiblyRunAttempts() >= record.route->attemptsMax
+        || record.attempts.size() >= transmissionsMax)
         return instant::never();
     const instant byObjective
         = std::max(now + scaled(serviceTime, hedgeDelayFactor), latestAt(record, serviceTime));
@@ -136,7 +137,7 @@
         wasHedged = wasHedged || attempt.isHedge;
         // The answer would have come even later. Without these attempts, the quantile would fall
         // with every hedge that wins.
-        if (!attempt.end && !attempt.isHedge)
+        if (!attempt.end && !attempt.isHedge && record.answeredBy)
             learn(record, now - attempt.startedAt);
     }
     if (!wasHedged) {
--- a/decision/routing/requests/request_runner.cpp
+++ b/decision/routing/requests/request_runner.cpp
@@ -40,9 +40,6 @@
 /// Sending a request that misses its objective would then take a slot from one that can still meet
 /// it.
 constexpr double usableFractionMin = 0.2;
-/// Maximum number of attempts of a request, including those that certainly were not executed and
-/// do not count towards `host_route::attemptsMax`.
-constexpr std::size_t transmissionsMax = 6;
 /// If no worker is usable, a request waits for one for at most this fraction (1/8) of its latency
 /// objective.
 constexpr int noWorkerWaitDivisor = 8;
@@ -525,6 +522,9 @@
     }
     if (tryAcquireRetry(now, record, input)) {
         record.hedgeAt = instant::never();
+        // A hedge may have put probes of other failure domains off for longer.
+        record.remoteProbesAllowedAt
+            = std::min<instant>(record.remoteProbesAllowedAt, now + remoteProbeInterval);
         beginSelection(record, false);
         selectWorker(now, record, actions);
         return;
--- a/decision/routing/requests/routed_request.h
+++ b/decision/routing/requests/routed_request.h
@@ -14,6 +14,10 @@
 
 namespace almondnotch {
 
+/// Maximum number of attempts of a request, including those that certainly were not executed and
+/// do not count towards `host_route::attemptsMax`.
+constexpr std::size_t transmissionsMax = 6;
+
 /// One transmission of a request to a worker.
 struct routed_attempt
 {
--- a/decision/routing/requests/worker_selector.cpp
+++ b/decision/routing/requests/worker_selector.cpp
@@ -119,7 +119,7 @@
             continue;
         const worker_availability &availability = m_pool.at(index).availability;
         const unavailability reason = availability.reason(now, duration {0});
-        if (reason == unavailability::limit_reached)
+        if (reason == unavailability::limit_reached || reason == unavailability::cold)
             return std::nullopt;
         const instant end = availability.pausedUntil();
         if (reason == unavailability::paused && (!first || end < *first))
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -524,10 +524,10 @@
 {
     for (const published_item &item : batch.items)
         logUnusable(item, actions);
-    if (batch.startsEra)
-        pool.storeRestored();
     std::vector<std::string> removedNames;
-    if (batch.isSnapshot) {
+    if (batch.startsEra) {
+        pool.applyRestored(now, batch.items, batch.copyRevision);
+    } else if (batch.isSnapshot) {
         removedNames = pool.applySnapshot(now, batch.items, batch.copyRevision);
     } else {
         for (const published_item &item : batch.items)
--- a/decision/routing/workers/cold_request_share.cpp
+++ b/decision/routing/workers/cold_request_share.cpp
@@ -16,7 +16,7 @@
 /// How much less than a whole number of requests per second a gateway sends, so that a request
 /// which is sent late does not share a second with one more than planned.
 constexpr double rateMargin = 0.05;
-constexpr request_limit_share nothing {0, 1};
+constexpr request_limit_share nothing {0, 0};
 
 /// The gateways that compete for one worker.
 struct competition
--- a/decision/routing/workers/pooled_worker.h
+++ b/decision/routing/workers/pooled_worker.h
@@ -16,6 +16,8 @@
 struct pooled_worker
 {
     published_worker entry;
+    /// Revision of the store at which `entry` was written; 0 if unknown.
+    std::uint64_t entryRevision = 0;
     /// Whether the worker gets new requests.
     worker_availability availability;
     /// End of the worker's warm-up.
--- a/decision/routing/workers/worker_availability.h
+++ b/decision/routing/workers/worker_availability.h
@@ -80,6 +80,7 @@
     request_pacer &pacer() { return m_pacer; }
     const request_pacer &pacer() const { return m_pacer; }
 
+    bool isLeaveReportedByPeer() const { return m_peerSaysLeaving; }
     /// True if the entry of this run may be older than what other gateways know of it.
     bool isEntryFromCopy() const { return m_isEntryFromCopy; }
     bool isRemoved() const { return m_removedAt != instant::never(); }
--- a/decision/routing/workers/worker_pool.cpp
+++ b/decision/routing/workers/worker_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <set>
 
 namespace almondnotch {
@@ -40,7 +41,7 @@
     if (!item.removed && !item.worker)
         m_counters.add("worker_entries_unusable_total");
     if (item.worker)
-        add(now, *item.worker,
+        add(now, *item.worker, item.revision,
             copyRevision > 0 && item.revision <= copyRevision ? entry_origin::copy
                                                               : entry_origin::worker);
     else
@@ -68,21 +69,33 @@
     return missing;
 }
 
-void worker_pool::storeRestored()
+void worker_pool::applyRestored(instant now, const std::vector<published_item> &items,
+                                std::uint64_t copyRevision)
 {
-    for (pooled_worker &worker : m_workers)
+    std::set<std::string, std::less<>> toldByPeers;
+    for (pooled_worker &worker : m_workers) {
+        if (worker.availability.isLeaveReportedByPeer())
+            toldByPeers.insert(worker.entry.name);
         worker.availability.storeRestored();
+    }
+    // What other gateways told may be more recent than all revisions that this one knows.
+    constexpr std::uint64_t allRevisions = std::numeric_limits<std::uint64_t>::max();
+    for (const published_item &item : items)
+        apply(now, item, toldByPeers.contains(item.name) ? allRevisions : copyRevision);
 }
 
 /// Applies a new entry of the run that `known` describes.
 void worker_pool::entryChanged(instant now, pooled_worker &known, const published_worker &entry,
-                               entry_origin origin)
+                               std::uint64_t revision, entry_origin origin)
 {
     const bool wasInUse = known.availability.isInUse();
-    const duration warmUpBefore = std::exchange(known.entry, entry).warmUpLeft;
-    // An entry that says the same as before says nothing new.
-    if (entry.warmUpLeft != warmUpBefore)
+    const bool saysNothingNew = revision > 0 ? revision == known.entryRevision
+                                             : entry.warmUpLeft == known.entry.warmUpLeft;
+    known.entry = entry;
+    known.entryRevision = revision;
+    if (!saysNothingNew)
         m_coldLimits.entrySaid(now, known);
+    known.availability.setEvacuated(m_evacuations.includes(entry.failureDomain));
     known.availability.entryRead(entry.leaving, origin);
     const bool isInUse = known.availability.isInUse();
     if (isInUse)
@@ -94,7 +107,8 @@
                                                  : worker_change_kind::drain_started});
 }
 
-void worker_pool::add(instant now, const published_worker &entry, entry_origin origin)
+void worker_pool::add(instant now, const published_worker &entry, std::uint64_t revision,
+                      entry_origin origin)
 {
     const auto found = m_byName.find(entry.name);
     if (found != m_byName.end()) {
@@ -103,7 +117,7 @@
                                && known.entry.address == entry.address
                                && known.entry.service == entry.service;
         if (isSameRun) {
-            entryChanged(now, known, entry, origin);
+            entryChanged(now, known, entry, revision, origin);
             return;
         }
         // The copy may hold the entry of an earlier run of the worker.
@@ -125,6 +139,7 @@
     }
     pooled_worker fresh;
     fresh.entry = entry;
+    fresh.entryRevision = revision;
     fresh.availability.entryRead(entry.leaving, origin);
     fresh.warmUpEnd = now + entry.warmUpLeft;
     if (m_isListed)
--- a/decision/routing/workers/worker_pool.h
+++ b/decision/routing/workers/worker_pool.h
@@ -46,9 +46,10 @@
     /// \return the names of the removed workers.
     std::vector<std::string> applySnapshot(instant now, const std::vector<published_item> &items,
                                            std::uint64_t copyRevision = 0);
-    /// The store came back from a copy. Workers that have left get no requests until an entry was
-    /// written after that.
-    void storeRestored();
+    /// Applies the first list of a store that came back from a copy. Workers that have left get no
+    /// requests until an entry was written after that. Nothing is removed.
+    void applyRestored(instant now, const std::vector<published_item> &items,
+                       std::uint64_t copyRevision);
     /// Applies the evacuations among the items of the configuration scope. Workers of a failure
     /// domain whose evacuation ends count as cold, if their service names how long that lasts and
     /// the rate that a cold worker tolerates.
@@ -112,9 +113,10 @@
 
 private:
     void updateAverages(const pooled_worker &worker);
-    void add(instant now, const published_worker &entry, entry_origin origin);
+    void add(instant now, const published_worker &entry, std::uint64_t revision,
+             entry_origin origin);
     void entryChanged(instant now, pooled_worker &known, const published_worker &entry,
-                      entry_origin origin);
+                      std::uint64_t revision, entry_origin origin);
     void remove(instant now, const std::string &name);
     static void recordSuccess(pooled_worker &worker);
     void recordFailure(instant now, pooled_worker &worker, bool ejectsImmediately);
--- a/tests/decision/routing/cold_workers_test.cpp
+++ b/tests/decision/routing/cold_workers_test.cpp
@@ -86,6 +86,13 @@
         }
     }
 
+    /// Replaces what all gateways know of each other.
+    void learn(knowledge known)
+    {
+        for (unsigned i = 0; i < gatewayCount; ++i)
+            m_pools[i]->setGatewayGroup(m_now, groupOf(i, known));
+    }
+
     void rest(duration length) { m_now = m_now + length; }
     instant now() const { return m_now; }
 
@@ -255,6 +262,52 @@
     BOOST_TEST(fixture.sendForASecond() == unlimited);
 }
 
+// Guards against gateways that stop using a worker when they learn of others, and still send the
+// request that they had saved.
+BOOST_AUTO_TEST_CASE(formerUsersSendNothing)
+{
+    single_pool fixture;
+    fixture.entryRead(seconds(3));
+    fixture.now = fixture.now + seconds(2);
+    gateway_group group {"vm-1", {{"vm-1", "near"}}, 1};
+    for (unsigned i = 2; i <= 139; ++i)
+        group.gateways.push_back({"vm-" + std::to_string(i), "near"});
+    fixture.pool.setGatewayGroup(fixture.now, group);
+    const bool isUser
+        = shareOfColdRequests(coldRate, coldBounds, workerEntry("w-0", "reads"), group)
+              .requestsPerSecond
+          > 0;
+    BOOST_REQUIRE(!isUser);
+    BOOST_TEST(fixture.pool.usableWorkersOf(fixture.now, "reads").empty());
+}
+
+// Guards against taking an entry for old that was written anew with the same rest of warm-up.
+BOOST_AUTO_TEST_CASE(entryWrittenAnewProlongsTheWarmUp)
+{
+    single_pool fixture;
+    published_worker entry = workerEntry("w-0", "reads");
+    entry.warmUpLeft = seconds(2);
+    fixture.pool.apply(fixture.now, withRevision(workerItem(entry), 5));
+    fixture.now = fixture.now + seconds(3);
+    fixture.pool.apply(fixture.now, withRevision(workerItem(entry), 5));
+    BOOST_TEST(fixture.sendForASecond() == unlimited);
+    fixture.pool.apply(fixture.now, withRevision(workerItem(entry), 9));
+    BOOST_TEST(fixture.sendForASecond() < unlimited);
+}
+
+// Guards against an evacuation that misses a worker whose entry moves to the failure domain.
+BOOST_AUTO_TEST_CASE(workerThatMovesIntoAnEvacuatedDomainIsNotUsed)
+{
+    counter_set counters;
+    worker_pool pool(counters, coldBounds);
+    const instant now {seconds(100)};
+    pool.apply(now, workerItem(workerEntry("w-0", "reads", "near")));
+    pool.applyEvacuations(now, {evacuationItem(false)}, false);
+    BOOST_TEST(pool.usableWorkersOf(now, "reads").size() == 1U);
+    pool.apply(now, workerItem(workerEntry("w-0", "reads", domainOf(0))));
+    BOOST_TEST(pool.usableWorkersOf(now, "reads").empty());
+}
+
 // Guards against limits for the workers of a service that names no rate, and against a
 // configuration read after the workers that limits none.
 BOOST_AUTO_TEST_CASE(onlyServicesThatNameARateAreLimited)
--- a/tests/decision/routing/store_era_test.cpp
+++ b/tests/decision/routing/store_era_test.cpp
@@ -205,6 +205,36 @@
     }
 }
 
+// Guards against a second copy that is less old than the first one: its entries are of the time
+// before the leave, although their revisions are above those of the first copy.
+BOOST_AUTO_TEST_CASE(leaveOutlastsALaterCopyOfAnEarlierEra)
+{
+    watching_fixture fixture;
+    fixture.answerRead(item_scope::workers, makePage(5, 101, {drainingWorkerItem("w-1", 101)}));
+    fixture.advance(seconds(1));
+    const std::vector<published_item> others = {readyWorkerItem("w-2", 71)};
+    restoreWorkers(fixture, 6, 80, {readyWorkerItem("w-1", 70), others.front()});
+    restoreWorkers(fixture, 7, 95, {readyWorkerItem("w-1", 92), others.front()});
+    BOOST_TEST(!workersInUse(fixture).contains("w-1"));
+}
+
+// Guards against an entry of the copy that is more recent than all that this gateway had read
+// itself, but older than the leave that another gateway told while the store was away.
+BOOST_AUTO_TEST_CASE(leaveToldByAPeerOutlastsTheCopy)
+{
+    watching_fixture fixture;
+    fixture.answerRead(item_scope::workers, fail(error_code::unavailable, "read", "", "cut"));
+    fleet_digest digest = localDigest("vm-2", 1);
+    digest.drains = {{"w-1", seconds(1)}};
+    fixture.handle(peer_message_received {digest.self.process, digest});
+    BOOST_TEST(!workersInUse(fixture).contains("w-1"));
+    fixture.advance(seconds(1));
+    restoreWorkers(fixture, 6, 106, {readyWorkerItem("w-1", 105), readyWorkerItem("w-2", 71)});
+    BOOST_TEST(!workersInUse(fixture).contains("w-1"));
+    fixture.answerRead(item_scope::workers, makePage(6, 107, {readyWorkerItem("w-1", 107)}));
+    BOOST_TEST(workersInUse(fixture).contains("w-1"));
+}
+
 // Guards against replacing a worker that has started again by the entry of its earlier run.
 BOOST_AUTO_TEST_CASE(earlierRunInTheCopyIsIgnored)
 {
