Send requests to failure domains with room where home lacks it

Cause: a request whose home domain has no free worker probed two remote workers at most every 75 ms and waited 12 ms for them, while a probe of a worker 4.9 ms away with a new connection takes 20 ms; a result that came later was used by nobody, a remote worker was taken only after all local rounds, and the price of crossing was a fifth of the objective whatever room was left.

Change: domain_conditions keeps, for each failure domain, the round trip of probes and, for each service, the share of probes that found room; both forget. While home is short of room the price of crossing falls, remote workers with a fresh report are taken at once, remote rounds probe three workers and wait as long as their way takes, and the second local round is skipped when it would find nobody. probe_rounds takes the plan of probes out of request_runner.

Test: placement_suite replays four loads on fake workers.

--- a/decision/routing/requests/request_runner.cpp
+++ b/decision/routing/requests/request_runner.cpp
@@ -1,38 +1,18 @@
 #include "decision/routing/requests/request_runner.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include "core/mechanisms.h"
 #include "decision/calls/call_record.h"
+#include "decision/routing/requests/probe_rounds.h"
 
 namespace almondnotch {
 
 namespace {
 
-/// A request is admitted or retried only if at least this much time is left until its deadline. A
-/// round of probes is started only if more than this is left after the round.
+/// A request is admitted or retried only if at least this much time is left until its deadline.
 constexpr duration timeLeftMin = milliseconds(3);
-/// How long a request waits for the probes of one round.
-constexpr duration probeRoundTimeout = milliseconds(12);
-/// A round of probes, which are started at the same time before a request is sent.
-struct probe_round
-{
-    /// Maximum number of workers to probe.
-    std::size_t workersMax;
-    /// Whether the round probes workers of the gateway's own failure domain or those of others.
-    bool isLocal;
-};
-
-/// Rounds of probes in this order. Any one local worker is at full speed most of the time, so the
-/// first round probes only one. Remote workers are probed last, since sending a request to another
-/// failure domain costs more than probing further local workers.
-constexpr std::array<probe_round, 3> probeRoundPlan {{{1, true}, {3, true}, {2, false}}};
-/// Minimum interval between two rounds in which the same request probes remote workers.
-constexpr duration remoteProbeInterval = milliseconds(75);
-/// Number of local rounds of `probeRoundPlan`, after which a remote worker may be selected.
-constexpr std::size_t localProbeRounds = 2;
 /// If at least this many pending requests take precedence over a request, its service counts as
 /// busy.
 constexpr std::size_t busyPendingCount = 3;
@@ -151,6 +131,8 @@
     out.timeToObjective = std::max(record.objectiveAt - now, duration {0});
     out.timeToDeadline = record.deadline - now;
     out.excludedWorkers = record.triedWorkers();
+    out.domains = m_domains.termsOf(now, record.service);
+    out.homeShortage = m_domains.shortage(now, record.service, m_settings.peers.failureDomain);
     return out;
 }
 
@@ -171,11 +153,13 @@
             return rankedWorker.isAcceptable() && (!record.isHedge || rankedWorker.isLightlyLoaded);
         });
     const bool hasAcceptable = first != ranked.end();
-    if (hasAcceptable && (first->isLocal || record.probeRounds >= localProbeRounds)) {
+    const bool mayCross
+        = record.probeRounds >= localProbeRounds || (criteria.homeShortage > 0 && !record.isHedge);
+    if (hasAcceptable && (first->isLocal || mayCross)) {
         startAttempt(now, record, *first, actions);
         return;
     }
-    if (probeCandidates(now, record, ranked, actions)) {
+    if (probeCandidates(now, record, criteria, ranked, actions)) {
         scheduleTimer(record);
         return;
     }
@@ -285,10 +269,12 @@
         if (record == nullptr || !record->isSelecting)
             continue;
         const bool wasAwaitingProbe = record->awaitedWorkers.erase(worker) > 0;
+        const selection_criteria criteria = selectionCriteria(now, *record);
         const std::optional<scored_worker> offered
-            = m_selector.assess(now, selectionCriteria(now, *record), worker, m_gracePeriods);
+            = m_selector.assess(now, criteria, worker, m_gracePeriods);
         const bool isTaken = offered && offered->isAcceptable()
-                             && (offered->isLocal || wasAwaitingProbe)
+                             && (offered->isLocal || wasAwaitingProbe
+                                 || (criteria.homeShortage > 0 && !record->isHedge))
                              && (!record->isHedge || offered->isLightlyLoaded);
         if (isTaken)
             startAttempt(now, *record, *offered, actions);
@@ -318,31 +304,22 @@
 }
 
 bool request_runner::probeCandidates(instant now, routed_request &record,
+                                     const selection_criteria &criteria,
                                      const std::vector<scored_worker> &ranked, action_list &actions)
 {
     const auto spec = record.config->services.find(record.service);
     const std::string path = spec == record.config->services.end() ? "/" : spec->second.healthPath;
-    while (record.probeRounds < probeRoundPlan.size()
-           && record.deadline - now > probeRoundTimeout + timeLeftMin) {
-        const probe_round &round = probeRoundPlan.at(record.probeRounds);
-        ++record.probeRounds;
-        if (!round.isLocal && now < record.remoteProbesAllowedAt)
-            continue;
-        if (!round.isLocal)
-            record.remoteProbesAllowedAt = now + remoteProbeInterval;
-        std::size_t left = round.workersMax;
-        for (const scored_worker &candidate : ranked) {
-            if (left == 0)
-                break;
-            if (candidate.hasFreshReport || candidate.isLocal != round.isLocal)
-                continue;
-            if (!m_prober.ensureProbed(now, candidate.worker, path, actions))
+    while (const std::optional<probe_round> round
+           = beginProbeRound(now, record, criteria, ranked)) {
+        for (const worker_index worker : round->workers) {
+            if (!m_prober.ensureProbed(now, worker, path, actions))
                 break;
-            record.awaitedWorkers.insert(candidate.worker);
-            --left;
+            record.awaitedWorkers.insert(worker);
         }
         if (!record.awaitedWorkers.empty()) {
-            record.probeDeadline = now + probeRoundTimeout;
+            record.probeDeadline = now + round->wait;
+            if (criteria.homeShortage > 0)
+                m_dependencies.counters.add("probe_rounds_short_total");
             return true;
         }
     }
@@ -428,6 +405,8 @@
     command.connectionLimit = connectionShare(record);
     command.freshConnection = !record.isIdempotent();
     m_dependencies.counters.add("attempts_total");
+    if (!chosen.isLocal)
+        m_dependencies.counters.add("requests_crossed_total");
     actions.push_back(std::move(command));
     scheduleHedge(now, record);
     scheduleTimer(record);
@@ -555,13 +534,15 @@
 
 void request_runner::probeFinished(instant now, const probe_finished &input, action_list &actions)
 {
-    const std::optional<worker_index> probed = m_prober.probeFinished(input.probe);
+    const std::optional<ended_probe> probed = m_prober.probeFinished(input.probe);
     if (!probed) {
         m_dependencies.invariants.check("probe_ends_once", false);
         return;
     }
-    const worker_index worker = *probed;
+    const worker_index worker = probed->worker;
     m_dependencies.pool.probeFinished(now, worker, input);
+    m_domains.probeEnded(now, m_dependencies.pool.at(worker), probed->startedAt,
+                         input.load.has_value());
     const std::string name = m_dependencies.pool.at(worker).entry.name;
     if (input.load)
         m_dependencies.quarantine.workerAnswered(name);
@@ -780,6 +761,7 @@
             {"in_progress", m_requests.size()},
             {"attempts_in_flight", m_attempts.size()},
             {"probes_in_flight", m_prober.inFlight()},
+            {"failure_domains", m_domains.dump(now)},
             {"gateways", m_gatewayCount},
             {"requests", rows},
             {"routes", m_serviceTimes.dump()},
--- a/decision/routing/requests/request_runner.h
+++ b/decision/routing/requests/request_runner.h
@@ -19,6 +19,7 @@
 #include "decision/actions.h"
 #include "decision/calls/quarantine_table.h"
 #include "decision/events.h"
+#include "decision/routing/requests/domain_conditions.h"
 #include "decision/routing/requests/event_rate.h"
 #include "decision/routing/requests/retry_budget.h"
 #include "decision/routing/requests/route_table.h"
@@ -131,7 +132,7 @@
                        action_list &actions);
     bool shouldDefer(instant now, const routed_request &record, const scored_worker &best);
     /// \return true if the request now waits for probe results.
-    bool probeCandidates(instant now, routed_request &record,
+    bool probeCandidates(instant now, routed_request &record, const selection_criteria &criteria,
                          const std::vector<scored_worker> &ranked, action_list &actions);
     void startAttempt(instant now, routed_request &record, const scored_worker &chosen,
                       action_list &actions);
@@ -162,6 +163,7 @@
     request_runner_dependencies m_dependencies;
     worker_selector m_selector;
     worker_prober m_prober;
+    domain_conditions m_domains;
     bool m_closeConnections = false;
     /// Latest deadline with which new requests are accepted.
     instant m_latestEnd = instant::never();
--- a/decision/routing/requests/routed_request.h
+++ b/decision/routing/requests/routed_request.h
@@ -54,7 +54,7 @@
     bool isHedge = false;
     /// The request was deferred during the current selection because no worker was acceptable.
     bool wasDeferred = false;
-    /// Number of probe rounds (see `probeRoundPlan` in request_runner.cpp) that were started or
+    /// Number of probe rounds (see `beginProbeRound`) that were started or
     /// skipped since the selection began or its last retry was scheduled (see `reselectAt`).
     unsigned probeRounds = 0;
     /// Earliest time at which workers of other failure domains may be probed again.
--- a/decision/routing/requests/worker_selector.cpp
+++ b/decision/routing/requests/worker_selector.cpp
@@ -19,7 +19,8 @@
 /// in use, the increase is proportionally smaller. It is applied in addition to the slowdown near
 /// saturation, so that lightly loaded workers are ranked first.
 constexpr double occupancySlowdown = 0.15;
-/// Penalty for cross-domain traffic, as a fraction of the latency objective.
+/// Penalty for cross-domain traffic while there is room at home, as a fraction of the latency
+/// objective.
 constexpr double crossDomainCostFraction = 0.2;
 /// Penalty for a missed objective, as a fraction of the latency objective. A late response loses
 /// this fraction of its value, and the loss of the full value is rated like a delay of one latency
@@ -38,6 +39,17 @@
 
 } // namespace
 
+/// What is known of the worker's failure domain if it is not the gateway's own.
+domain_terms worker_selector::termsOf(const selection_criteria &criteria,
+                                      const pooled_worker &worker) const
+{
+    const auto found = std::find_if(criteria.domains.begin(), criteria.domains.end(),
+                                    [&worker](const domain_terms &domain) {
+                                        return domain.name == worker.entry.failureDomain;
+                                    });
+    return found == criteria.domains.end() ? domain_terms {} : *found;
+}
+
 scored_worker worker_selector::score(instant now, const selection_criteria &criteria,
                                      worker_index index) const
 {
@@ -57,9 +69,11 @@
     out.isAtFullSpeed = slowdown <= fullSpeedSlowdownMax;
     if (now < worker.warmUpEnd)
         slowdown = std::max(slowdown, warmUpSlowdown);
-    const double reported = worker.report.running + worker.report.queued;
+    const domain_terms domain = out.isLocal ? domain_terms {} : termsOf(criteria, worker);
+    const double reported = reportConfidence * (worker.report.running + worker.report.queued)
+                            + (1 - reportConfidence) * domain.occupiedShare * slots;
     const double occupiedSlots
-        = std::max<double>(reportConfidence * reported + worker.sentSinceReport, worker.inFlight);
+        = std::max<double>(reported + worker.sentSinceReport, worker.inFlight);
     const double waiting = std::max(0.0, occupiedSlots + 1 - slots) / slots;
     out.hasFreeSlot = occupiedSlots + 1 <= slots;
     out.isNearSaturation = occupiedSlots + 1 > saturation_slowdown::unsaturatedSlots(slotCount);
@@ -70,15 +84,17 @@
     out.isLightlyLoaded = 2 * (occupiedSlots + 1) <= slots;
     if (out.isNearSaturation)
         slowdown *= m_pool.saturation().factor();
-    out.expectedTime = scaled(
-        criteria.serviceTime,
-        slowdown * (1 + occupancySlowdown * std::min(1.0, occupiedSlots / slots) + waiting));
+    out.expectedTime
+        = domain.roundTrip
+          + scaled(criteria.serviceTime,
+                   slowdown
+                       * (1 + occupancySlowdown * std::min(1.0, occupiedSlots / slots) + waiting));
 
     // The failure rate decays with the time constant `failureDecayTime` of the worker pool, 4 s.
     const double failures
         = worker.failureRate * std::exp(-toSeconds(now - worker.lastFailureAt) / 4.0);
     const double penalty
-        = failures + (out.isLocal ? 0.0 : crossDomainCostFraction)
+        = failures + (out.isLocal ? 0.0 : crossDomainCostFraction * (1 - criteria.homeShortage))
           + (out.expectedTime > criteria.timeToObjective ? missedObjectiveCostFraction : 0.0);
     const bool isConnected = worker.hasReport && age < connectionKeepAlive;
     out.cost = scaled(out.expectedTime + scaled(criteria.objective, penalty),
--- a/decision/routing/requests/worker_selector.h
+++ b/decision/routing/requests/worker_selector.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -11,6 +12,18 @@
 
 namespace almondnotch {
 
+/// What is known of a failure domain when a worker is selected for a request.
+struct domain_terms
+{
+    std::string_view name;
+    /// Usual and longest time from a probe of a worker there to its response.
+    duration roundTrip {0};
+    duration longestRoundTrip {0};
+    /// Share of the slots that is assumed to be in use, beyond what is usual, at workers of the
+    /// request's service there that have not reported recently.
+    double occupiedShare = 0;
+};
+
 /// Properties of a request that determine which worker is selected for it.
 struct selection_criteria
 {
@@ -24,6 +37,11 @@
     duration timeToDeadline {0};
     /// Workers that were tried already and must not be selected again.
     std::vector<worker_index> excludedWorkers;
+    /// Failure domains that have been measured.
+    std::vector<domain_terms> domains {};
+    /// How far the gateway's own failure domain lacks room for the service, 0 to 1; see
+    /// `domain_conditions::shortage`.
+    double homeShortage = 0;
 };
 
 /// How long workers stay usable after their entries disappeared from the store.
@@ -71,7 +89,8 @@
 /// for a few hundred milliseconds. A request runs at the speed that the machine has when the
 /// request starts. A load report is therefore outdated within tens of milliseconds (see
 /// `freshReportAgeMax`), and a probe right before the request is sent is worth its cost. Workers of
-/// the gateway's own failure domain are preferred, since cross-domain traffic costs money.
+/// the gateway's own failure domain are preferred, since cross-domain traffic costs money, but only
+/// while there is room: the shorter the domain is of it, the more the way alone counts.
 class worker_selector
 {
 public:
@@ -100,6 +119,7 @@
     bool isCandidate(const selection_criteria &criteria, worker_index index) const;
     bool isUsable(instant now, const selection_criteria &criteria, worker_index index,
                   duration gracePeriod) const;
+    domain_terms termsOf(const selection_criteria &criteria, const pooled_worker &worker) const;
     scored_worker score(instant now, const selection_criteria &criteria, worker_index index) const;
     void appendUsable(instant now, const selection_criteria &criteria, duration gracePeriod,
                       std::vector<scored_worker> &out) const;
--- a/decision/routing/workers/worker_pool.cpp
+++ b/decision/routing/workers/worker_pool.cpp
@@ -41,6 +41,12 @@
     return names.at(static_cast<std::size_t>(kind));
 }
 
+bool hasRoom(const load_report &report)
+{
+    return report.running + report.queued < report.slots
+           && report.slowdownPercent / 100.0 <= fullSpeedSlowdownMax;
+}
+
 bool worker_change::endsUse() const
 {
     return kind == worker_change_kind::drain_started || kind == worker_change_kind::removed
@@ -277,11 +283,9 @@
 {
     const load_report &report = worker.report;
     const double slowdown = report.slowdownPercent / 100.0;
-    const bool isUsable
-        = report.running + report.queued < report.slots && slowdown <= fullSpeedSlowdownMax;
     double &fraction
         = m_usableFraction.try_emplace(worker.entry.service, initialUsableFraction).first->second;
-    fraction += usableFractionWeight * ((isUsable ? 1.0 : 0.0) - fraction);
+    fraction += usableFractionWeight * ((hasRoom(report) ? 1.0 : 0.0) - fraction);
     m_meanSlowdown += slowdownWeight * (std::min(slowdown, slowdownMax) - m_meanSlowdown);
 }
 
--- a/decision/routing/workers/worker_pool.h
+++ b/decision/routing/workers/worker_pool.h
@@ -92,6 +92,9 @@
 /// usual execution time.
 constexpr double fullSpeedSlowdownMax = 1.6;
 
+/// True if the report shows a free slot on a machine at full speed.
+bool hasRoom(const load_report &report);
+
 /// The workers of all services.
 class worker_pool
 {
--- a/decision/routing/workers/worker_prober.cpp
+++ b/decision/routing/workers/worker_prober.cpp
@@ -21,7 +21,7 @@
     if (!acquireToken(now))
         return false;
     const probe_id id {m_nextProbe++};
-    m_probes.emplace(id, worker);
+    m_probes.emplace(id, ended_probe {worker, now});
     m_probeByWorker[worker] = id;
     const published_worker &entry = m_pool.at(worker).entry;
     m_counters.add("probes_total");
@@ -44,15 +44,15 @@
         tryProbe(now, worker, config, actions);
 }
 
-std::optional<worker_index> worker_prober::probeFinished(probe_id probe)
+std::optional<ended_probe> worker_prober::probeFinished(probe_id probe)
 {
     const auto found = m_probes.find(probe);
     if (found == m_probes.end())
         return std::nullopt;
-    const worker_index worker = found->second;
+    const ended_probe ended = found->second;
     m_probes.erase(found);
-    m_probeByWorker.erase(worker);
-    return worker;
+    m_probeByWorker.erase(ended.worker);
+    return ended;
 }
 
 /// Takes a probe from this gateway's share. \return false if the share is used up.
--- a/decision/routing/workers/worker_prober.h
+++ b/decision/routing/workers/worker_prober.h
@@ -14,6 +14,13 @@
 
 namespace almondnotch {
 
+/// A probe that has ended.
+struct ended_probe
+{
+    worker_index worker {};
+    instant startedAt;
+};
+
 /// Probes workers within this gateway's share of the probes that all gateways together may send. At
 /// most one probe of a worker is in flight.
 class worker_prober
@@ -38,8 +45,8 @@
     /// no requests to a worker would not learn that its limit has ended.
     /// \param config configuration in force.
     void probeLimitedWorkers(instant now, const route_config &config, action_list &actions);
-    /// Ends a probe. \return the worker that was probed; nothing if the probe is unknown.
-    std::optional<worker_index> probeFinished(probe_id probe);
+    /// Ends a probe. \return nothing if the probe is unknown.
+    std::optional<ended_probe> probeFinished(probe_id probe);
 
     std::size_t inFlight() const { return m_probes.size(); }
 
@@ -51,7 +58,7 @@
     counter_set &m_counters;
     unsigned m_gatewayCount = 1;
     probe_rate_limiter m_rateLimiter;
-    std::map<probe_id, worker_index> m_probes;
+    std::map<probe_id, ended_probe> m_probes;
     std::map<worker_index, probe_id> m_probeByWorker;
     std::uint64_t m_nextProbe = 1;
 };
