--- a/decision/routing/workers/worker_pool.cpp
+++ b/decision/routing/workers/worker_pool.cpp
@@ -36,6 +36,12 @@
 
 } // namespace
 
+bool hasRoom(const load_report &report)
+{
+    return report.running + report.queued < report.slots
+           && report.slowdownPercent / 100.0 <= fullSpeedSlowdownMax;
+}
+
 void worker_pool::apply(instant now, const published_item &item, std::uint64_t copyRevision)
 {
     if (!item.removed && !item.worker)
@@ -341,11 +347,9 @@
 {
     const load_report &report = worker.report;
     const double slowdown = report.slowdownPercent / 100.0;
-    const bool isUsable
-        = report.running + report.queued < report.slots && slowdown <= fullSpeedSlowdownMax;
     double &fraction
         = m_usableFraction.try_emplace(worker.entry.service, initialUsableFraction).first->second;
-    fraction += usableFractionWeight * ((isUsable ? 1.0 : 0.0) - fraction);
+    fraction += usableFractionWeight * ((hasRoom(report) ? 1.0 : 0.0) - fraction);
     m_meanSlowdown += slowdownWeight * (std::min(slowdown, slowdownMax) - m_meanSlowdown);
 }
 
