--- a/tests/decision/routing/hedging_test.cpp
+++ b/tests/decision/routing/hedging_test.cpp
@@ -78,7 +78,8 @@
     duration quantile(double fraction)
     {
         std::sort(latencies.begin(), latencies.end());
-        return latencies.at(static_cast<std::size_t>(fraction * (latencies.size() - 1)));
+        const double last = static_cast<double>(latencies.size() - 1);
+        return latencies.at(static_cast<std::size_t>(fraction * last));
     }
 };
 
