Refuse ambiguous framing before any other fault of a request

Found by review: Boost.Beast takes a request whose last transfer encoding isn't "chunked" for one without a body. With a further fault in the head, such as two Hosts, the answer was a 400 that kept the connection, and the body was read as the next request. Cases added to ambiguousFramingEndsTheConnection; not run on the code before.

--- a/servers/http_entry/caller_exchange.cpp
+++ b/servers/http_entry/caller_exchange.cpp
@@ -54,9 +54,28 @@
     return std::nullopt;
 }
 
-/// Checks what depends on the version and on the framing as Boost.Beast understands it.
+/// True if all servers see the end of the request at the same place. Boost.Beast takes a request
+/// whose last transfer encoding is not "chunked" for one without a body.
+bool isFramingUnambiguous(const std::vector<header_field> &fields)
+{
+    std::size_t count = 0;
+    for (const header_field &field : fields) {
+        const bool isEncoding = isEqualIgnoringCase(field.name, "Transfer-Encoding");
+        if (isEncoding && !isEqualIgnoringCase(field.value, "chunked"))
+            return false;
+        count += isEncoding || isEqualIgnoringCase(field.name, "Content-Length") ? 1 : 0;
+    }
+    return count <= 1;
+}
+
+/// Checks what depends on the version and on the framing as Boost.Beast understands it. The framing
+/// is checked before all else, since nothing behind a request of unknown length may be read.
 std::optional<request_rejection> findFramingFault(const request_head &head)
 {
+    if (!isFramingUnambiguous(head.fields))
+        return request_rejection {400, "framing-invalid", "Ambiguous message framing",
+                                  "expected one Content-Length, or one Transfer-Encoding that is "
+                                  "\"chunked\""};
     if (!declaredLength(head.fields))
         return request_rejection {400, "framing-invalid", "Ambiguous message framing",
                                   "Content-Length: expected one number"};
--- a/tests/servers/pipelined_requests_test.cpp
+++ b/tests/servers/pipelined_requests_test.cpp
@@ -284,6 +284,12 @@
         head + "Transfer-Encoding: chunked\r\n\r\n10000000000000000\r\n",
         head + "Transfer-Encoding: chunked\r\n\r\n1;" + std::string(20000, 'x'),
         "POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked, gzip\r\n\r\n",
+        head + "Transfer-Encoding: xchunked\r\n\r\n",
+        // With a further fault in the same head.
+        head + "Host: b\r\nTransfer-Encoding: chunked, gzip\r\n\r\n",
+        "POST /a HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "POST a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n",
         "GET /a HTTP/1.1\r\nHost: a\rX: b\r\n\r\n",
         "GET /a HTTP/1.1\r\nHost : a\r\n\r\n",
     };
