--- a/servers/http_entry/caller_connection.cpp
+++ b/servers/http_entry/caller_connection.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <ctime>
 #include <utility>
 
 #include <poll.h>
@@ -10,6 +9,7 @@
 #include <unistd.h>
 
 #include "core/log_line.h"
+#include "servers/http_entry/response_message.h"
 #include "servers/http_entry/response_writer.h"
 
 namespace almondnotch {
@@ -17,8 +17,6 @@
 namespace {
 
 const char *const logPrefix = "entry";
-/// Maximum size of a response body in bytes that is sent whatever other responses are held.
-constexpr std::size_t unbudgetedResponseBytes = 16'384;
 /// No further request of a connection is received while its caller leaves this many bytes of
 /// responses unread.
 constexpr std::size_t unreadResponseBytesMax = std::size_t {1024} * 1024;
@@ -296,54 +294,14 @@
         const std::unique_ptr<caller_exchange> exchange = std::move(m_exchanges.front());
         m_exchanges.pop_front();
         m_readyBytes -= exchange->response->body.size();
-        m_output.push(makeMessage(*exchange, m_exchanges.empty()));
+        message_options options;
+        options.isFirst = m_output.isEmpty();
+        options.closeConnection = m_exchanges.empty() && (m_isInputEnded || exchange->endsInput);
+        m_output.push(makeResponseMessage(m_context, *exchange, options));
     }
     sendContinue();
 }
 
-output_message caller_connection::makeMessage(caller_exchange &exchange, bool isLast)
-{
-    output_message message;
-    replaceFaultyResponse(exchange, message.reservation);
-    const call_response &response = *exchange.response;
-    m_context.counters.add("entry_responses_total{class=\"" + std::to_string(response.status / 100)
-                           + "xx\"}");
-    response_options options;
-    options.addedFields = m_context.protocol.addedFields(response, exchange.requestId);
-    options.isHeadRequest = exchange.isHeadRequest;
-    options.closeConnection = isLast && (m_isInputEnded || exchange.endsInput);
-    options.announceKeepAlive = exchange.needsKeepAliveField;
-    message.head = makeResponseHead(response, options, std::time(nullptr));
-    if (!response.body.empty() && !isBodyOmitted(response, exchange.isHeadRequest))
-        message.bodyOwner = exchange.response;
-    return message;
-}
-
-void caller_connection::replaceFaultyResponse(caller_exchange &exchange,
-                                              byte_reservation &reservation)
-{
-    const entry_settings &settings = m_context.settings;
-    std::optional<std::string> fault
-        = findResponseFault(*exchange.response, settings.headerBytesMax);
-    reservation = byte_reservation(m_context.responses);
-    // Only the first response that waits for its caller is held beside the budget.
-    const std::size_t unbudgeted = m_output.isEmpty() ? unbudgetedResponseBytes : 0;
-    const std::size_t bytes = exchange.response->body.size();
-    if (!fault && bytes > unbudgeted && !reservation.growTo(bytes - unbudgeted)) {
-        m_context.counters.add("entry_responses_not_held_total");
-        fault = "expected at most " + std::to_string(settings.heldResponseBytesMax)
-                + " bytes of responses that callers have not read yet";
-    }
-    if (!fault)
-        return;
-    problem problemDocument = makeRejectionProblem(
-        m_context, {502, "response-invalid", "The worker's response cannot be forwarded", *fault},
-        exchange);
-    problemDocument.step = "send response";
-    problemDocument.outcome = exchange.response->outcome;
-    exchange.response = makeProblemResponse(problemDocument);
-}
-
 void caller_connection::writeOutput()
 {
     if (m_output.isEmpty())
--- a/servers/http_entry/caller_connection.h
+++ b/servers/http_entry/caller_connection.h
@@ -82,8 +82,6 @@
 
     void sendContinue();
     void queueResponses();
-    output_message makeMessage(caller_exchange &exchange, bool isLast);
-    void replaceFaultyResponse(caller_exchange &exchange, byte_reservation &reservation);
     void writeOutput();
 
     void update();
