Count responses that wait for an earlier one toward the memory for responses

Found by review: only the response that was next to be written reserved memory, so that the answers behind a slow first one were held without a bound (arithmetic of the review: 60 MiB a connection). Each response now reserves when it comes, and is replaced by a 502 if there is no room.

--- a/servers/http_entry/caller_connection.cpp
+++ b/servers/http_entry/caller_connection.cpp
@@ -237,7 +237,8 @@
 /// Passes the held request on if all requests before it have been answered.
 void caller_connection::startHeldRequest()
 {
-    if (m_exchanges.size() != 1 || m_exchanges.front()->currentPhase != phase::held)
+    if (m_isBroken || m_exchanges.size() != 1
+        || m_exchanges.front()->currentPhase != phase::held)
         return;
     caller_exchange &exchange = *m_exchanges.front();
     const bool endsInputNow = exchange.endsInput;
@@ -276,6 +277,8 @@
 {
     exchange.response = std::move(response);
     exchange.currentPhase = phase::ready;
+    holdResponse(m_context, exchange,
+                 m_output.isEmpty() && m_exchanges.front().get() == &exchange);
     m_readyBytes += exchange.response->body.size();
     ++m_unsent;
     m_observer.onUnsentChanged(1);
@@ -294,10 +297,9 @@
         const std::unique_ptr<caller_exchange> exchange = std::move(m_exchanges.front());
         m_exchanges.pop_front();
         m_readyBytes -= exchange->response->body.size();
-        message_options options;
-        options.isFirst = m_output.isEmpty();
-        options.closeConnection = m_exchanges.empty() && (m_isInputEnded || exchange->endsInput);
-        m_output.push(makeResponseMessage(m_context, *exchange, options));
+        const bool closesConnection
+            = m_exchanges.empty() && (m_isInputEnded || exchange->endsInput);
+        m_output.push(makeResponseMessage(m_context, *exchange, closesConnection));
     }
     sendContinue();
 }
--- a/servers/http_entry/caller_exchange.h
+++ b/servers/http_entry/caller_exchange.h
@@ -63,6 +63,8 @@
     std::string service;
     /// Set in `phase::ready`.
     shared_response response;
+    /// The response's part of the memory for responses.
+    byte_reservation heldResponse {};
 };
 
 /// Checks a head, which Boost.Beast has parsed, and prepares the exchange for the body.
--- a/servers/http_entry/response_message.cpp
+++ b/servers/http_entry/response_message.cpp
@@ -3,6 +3,7 @@
 #include <ctime>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "servers/http_entry/response_writer.h"
 
@@ -39,25 +40,29 @@
 
 } // namespace
 
-output_message makeResponseMessage(entry_context &context, caller_exchange &exchange,
-                                   const message_options &options)
+void holdResponse(entry_context &context, caller_exchange &exchange, bool isFirst)
 {
-    output_message message;
     std::optional<std::string> fault
         = findResponseFault(*exchange.response, context.settings.headerBytesMax);
-    if (!fault && !reserve(context, *exchange.response, options.isFirst, message.reservation))
+    if (!fault && !reserve(context, *exchange.response, isFirst, exchange.heldResponse))
         fault = "expected at most " + std::to_string(context.settings.heldResponseBytesMax)
                 + " bytes of responses that callers have not read yet";
     if (fault)
         replaceResponse(context, *fault, exchange);
+}
 
+output_message makeResponseMessage(entry_context &context, caller_exchange &exchange,
+                                   bool closesConnection)
+{
+    output_message message;
+    message.reservation = std::move(exchange.heldResponse);
     const call_response &response = *exchange.response;
     context.counters.add("entry_responses_total{class=\"" + std::to_string(response.status / 100)
                          + "xx\"}");
     response_options headOptions;
     headOptions.addedFields = context.protocol.addedFields(response, exchange.requestId);
     headOptions.isHeadRequest = exchange.isHeadRequest;
-    headOptions.closeConnection = options.closeConnection;
+    headOptions.closeConnection = closesConnection;
     headOptions.announceKeepAlive = exchange.needsKeepAliveField;
     message.head = makeResponseHead(response, headOptions, std::time(nullptr));
     if (!response.body.empty() && !isBodyOmitted(response, exchange.isHeadRequest))
--- a/servers/http_entry/response_message.h
+++ b/servers/http_entry/response_message.h
@@ -6,18 +6,14 @@
 
 namespace almondnotch {
 
-/// The place of a response among those of its connection.
-struct message_options
-{
-    /// True if no earlier response waits for its caller.
-    bool isFirst = false;
-    /// True if the connection is closed after the response.
-    bool closeConnection = false;
-};
+/// Checks the response of an exchange and reserves memory for it, also while it waits for earlier
+/// ones. A response that is malformed, or for which there is no memory, is replaced by an error.
+/// \param isFirst true if no earlier response waits for its caller.
+void holdResponse(entry_context &context, caller_exchange &exchange, bool isFirst);
 
-/// Builds the message for an exchange in `phase::ready`, counts it, and reserves memory for it. A
-/// response that is malformed, or for which there is no memory, is replaced by an error.
+/// Builds the message for an exchange whose response is held, and counts it.
+/// \param closesConnection true if the connection is closed after the response.
 output_message makeResponseMessage(entry_context &context, caller_exchange &exchange,
-                                   const message_options &options);
+                                   bool closesConnection);
 
 } // namespace almondnotch
--- a/tests/servers/pipelined_requests_test.cpp
+++ b/tests/servers/pipelined_requests_test.cpp
@@ -18,6 +18,8 @@
            + "\r\n\r\n" + body;
 }
 
+constexpr std::size_t heldBytesMax = std::size_t {8} * 1024 * 1024;
+
 struct pipeline_fixture : entry_fixture
 {
     pipeline_fixture() : entry_fixture(pipelineSettings()), client(entry->port()) { }
@@ -27,6 +29,7 @@
         entry_settings settings = defaultSettings();
         settings.pipelinedRequestsMax = 4;
         settings.unreadTimeMax = milliseconds(300);
+        settings.heldResponseBytesMax = heldBytesMax;
         return settings;
     }
 
@@ -90,6 +93,18 @@
     BOOST_TEST(!client.isClosed());
 }
 
+// Guards against responses that wait for an earlier one without counting toward the memory for
+// responses.
+BOOST_AUTO_TEST_CASE(waitingResponsesCountTowardTheMemory)
+{
+    sendRequests(4);
+    const std::string large(heldBytesMax / 2 + 1, 'x');
+    respond(1, {200, {}, large, call_outcome::run});
+    BOOST_TEST(entry->counters().value("entry_responses_not_held_total") == 0U);
+    respond(2, {200, {}, large, call_outcome::run});
+    BOOST_TEST(entry->counters().value("entry_responses_not_held_total") == 1U);
+}
+
 // Guards against a caller that has any number of requests at work.
 BOOST_AUTO_TEST_CASE(requestsOverTheLimitWait)
 {
