--- a/servers/http_entry/caller_connection.cpp
+++ b/servers/http_entry/caller_connection.cpp
@@ -237,8 +237,7 @@
 /// Passes the held request on if all requests before it have been answered.
 void caller_connection::startHeldRequest()
 {
-    if (m_isBroken || m_exchanges.size() != 1
-        || m_exchanges.front()->currentPhase != phase::held)
+    if (m_isBroken || m_exchanges.size() != 1 || m_exchanges.front()->currentPhase != phase::held)
         return;
     caller_exchange &exchange = *m_exchanges.front();
     const bool endsInputNow = exchange.endsInput;
@@ -277,8 +276,7 @@
 {
     exchange.response = std::move(response);
     exchange.currentPhase = phase::ready;
-    holdResponse(m_context, exchange,
-                 m_output.isEmpty() && m_exchanges.front().get() == &exchange);
+    holdResponse(m_context, exchange, m_output.isEmpty() && m_exchanges.front().get() == &exchange);
     m_readyBytes += exchange.response->body.size();
     ++m_unsent;
     m_observer.onUnsentChanged(1);
