Cross to other failure domains at once if no worker at home may be used

Found by review: workers that are evacuated aren't probed, so home kept counting as one that has room, and requests waited for rounds of probes at home and for the interval between remote rounds.

--- a/decision/routing/requests/request_runner.cpp
+++ b/decision/routing/requests/request_runner.cpp
@@ -110,12 +110,17 @@
     record.probeDeadline = instant::never();
     record.reselectAt = instant::never();
     record.awaitedWorkers.clear();
-    const selection_criteria criteria = selectionCriteria(now, record);
+    selection_criteria criteria = selectionCriteria(now, record);
     const std::vector<scored_worker> ranked = m_selector.rank(now, criteria, m_gracePeriods);
     if (ranked.empty()) {
         handleNoWorker(now, record, "no worker of the service is usable", actions);
         return;
     }
+    // Workers at home that are evacuated or gone are not probed, so the probes do not show that
+    // there is no room.
+    if (std::none_of(ranked.begin(), ranked.end(),
+                     [](const scored_worker &candidate) { return candidate.isLocal; }))
+        criteria.homeShortage = 1;
     const auto first = std::find_if(ranked.begin(), ranked.end(),
                                     [this, now, &record](const scored_worker &rankedWorker) {
                                         return accepts(now, record, rankedWorker);
