--- a/decision/routing/items/published.h
+++ b/decision/routing/items/published.h
@@ -124,13 +124,13 @@
     shared_route_config config;
     /// Set if the item is a valid worker entry.
     std::optional<published_worker> worker;
-    /// Failure domain whose evacuation the item requests, or no longer requests if it was removed;
-    /// empty for all other items.
-    std::string evacuatedDomain {};
     /// Reason why the item cannot be used; empty if it is valid or was removed.
     std::string fault;
     /// What was not understood in an item that can be used; empty if there is nothing.
     std::string warning {};
+    /// Failure domain whose evacuation the item requests, or no longer requests if it was removed;
+    /// empty for all other items.
+    std::string evacuatedDomain {};
 };
 
 /// Response to a list or watch of published items.
--- a/tests/servers/message_codec_test.cpp
+++ b/tests/servers/message_codec_test.cpp
@@ -169,24 +169,28 @@
     route_config config;
     config.version = 9;
     config.routes = {route};
-    config.services = {{"reads", {"/health", 100}}};
+    config.services = {{"reads", {"/health", 100, seconds(3), 3.9}}};
     config.limits = {1000, 2000, seconds(3), seconds(4)};
 
     items_update update;
     update.scope = item_scope::workers;
     update.afterRevision = 3;
     update.revision = 8;
-    update.items.resize(4);
+    update.era = 6;
+    update.items.resize(5);
     update.items[0] = {"w-1", 4, false, nullptr, worker, ""};
     update.items[1] = {"w-2", 5, true, nullptr, std::nullopt, ""};
     update.items[2] = {"w-3", 6, false, nullptr, std::nullopt, "no address"};
     update.items[3]
         = {"c", 7, false, std::make_shared<const route_config>(config), std::nullopt, ""};
+    update.items[4].name = "evacuation";
+    update.items[4].evacuatedDomain = "domain-2";
     const items_update arrived = roundTripAs(update);
+    BOOST_TEST(arrived.era == 6U);
     BOOST_TEST((arrived.scope == update.scope));
     BOOST_TEST(arrived.afterRevision == 3U);
     BOOST_TEST(arrived.revision == 8U);
-    BOOST_REQUIRE_EQUAL(arrived.items.size(), 4U);
+    BOOST_REQUIRE_EQUAL(arrived.items.size(), 5U);
     BOOST_TEST((arrived.items[0].worker == worker));
     BOOST_TEST(arrived.items[1].removed);
     BOOST_TEST(arrived.items[2].fault == "no address");
@@ -194,6 +198,7 @@
     BOOST_REQUIRE(arrived.items[3].config);
     BOOST_TEST((*arrived.items[3].config == config));
     BOOST_TEST(arrived.items[3].revision == 7U);
+    BOOST_TEST(arrived.items[4].evacuatedDomain == "domain-2");
 }
 
 // Guards against misinterpreting an update from another version of the program, and against updates
