--- a/decision/routing/requests/route_config_check.cpp
+++ b/decision/routing/requests/route_config_check.cpp
@@ -189,9 +189,11 @@
     for (const compared_field<Object> &field : fields) {
         const std::string old = field.text(before);
         const std::string changed = field.text(after);
-        if (old != changed)
-            out.push_back(std::string("changed ").append(subject).append(": ").append(field.name)
-                          + " " + old + " -> " + changed);
+        if (old == changed)
+            continue;
+        std::string sentence = "changed ";
+        sentence.append(subject).append(": ").append(field.name).append(" ").append(old);
+        out.push_back(sentence.append(" -> ").append(changed));
     }
 }
 
@@ -203,12 +205,12 @@
 {
     for (const std::pair<const std::string, Object> &entry : before) {
         if (!after.contains(entry.first))
-            out.push_back(std::string("removed ").append(kind) + " " + entry.first);
+            out.push_back(std::string("removed ").append(kind).append(" ").append(entry.first));
     }
     for (const std::pair<const std::string, Object> &entry : after) {
         const auto found = before.find(entry.first);
         if (found == before.end())
-            out.push_back(std::string("added ").append(kind) + " " + entry.first);
+            out.push_back(std::string("added ").append(kind).append(" ").append(entry.first));
         else
             compare(kind + " " + entry.first, fields, found->second, entry.second, out);
     }
