Decode the items of the store one at a time, whatever size they have

A configuration of almost that size was not applied by any gateway.

Cause: one bound of 1,000,000 bytes for a whole response of the store, which carries its values in base64, a third longer. One such item, or several smaller ones on a page, made each list and watch of its scope fail for good, and with it all other items.

Change: a response is no longer held, but scanned while it arrives. One row is held at a time, and what is too long in it costs only that item; a row that is malformed, or has no readable key, costs only itself, also as the last one of a page. An entry that can be read is used whatever its size. Reads of items end when no bytes arrive any more, not when the whole response takes long, so that large items do not fail on a slow link; the watch in flight is likewise not given up while its response arrives, and the next one follows at once. A watch whose changes exceed 2 MiB is replaced by a list, which holds each item once however often it was written.

--- a/decision/events.h
+++ b/decision/events.h
@@ -126,6 +126,13 @@
     result<platform_value> value;
 };
 
+/// Bytes of the response to a `read_items` are arriving. A large response can take long on a slow
+/// link, in which time this event arrives several times a second.
+struct items_read_progress
+{
+    read_id read;
+};
+
 /// A read of published items ended. Arrives exactly once for each `read_items`.
 struct items_read_finished
 {
@@ -146,7 +153,7 @@
 
 using event = std::variant<call_received, caller_disconnected, attempt_finished, probe_finished,
                            entry_query, peer_message_received, peer_send_failed,
-                           platform_value_read_finished, items_read_finished, drain_requested,
-                           timer_expired>;
+                           platform_value_read_finished, items_read_progress, items_read_finished,
+                           drain_requested, timer_expired>;
 
 } // namespace almondnotch
--- a/decision/gateway.cpp
+++ b/decision/gateway.cpp
@@ -75,6 +75,7 @@
     void on(instant now, const peer_send_failed &input, action_list &actions);
     void on(instant now, const platform_value_read_finished &input, action_list &actions);
     /// Only gateways that route by host read published items; this one never requests any.
+    void on(instant /*now*/, const items_read_progress & /*input*/, action_list & /*actions*/) { }
     void on(instant /*now*/, const items_read_finished & /*input*/, action_list & /*actions*/) { }
     void on(instant now, const drain_requested &input, action_list &actions);
     void on(instant now, const timer_expired &input, action_list &actions);
@@ -162,6 +163,7 @@
         &state::dispatchEvent<peer_message_received>,
         &state::dispatchEvent<peer_send_failed>,
         &state::dispatchEvent<platform_value_read_finished>,
+        &state::dispatchEvent<items_read_progress>,
         &state::dispatchEvent<items_read_finished>,
         &state::dispatchEvent<drain_requested>,
         &state::dispatchEvent<timer_expired>,
--- a/decision/routing/items/item_reader.cpp
+++ b/decision/routing/items/item_reader.cpp
@@ -34,6 +34,8 @@
 /// How much longer than the gateways that watch the store another one waits before it lists the
 /// scope to remove what was not written again, so that the removal is rather relayed.
 constexpr duration confirmationRelayTime = milliseconds(500);
+/// Minimum time from a watch whose changes were too large until the next one.
+constexpr duration largeChangesHoldoffMin = milliseconds(500);
 /// Maximum number of updates that are buffered until the changes before them arrive.
 constexpr std::size_t outOfOrderUpdatesMax = 8;
 
@@ -56,6 +58,7 @@
 {
     m_isReadInFlight = true;
     m_sentAt = now;
+    m_answerBeganAt = instant::never();
     m_nextReadAt = instant::never();
     m_readId = read_id {nextReadId++};
     read_items command;
@@ -328,6 +331,15 @@
     return m_failuresSinceWatching >= unavailableFailuresMin;
 }
 
+void item_reader::readProgressed(instant now, read_id read)
+{
+    if (!m_isReadInFlight || read != m_readId)
+        return;
+    m_answerBeganAt = std::min(m_answerBeganAt, now);
+    m_answerDeadline = std::max<instant>(m_answerDeadline, now + watchAnswerMargin);
+    m_catchUpDeadline = std::max<instant>(m_catchUpDeadline, now + watchAnswerMargin);
+}
+
 bool item_reader::readFinished(instant now, const items_read_finished &input,
                                std::vector<item_batch> &batches)
 {
@@ -354,6 +366,13 @@
         relist(now);
         return true;
     }
+    if (input.page->changesTooLarge) {
+        m_counters.add("store_changes_too_large_total");
+        relist(now);
+        m_largeChangesHoldoffUntil
+            = now + std::max<duration>(m_settings.watchDelay, largeChangesHoldoffMin);
+        return true;
+    }
     if (m_isListing)
         listPageReceived(now, *input.page, batches);
     else
@@ -393,7 +412,7 @@
         = std::any_of(m_listedItems.begin(), m_listedItems.end(),
                       [](const published_item &item) { return item.evacuatedDomain.empty(); });
     if (hasConfiguration || m_settings.scope == item_scope::workers)
-        m_nextReadAt = std::max(now, m_firstWatchHoldoffUntil);
+        m_nextReadAt = std::max({now, m_firstWatchHoldoffUntil, m_largeChangesHoldoffUntil});
     item_batch batch {!startsEra, std::exchange(m_listedItems, {}), startsEra ? 0 : knownRevision,
                       m_revision};
     batch.startsEra = startsEra;
@@ -413,15 +432,23 @@
         return;
     }
     m_revision = std::max(m_revision, page.revision);
-    m_nextReadAt = page.items.empty()
-                       ? now
-                       : std::max<instant>(now + m_settings.watchDelay, m_watchHoldoffUntil);
+    m_nextReadAt = nextWatchTime(now, page);
     if (fresh.empty())
         return;
     deliver({false, std::move(fresh), m_lastChangeRevision, m_revision}, batches);
     m_lastChangeRevision = m_revision;
 }
 
+/// When to start the watch after one that has just ended with this page.
+instant item_reader::nextWatchTime(instant now, const item_page &page) const
+{
+    instant next = now;
+    if (!page.items.empty())
+        next = std::max<instant>(std::min(now, m_answerBeganAt) + m_settings.watchDelay,
+                                 m_watchHoldoffUntil);
+    return std::max(now, next);
+}
+
 void item_reader::readFailed(instant now)
 {
     m_counters.add("store_reads_failed_total");
--- a/decision/routing/items/item_reader.h
+++ b/decision/routing/items/item_reader.h
@@ -81,6 +81,8 @@
     /// \param nextReadId identifier of the next read, shared by all readers of the gateway;
     /// incremented for each read.
     void start(instant now, std::uint64_t &nextReadId, action_list &actions);
+    /// Bytes of the response to a read are arriving. If it is the one in flight, it is not lost.
+    void readProgressed(instant now, read_id read);
     /// \return true if the read belongs to this reader. The items of a watch, or of a list that is
     /// now complete, are appended to `batches`.
     bool readFinished(instant now, const items_read_finished &input,
@@ -171,6 +173,7 @@
     void sendRead(instant now, std::uint64_t &nextReadId, action_list &actions);
     void listPageReceived(instant now, const item_page &page, std::vector<item_batch> &batches);
     void watchFinished(instant now, const item_page &page, std::vector<item_batch> &batches);
+    instant nextWatchTime(instant now, const item_page &page) const;
     void readFailed(instant now);
     duration retryDelay(const backoff_settings &backoff);
     /// Lists the scope again because changes may have been missed.
@@ -183,6 +186,10 @@
     read_id m_readId {};
     /// When the last read was sent.
     instant m_sentAt;
+    /// When the first bytes of its response were reported; `never` if none were.
+    instant m_answerBeganAt = instant::never();
+    /// The next watch starts no earlier, since the changes were too large for the last one.
+    instant m_largeChangesHoldoffUntil;
     instant m_nextReadAt = instant::never();
     /// Earliest time at which the last failed read may be repeated.
     instant m_earliestRetryAt;
--- a/decision/routing/items/published.h
+++ b/decision/routing/items/published.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -131,6 +132,7 @@
     /// Failure domain whose evacuation the item requests, or no longer requests if it was removed;
     /// empty for all other items.
     std::string evacuatedDomain {};
+    bool isUnusable() const { return !fault.empty(); }
 };
 
 /// Response to a list or watch of published items.
@@ -147,6 +149,9 @@
     std::uint64_t era = 0;
     /// The watch asked for changes that the store has already compacted.
     bool historyLost = false;
+    /// The changes that the watch asked for are too large to be read one by one. They have to be
+    /// read with a list, in which each item occurs once. The page holds no items.
+    bool changesTooLarge = false;
 };
 
 } // namespace almondnotch
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -82,6 +82,7 @@
     void on(instant now, const probe_finished &input, action_list &actions);
     void on(instant now, const peer_message_received &input, action_list &actions);
     void on(instant now, const peer_send_failed &input, action_list &actions);
+    void on(instant now, const items_read_progress &input, action_list &actions);
     void on(instant now, const items_read_finished &input, action_list &actions);
     void on(instant now, const drain_requested &input, action_list &actions);
     void on(instant now, const timer_expired &input, action_list &actions);
@@ -325,6 +326,14 @@
     counters.add("peer_digests_failed_total");
 }
 
+void route_gateway::state::on(instant now, const items_read_progress &input,
+                              action_list & /*actions*/)
+{
+    readers.storeAnswered(now);
+    configReader.readProgressed(now, input.read);
+    workerReader.readProgressed(now, input.read);
+}
+
 void route_gateway::state::on(instant now, const items_read_finished &input, action_list &actions)
 {
     if (input.page)
--- a/servers/curl_loop/response_reader.cpp
+++ b/servers/curl_loop/response_reader.cpp
@@ -106,6 +106,8 @@
 {
     if (!decodeBody(bytes))
         return false;
+    if (m_consumer)
+        return passBodyOn();
     const std::size_t size = m_body.size();
     if (size > unbudgetedBytes && !m_reservation.growTo(size - unbudgetedBytes))
         return rejectTooLarge("the bodies of all responses together exceed their maximum size");
@@ -118,12 +120,20 @@
         return decodeChunks(bytes);
     if (m_body.size() + bytes.size() > m_bodyBytesMax)
         return rejectTooLarge("the body exceeds " + std::to_string(m_bodyBytesMax) + " bytes");
-    if (m_body.empty() && m_contentLength)
+    if (m_body.empty() && m_contentLength && !m_consumer)
         m_body.reserve(*m_contentLength);
     m_body.append(bytes);
     return true;
 }
 
+bool response_reader::passBodyOn()
+{
+    m_consumedBytes += m_body.size();
+    m_hasEnoughBody = !m_consumer(m_body);
+    m_body.clear();
+    return !m_hasEnoughBody || reject("the rest of the body is not needed");
+}
+
 bool response_reader::decodeChunks(std::string_view bytes)
 {
     if (m_chunks.decode(bytes, m_body))
@@ -154,9 +164,10 @@
     }
     if (m_chunked && !m_chunks.isComplete())
         return reject("the last chunk is missing");
-    if (m_contentLength && *m_contentLength != m_body.size())
+    const std::uint64_t bodyBytes = m_consumedBytes + m_body.size();
+    if (m_contentLength && *m_contentLength != bodyBytes)
         return reject("expected " + std::to_string(*m_contentLength) + " bytes of body, found "
-                      + std::to_string(m_body.size()));
+                      + std::to_string(bodyBytes));
     return true;
 }
 
--- a/servers/curl_loop/response_reader.h
+++ b/servers/curl_loop/response_reader.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -43,6 +44,13 @@
     /// \param budget must outlive the reader.
     void shareBudget(byte_budget &budget) { m_reservation = byte_reservation(budget); }
 
+    /// Takes the decoded bytes of the body as they arrive; returns false if it needs no more.
+    using body_consumer = std::function<bool(std::string_view bytes)>;
+
+    /// Passes the body on instead of holding it: `takeBody` then returns an empty one. To be called
+    /// before the response arrives.
+    void streamBody(body_consumer consumer) { m_consumer = std::move(consumer); }
+
     /// Adds a status line, a header line or the empty line after the headers, each with its line
     /// end.
     /// \return false if the transfer must be aborted; `failure` then gives the reason.
@@ -62,6 +70,8 @@
     const std::string &failure() const { return m_failure; }
     /// True if a part of the response exceeded its maximum size.
     bool isTooLarge() const { return m_tooLarge; }
+    /// True if the response was rejected because the body's consumer needs no more of it.
+    bool hasEnoughBody() const { return m_hasEnoughBody; }
     /// True if the framing headers are missing, malformed or contradictory.
     bool hasInvalidFraming() const { return m_hasInvalidFraming; }
     int status() const { return m_status; }
@@ -83,6 +93,7 @@
     bool rejectTooLarge(std::string reason);
     bool addStatusLine(std::string_view line);
     bool decodeBody(std::string_view bytes);
+    bool passBodyOn();
     bool decodeChunks(std::string_view bytes);
     void recordFraming(const header_field &field);
 
@@ -95,6 +106,10 @@
     std::size_t m_headerBytes = 0;
     std::vector<header_field> m_headers;
     std::string m_body;
+    body_consumer m_consumer;
+    bool m_hasEnoughBody = false;
+    /// Bytes of the body that the consumer has taken.
+    std::uint64_t m_consumedBytes = 0;
     byte_reservation m_reservation;
     std::optional<std::uint64_t> m_contentLength;
     bool m_chunked = false;
--- a/servers/platform_client/platform_client.cpp
+++ b/servers/platform_client/platform_client.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <optional>
 #include <string_view>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -20,6 +21,8 @@
 /// A long idle time is safe, since every idle connection is checked before reuse.
 constexpr duration connectionIdleTimeMax = seconds(60);
 constexpr std::size_t sha256Digits = 64;
+/// Interval between two `items_read_progress`.
+constexpr duration progressInterval = milliseconds(100);
 
 const char *const readStep = "read configuration service";
 
@@ -89,12 +92,16 @@
         return tl::unexpected(created.error());
     m_curl = std::move(*created);
     m_deferredTimer = std::make_unique<timer_watcher>(*m_loop, [this]() { deliverDeferred(); });
+    m_progressTimer = std::make_unique<timer_watcher>(*m_loop, [this]() { reportProgress(); });
+    m_deadlineTimer = std::make_unique<timer_watcher>(*m_loop, [this]() { endOverdueReads(); });
     return {};
 }
 
 void platform_client::stop()
 {
     m_deferredTimer.reset();
+    m_progressTimer.reset();
+    m_deadlineTimer.reset();
     m_deferred.clear();
     // The multi handle is destroyed first, since easy handles must not return to the pool while
     // they are in it.
@@ -133,6 +140,7 @@
         return;
     }
     added->target = m_storeProtocol->target(command);
+    added->decoder = m_storeProtocol->makeDecoder(command);
     if (command.needsNewConnection) {
         m_counters.add("platform_new_connections_required_total");
         m_connectionsSuspectUntil = m_loop->now();
@@ -169,19 +177,91 @@
                         + " reads in progress");
     }
     started.deadline = m_loop->now() + started.timeLimit;
+    const bool readsItems = started.decoder != nullptr;
+    const std::size_t bytesMax = readsItems ? m_settings.itemsBytesMax : m_settings.valueBytesMax;
     // libcurl must not retransmit a read automatically: the interruption of a watch has to be
     // reported to the decision package.
-    started.exchange = std::make_unique<http_exchange>(m_settings.address, m_settings.valueBytesMax,
-                                                       false, false);
+    started.exchange = std::make_unique<http_exchange>(m_settings.address, bytesMax, false, false);
     started.exchange->headers().suppress("Accept");
+    if (readsItems)
+        started.exchange->reader().streamBody(
+            [this, &started](std::string_view bytes) { return onItemBytes(started, bytes); });
     const result<void> prepared = started.exchange->prepare(
         m_handles, m_connections, started.target,
-        {started.timeLimit, m_settings.connectTimeout, connectionIdleTimeMax, connectionAgeMax()});
+        {started.timeLimit + transferTimeMax(started), m_settings.connectTimeout,
+         connectionIdleTimeMax, connectionAgeMax()});
     if (!prepared)
         return prepared;
+    if (readsItems && !m_deadlineTimer->isActive())
+        m_deadlineTimer->start(started.timeLimit);
     return m_curl->add(started.exchange->handle());
 }
 
+/// Time beyond its deadline after which libcurl ends a read. `endOverdueReads` ends reads of items
+/// whose deadline is not extended by arriving bytes.
+duration platform_client::transferTimeMax(const pending_read &read) const
+{
+    return read.decoder != nullptr ? m_settings.itemsTransferTimeMax : duration {0};
+}
+
+/// Decodes bytes of a response and extends the deadline of its read.
+/// \return false if no more bytes are needed.
+bool platform_client::onItemBytes(pending_read &receiving, std::string_view bytes)
+{
+    receiving.deadline = std::max(receiving.deadline, m_loop->now() + m_settings.itemsTimeLimit);
+    receiving.hasProgress = true;
+    // The decision package may start reads, which libcurl does not allow while it calls back.
+    if (!m_progressTimer->isActive())
+        m_progressTimer->start(progressInterval);
+    return receiving.decoder->add(bytes);
+}
+
+void platform_client::reportProgress()
+{
+    std::vector<read_id> progressed;
+    for (const auto &[exchange, reading] : m_reads) {
+        if (std::exchange(reading->hasProgress, false))
+            progressed.push_back(std::get<read_items>(reading->command).read);
+    }
+    for (const read_id read : progressed)
+        m_decision->deliver(items_read_progress {read});
+}
+
+/// Ends the reads of items whose deadline has passed, and waits for the next deadline.
+void platform_client::endOverdueReads()
+{
+    const instant now = m_loop->now();
+    std::vector<std::unique_ptr<pending_read>> overdue;
+    instant next = instant::never();
+    for (auto it = m_reads.begin(); it != m_reads.end();) {
+        pending_read &reading = *it->second;
+        if (reading.decoder != nullptr && reading.deadline <= now) {
+            m_curl->remove(reading.exchange->handle());
+            overdue.push_back(std::move(it->second));
+            it = m_reads.erase(it);
+            continue;
+        }
+        if (reading.decoder != nullptr)
+            next = std::min(next, reading.deadline);
+        ++it;
+    }
+    if (next != instant::never())
+        m_deadlineTimer->start(next - now);
+    updateGauges();
+    for (const std::unique_ptr<pending_read> &ended : overdue) {
+        m_counters.add("platform_requests_failed_total");
+        countBytes(*ended);
+        reportFailure(ended->command, {error_code::timed_out, readStep, m_settings.address,
+                                       "expected bytes of the response in time, found none"});
+    }
+}
+
+void platform_client::countBytes(const pending_read &ended)
+{
+    m_counters.add("platform_bytes_sent_total", ended.exchange->bytesSent());
+    m_counters.add("platform_bytes_received_total", ended.exchange->bytesReceived());
+}
+
 /// Maximum age of a connection that may be reused, so that it was opened after the last time at
 /// which the open ones became suspect.
 duration platform_client::connectionAgeMax() const
@@ -204,24 +284,24 @@
     if (current.exchange->hadStaleConnection() && !current.retriedOnNewConnection
         && timeLeft >= milliseconds(1)) {
         current.retriedOnNewConnection = true;
-        current.exchange->prepareNewConnection(timeLeft);
+        current.exchange->prepareNewConnection(timeLeft + transferTimeMax(current));
         if (m_curl->add(transfer))
             return;
     }
     const std::unique_ptr<pending_read> ended = std::move(found->second);
     m_reads.erase(found);
-    m_counters.add("platform_bytes_sent_total", ended->exchange->bytesSent());
-    m_counters.add("platform_bytes_received_total", ended->exchange->bytesReceived());
+    countBytes(*ended);
     updateGauges();
     response_reader &reader = ended->exchange->reader();
-    const result<void> checked = checkTransfer(*ended, code);
+    const result<void> checked
+        = reader.hasEnoughBody() ? result<void>() : checkTransfer(*ended, code);
     if (!checked) {
         m_counters.add("platform_requests_failed_total");
         reportFailure(ended->command, checked.error());
         return;
     }
     if (const read_items *items = std::get_if<read_items>(&ended->command)) {
-        result<item_page> page = m_storeProtocol->decode(*items, reader);
+        result<item_page> page = ended->decoder->finish(reader);
         if (!page)
             m_counters.add("platform_requests_failed_total");
         m_decision->deliver(items_read_finished {items->read, std::move(page)});
--- a/servers/platform_client/platform_client.h
+++ b/servers/platform_client/platform_client.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -28,6 +29,9 @@
 /// read is a watch, which waits for a newer version. A missing key is reported as a value of
 /// version 0. A response that is truncated or too large, or that lacks framing or a version, is
 /// reported as an error, never as a value.
+///
+/// Published items are decoded while they arrive. As long as bytes arrive, the read has not timed
+/// out, and `items_read_progress` is delivered at intervals.
 class platform_client : public platform_client_interface
 {
 public:
@@ -53,6 +57,10 @@
         duration timeLimit {0};
         instant deadline;
         bool retriedOnNewConnection = false;
+        /// Decodes the response to a `read_items`.
+        std::unique_ptr<item_page_decoder> decoder;
+        /// Bytes of the body have arrived since the last `items_read_progress`.
+        bool hasProgress = false;
         std::unique_ptr<http_exchange> exchange;
     };
 
@@ -65,6 +73,11 @@
 
     void startRead(std::unique_ptr<pending_read> added);
     result<void> send(pending_read &started);
+    duration transferTimeMax(const pending_read &read) const;
+    bool onItemBytes(pending_read &receiving, std::string_view bytes);
+    void reportProgress();
+    void endOverdueReads();
+    void countBytes(const pending_read &ended);
     duration connectionAgeMax() const;
     void onTransferEnded(CURL *transfer, CURLcode code);
     /// Returns an error unless the transfer ended with a complete response.
@@ -91,6 +104,8 @@
     std::unordered_map<const http_exchange *, std::unique_ptr<pending_read>> m_reads;
     std::vector<rejected_read> m_deferred;
     std::unique_ptr<timer_watcher> m_deferredTimer;
+    std::unique_ptr<timer_watcher> m_progressTimer;
+    std::unique_ptr<timer_watcher> m_deadlineTimer;
 };
 
 } // namespace almondnotch
--- a/servers/platform_client/platform_client_settings.h
+++ b/servers/platform_client/platform_client_settings.h
@@ -22,9 +22,16 @@
     /// Time limit of a read that is not a watch: 2 s as in `watchGracePeriod`, plus 1 s for the
     /// transfer of the value.
     duration readTimeLimit {seconds(3)};
-    /// Time limit of a read of published items that is not a watch. The platform answers it within
-    /// milliseconds.
+    /// Time limit of a read of published items that is not a watch, until the first bytes of its
+    /// response arrive and between further ones. The platform answers it within milliseconds, but
+    /// large items take long on a slow link.
     duration itemsTimeLimit {milliseconds(1500)};
+    /// Maximum time, beyond these limits, in which the body of a response with published items has
+    /// to arrive.
+    duration itemsTransferTimeMax {seconds(60)};
+    /// Maximum size of a response with published items in bytes. It is decoded item by item, so the
+    /// size only costs time.
+    std::size_t itemsBytesMax = 1'073'741'824;
     /// Maximum number of reads and watches in progress. A process normally has only a few.
     std::size_t readsMax = 64;
 
--- a/tests/platform/mutated_input_test.cpp
+++ b/tests/platform/mutated_input_test.cpp
@@ -13,6 +13,7 @@
 #include "platform/workers.h"
 #include "servers/http_entry/request_parser.h"
 #include "servers/peer_link/message_codec.h"
+#include "tests/platform/page_decoding.h"
 
 using namespace almondnotch;
 
@@ -159,7 +160,7 @@
         return;
     read_items command;
     command.scope = item_scope::workers;
-    const result<item_page> page = platform::storeProtocol().decode(command, reader);
+    const result<item_page> page = decodePage(command, reader);
     BOOST_TEST((!page || page->items.size() < 10));
 }
 
--- a/tests/platform/protocols_test.cpp
+++ b/tests/platform/protocols_test.cpp
@@ -9,6 +9,7 @@
 #include "platform/directory.h"
 #include "platform/store.h"
 #include "platform/workers.h"
+#include "tests/platform/page_decoding.h"
 
 using namespace almondnotch;
 
@@ -259,11 +260,11 @@
     command.scope = item_scope::configuration;
     const store_protocol &store = platform::storeProtocol();
     BOOST_TEST(store.target(command) == "/v1/kv-range?prefix=op/");
-    const auto decode = [&command, &store](const std::string &listName, const std::string &rows) {
+    const auto decode = [&command](const std::string &listName, const std::string &rows) {
         const std::string body = "{\"" + listName + "\":[" + rows + "],\"currentRev\":9}";
         response_reader reader
             = response(200, {"Content-Length: " + std::to_string(body.size())}, body);
-        const result<item_page> page = store.decode(command, reader);
+        const result<item_page> page = decodePage(command, reader);
         BOOST_REQUIRE(page.has_value());
         return page->items;
     };
@@ -317,7 +318,7 @@
         read_items command;
         command.afterRevision = 1;
         response_reader reader = response(410, headers);
-        return platform::storeProtocol().decode(command, reader)->era;
+        return decodePage(command, reader)->era;
     };
     BOOST_TEST(eraOf({"Content-Length: 0", "Store-Era: 7"}) == 7U);
     BOOST_TEST(eraOf({"Content-Length: 0"}) == 0U);
@@ -362,13 +363,13 @@
     BOOST_TEST(platform::storeProtocol().target(command)
                == "/v1/kv-watch?prefix=servers/&after=411&waitMs=20000");
     response_reader lost = response(410, {"Content-Length: 0"});
-    BOOST_TEST(platform::storeProtocol().decode(command, lost)->historyLost);
+    BOOST_TEST(decodePage(command, lost)->historyLost);
     response_reader events = response(
         200, {},
         R"({"events":[{"key":"servers/i-1","value":"e30=","revision":412},)"
         R"({"key":"servers/i-2","revision":413,"removed":true},{"key":7},{"key":"other"}],)"
         R"("currentRev":415})");
-    const result<item_page> page = platform::storeProtocol().decode(command, events);
+    const result<item_page> page = decodePage(command, events);
     BOOST_REQUIRE(page.has_value());
     BOOST_TEST(page->revision == 415U);
     BOOST_REQUIRE(page->items.size() == 2U);
@@ -378,10 +379,10 @@
     for (const std::string &body :
          {std::string("["), std::string("{}"), std::string(R"({"events":[]})")}) {
         response_reader wrong = response(200, {}, body);
-        BOOST_TEST(!platform::storeProtocol().decode(command, wrong).has_value());
+        BOOST_TEST(!decodePage(command, wrong).has_value());
     }
     response_reader busy = response(503, {"Content-Length: 0"});
-    BOOST_TEST(!platform::storeProtocol().decode(command, busy).has_value());
+    BOOST_TEST(!decodePage(command, busy).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(directoryResponseContainsAddressesAndTtl)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -71,6 +71,8 @@
         self.revision, self.compacted, self.request_count = 1, 0, 0
         self.is_down, self.is_silent, self.interruptions = False, False, 0
         self.era = None
+        # Rate of the answers in bytes a second and connection, as over a slow link; None for any.
+        self.rate = None
         store = self
 
         class StoreHandler(Handler):
@@ -83,6 +85,15 @@
         text = value if isinstance(value, bytes) else json.dumps(value).encode()
         self._change(key, base64.b64encode(text).decode())
 
+    def put_row(self, key, fields):
+        """Writes an item whose row in the answers has these fields in place of the usual ones."""
+        with self.changed:
+            self.revision += 1
+            row = {"key": key, "revision": self.revision, **fields}
+            self.items[key] = row
+            self.events.append(row)
+            self.changed.notify_all()
+
     def remove(self, key):
         self._change(key, None)
 
@@ -148,7 +159,16 @@
 
     def _reply(self, handler, body):
         headers = [] if self.era is None else [("Store-Era", str(self.era))]
-        handler.reply(410 if body is None else 200, headers, json.dumps(body).encode())
+        text = json.dumps(body).encode()
+        if self.rate is None:
+            handler.reply(410 if body is None else 200, headers, text)
+            return
+        headers.append(("Content-Length", str(len(text))))
+        handler.reply(410 if body is None else 200, headers, framed=False)
+        step = self.rate // 50
+        for start in range(0, len(text), step):
+            handler.wfile.write(text[start:start + step])
+            time.sleep(len(text[start:start + step]) / self.rate)
 
     def _watch(self, handler, query):
         after, interruptions = int(query["after"]), self.interruptions
@@ -186,6 +206,29 @@
             registration("127.0.0.1:80", "1", "1e999")]
 
 
+def padded(entry, size):
+    """Returns an entry as JSON that has this number of bytes, because of a field of no meaning."""
+    return json.dumps({"note": "x" * (size - len(json.dumps({"note": "", **entry}))), **entry}).encode()
+
+
+class OtherWriter:
+    """Another writer to the store, which writes one entry again and again until it is stopped."""
+
+    def __init__(self, store, key, value, interval):
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(target=self._run, args=(store, key, value, interval),
+                                       daemon=True)
+        self.thread.start()
+
+    def _run(self, store, key, value, interval):
+        while not self.stopping.wait(interval):
+            store.put(key, value)
+
+    def stop(self):
+        self.stopping.set()
+        self.thread.join()
+
+
 def broken_responses():
     """Returns responses that break off, by the place where they do. ATTEMPT and NAME stand for the
     identifier of the request and the name of the worker."""
--- a/tests/servers/platform_silence_test.cpp
+++ b/tests/servers/platform_silence_test.cpp
@@ -11,15 +11,22 @@
 
 constexpr duration answerTimeMax = milliseconds(500);
 
+/// Decodes the response of a store without items.
+class empty_page_decoder : public item_page_decoder
+{
+public:
+    bool add(std::string_view /*bytes*/) override { return true; }
+    result<item_page> finish(const response_reader & /*reader*/) override { return item_page {}; }
+};
+
 /// Protocol of a store without items.
 class empty_store_protocol : public store_protocol
 {
 public:
     std::string target(const read_items & /*command*/) const override { return "/items"; }
-    result<item_page> decode(const read_items & /*command*/,
-                             response_reader & /*reader*/) const override
+    std::unique_ptr<item_page_decoder> makeDecoder(const read_items & /*command*/) const override
     {
-        return item_page {};
+        return std::make_unique<empty_page_decoder>();
     }
 };
 
