Keep the bytes of an item out of the reason why it cannot be used

What happened: the reason quoted the item's bytes, without a bound and as they were. Gateways that read the store for others relay it as text, which has to be UTF-8, so that one unreadable item made the receivers refuse the whole message with all other changes in it; one with a long text made the message too large to be sent. The other gateways then read the changes from the store themselves, each time. Long names in an entry that can be read went into each message likewise, and parsing an entry built all of its content, many times its size.

--- a/tests/platform/odd_entries_test.py
+++ b/tests/platform/odd_entries_test.py
@@ -256,5 +256,47 @@
         self.check_restart()
 
 
+class RelayedOddEntriesTest(OddEntriesTest):
+    """The same entries in a failure domain that is so large that two gateways read the store for all."""
+    gateway_count = 10
+
+    def test_many_odd_entries(self):
+        self.start()
+        standins.wait_for(lambda: sum("relay the changes" in gateway.output()
+                                      for gateway in self.gateways) >= self.gateway_count - 3, 15)
+        followers = [gateway for gateway in self.gateways if self.is_follower(gateway)]
+        watches = self.watch_count(followers)
+        for name, value in odd_values().items():
+            self.store.put(f"servers/{name}", value)
+            time.sleep(0.1)
+        self.check_service()
+        self.check_memory()
+        watches = self.watch_count(followers) - watches
+        print(f"{watches} watches by the {len(followers)} followers", flush=True)
+        self.assertLessEqual(watches, len(followers), "the followers read the changes themselves")
+
+    @staticmethod
+    def is_follower(gateway):
+        output = gateway.output()
+        return output.rfind("relay the changes") > output.rfind("watches the store itself")
+
+    def watch_count(self, gateways):
+        return sum(self.counter(gateway, "platform_watches_total") for gateway in gateways)
+
+    @staticmethod
+    def counter(gateway, name):
+        text = gateway.get(gateway.operator_port, "/metrics")[1].decode()
+        return next((float(line.split()[1]) for line in text.splitlines()
+                     if line.split(" ")[0].endswith(name)), 0)
+
+
+def load_tests(_loader, _tests, _pattern):
+    suite = unittest.TestSuite()
+    names = unittest.TestLoader().getTestCaseNames(OddEntriesTest)
+    suite.addTests(OddEntriesTest(name) for name in names)
+    suite.addTest(RelayedOddEntriesTest("test_many_odd_entries"))
+    return suite
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
--- a/tests/platform/odd_pages_test.cpp
+++ b/tests/platform/odd_pages_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -6,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
+#include "platform/item_decoder.h"
 #include "tests/platform/page_decoding.h"
 
 namespace almondnotch {
@@ -70,6 +72,14 @@
     return decoder->finish(reader);
 }
 
+published_item decodedWorker(const std::string &bytes)
+{
+    published_item item;
+    item.name = "w";
+    platform::decodeWorker(bytes, item);
+    return item;
+}
+
 } // namespace
 
 // Guards against a large or odd item that hides the others of its list, or ends the list early.
@@ -143,4 +153,47 @@
     BOOST_TEST(listed->items.size() == 2U);
 }
 
+// Guards against the bytes of an entry in the reason why it cannot be used, which is logged and
+// sent to other gateways as UTF-8 text.
+BOOST_AUTO_TEST_CASE(faultsAreShortAndPrintable)
+{
+    nlohmann::json longAddress = workerEntry();
+    longAddress["address"] = std::string(100'000, 'x');
+    nlohmann::json longService = workerEntry();
+    longService["info"]["service"] = std::string(100'000, 'x');
+    for (const std::string &bytes :
+         {std::string("\xff\x00", 2), "\"" + std::string(100'000, '\xc3'), std::string("{\"a\n\":"),
+          longAddress.dump(), longService.dump(), std::string(100'000, '['), std::string()}) {
+        const std::string fault = decodedWorker(bytes).fault;
+        BOOST_TEST(!fault.empty());
+        BOOST_TEST(fault.size() <= 200U);
+        BOOST_TEST(
+            std::all_of(fault.begin(), fault.end(), [](char c) { return c >= ' ' && c <= '~'; }));
+    }
+}
+
+// Guards against a field that is not read because of others of the same name elsewhere in an entry,
+// and against fields of other types.
+BOOST_AUTO_TEST_CASE(fieldsOfAnEntryAreReadBesideOthers)
+{
+    nlohmann::json entry = workerEntry();
+    entry["info"]["address"] = "x";
+    entry["info"]["more"] = {{"service", "other"}, {"slots", "x"}};
+    entry["list"] = {{{"address", 7}}, nullptr};
+    entry["service"] = {1};
+    const published_item item = decodedWorker(entry.dump());
+    BOOST_REQUIRE(item.worker.has_value());
+    BOOST_TEST(item.worker->service == "reads");
+    BOOST_TEST(item.worker->address == "10.0.0.1:80");
+    BOOST_TEST(item.worker->slots == 4U);
+    for (const char *field : {"address", "info", "status"}) {
+        for (const nlohmann::json &wrong :
+             {nlohmann::json(7), nlohmann::json(nullptr), nlohmann::json::array({1})}) {
+            nlohmann::json changed = entry;
+            changed[field] = wrong;
+            BOOST_TEST(decodedWorker(changed.dump()).isUnusable());
+        }
+    }
+}
+
 } // namespace almondnotch
