Take an unusable item that is written again for no change

What happened: an unreadable item that was written often was a change each time: gateways that read the store for others relayed it, told all others its revision, which had them read the store, and logged it. One beside the configuration, which no gateway knows, had the store read without a pause.

Change: such an item is delivered, relayed and logged when it becomes unusable. Further writes of it only advance the revision that the reader itself knows. A watch that brought only such items, or items of no meaning to a gateway, is followed by the next one 500 ms after its start at the earliest, well within the 2 s in which a configuration has to be in force.

--- a/decision/routing/items/item_reader.cpp
+++ b/decision/routing/items/item_reader.cpp
@@ -36,6 +36,9 @@
 constexpr duration confirmationRelayTime = milliseconds(500);
 /// Minimum time from a watch whose changes were too large until the next one.
 constexpr duration largeChangesHoldoffMin = milliseconds(500);
+/// Minimum time between the starts of two watches if the first one reported only items that say
+/// nothing, so that these are not read each time that they are written.
+constexpr duration uselessWatchInterval = milliseconds(500);
 /// Maximum number of updates that are buffered until the changes before them arrive.
 constexpr std::size_t outOfOrderUpdatesMax = 8;
 
@@ -247,12 +250,19 @@
 {
     batch.era = m_era;
     batch.copyRevision = m_copyRevision;
+    for (published_item &item : batch.items)
+        item.isFaultKnown = isUnusableAsBefore(item);
     if (batch.isSnapshot) {
         m_knownNames.clear();
         m_unconfirmedNames.clear();
+        m_unusableNames.clear();
     }
     for (const published_item &item : batch.items) {
         m_unconfirmedNames.erase(item.name);
+        if (item.isUnusable())
+            m_unusableNames.insert(item.name);
+        else
+            m_unusableNames.erase(item.name);
         if (item.removed)
             m_knownNames.erase(item.name);
         else
@@ -433,6 +443,7 @@
     }
     m_revision = std::max(m_revision, page.revision);
     m_nextReadAt = nextWatchTime(now, page);
+    std::erase_if(fresh, [this](const published_item &item) { return isUnusableAsBefore(item); });
     if (fresh.empty())
         return;
     deliver({false, std::move(fresh), m_lastChangeRevision, m_revision}, batches);
@@ -446,9 +457,21 @@
     if (!page.items.empty())
         next = std::max<instant>(std::min(now, m_answerBeganAt) + m_settings.watchDelay,
                                  m_watchHoldoffUntil);
+    const bool hasNews
+        = std::any_of(page.items.begin(), page.items.end(),
+                      [this](const published_item &item) { return !isUnusableAsBefore(item); });
+    if (!hasNews && (!page.items.empty() || page.ignoredCount > 0))
+        next = std::max<instant>(next, m_sentAt + uselessWatchInterval);
     return std::max(now, next);
 }
 
+/// True if the item cannot be used, and could not be used before either.
+bool item_reader::isUnusableAsBefore(const published_item &item) const
+{
+    return item.isUnusable() && m_unusableNames.contains(item.name)
+           && !m_unconfirmedNames.contains(item.name);
+}
+
 void item_reader::readFailed(instant now)
 {
     m_counters.add("store_reads_failed_total");
--- a/decision/routing/items/item_reader.h
+++ b/decision/routing/items/item_reader.h
@@ -62,6 +62,9 @@
 /// again if it may have missed changes, for example because the store has compacted its history or
 /// has not answered a watch in time. At most one read is in flight.
 ///
+/// An item that cannot be used is delivered when it becomes so. That it is written again and still
+/// cannot be used is no change, so that others need not be told of it.
+///
 /// If another gateway watches the scope and relays its changes, the reader does not watch. It then
 /// lists the scope once and requests changes only when some are missing.
 ///
@@ -174,6 +177,7 @@
     void listPageReceived(instant now, const item_page &page, std::vector<item_batch> &batches);
     void watchFinished(instant now, const item_page &page, std::vector<item_batch> &batches);
     instant nextWatchTime(instant now, const item_page &page) const;
+    bool isUnusableAsBefore(const published_item &item) const;
     void readFailed(instant now);
     duration retryDelay(const backoff_settings &backoff);
     /// Lists the scope again because changes may have been missed.
@@ -218,6 +222,8 @@
     /// Names of the known items, and of those that were not yet seen in this era.
     std::set<std::string, std::less<>> m_knownNames;
     std::set<std::string, std::less<>> m_unconfirmedNames;
+    /// Names of the known items that cannot be used.
+    std::set<std::string, std::less<>> m_unusableNames;
     /// When the scope is listed to remove the unconfirmed items.
     instant m_confirmAt = instant::never();
     bool m_isWatching = true;
--- a/decision/routing/items/published.h
+++ b/decision/routing/items/published.h
@@ -132,6 +132,9 @@
     /// Failure domain whose evacuation the item requests, or no longer requests if it was removed;
     /// empty for all other items.
     std::string evacuatedDomain {};
+    /// The item could not be used before either. Set by the reader that received it.
+    bool isFaultKnown = false;
+
     bool isUnusable() const { return !fault.empty(); }
 };
 
@@ -139,6 +142,8 @@
 struct item_page
 {
     std::vector<published_item> items;
+    /// Number of further items in the response that are none of the scope's.
+    std::size_t ignoredCount = 0;
     /// Key after which the next page of the list begins.
     std::string lastKey;
     bool hasMore = false;
--- a/tests/decision/routing/odd_items_test.cpp
+++ b/tests/decision/routing/odd_items_test.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -9,6 +11,9 @@
 
 namespace {
 
+/// Time within which a change must be in force, see `store_silence_test.cpp`.
+constexpr duration changeTimeMax = seconds(2);
+
 published_item unusableItem(const std::string &name, std::uint64_t revision)
 {
     published_item item;
@@ -26,8 +31,76 @@
     return page;
 }
 
+std::size_t logCount(const std::vector<write_log> &logs, const std::string &message)
+{
+    return static_cast<std::size_t>(
+        std::count_if(logs.begin(), logs.end(),
+                      [&message](const write_log &log) { return log.message == message; }));
+}
+
 } // namespace
 
+// Guards against relaying, advertising and logging an item that cannot be used each time that it is
+// written.
+BOOST_AUTO_TEST_CASE(rewrittenUnusableItemIsNoChange)
+{
+    reader_fixture fixture(100);
+    fixture.takeSent<items_update>();
+    fixture.take<write_log>();
+    fixture.answerRead(item_scope::workers, pageOf({unusableItem("odd", 20)}, 20));
+    BOOST_TEST(fixture.takeSent<items_update>().size() == 9U);
+    BOOST_TEST(logCount(fixture.take<write_log>(), "An item of the store is invalid.") == 1U);
+    for (std::uint64_t revision = 21; revision < 30; ++revision) {
+        fixture.advance(seconds(1));
+        fixture.receiveDigestsFromOthers();
+        fixture.answerRead(item_scope::workers, pageOf({unusableItem("odd", revision)}, revision));
+    }
+    fixture.advance(seconds(1));
+    for (const send_peer_message &command : fixture.take<send_peer_message>()) {
+        BOOST_TEST(!std::holds_alternative<items_update>(command.message));
+        const reader_report *report = std::get_if<reader_report>(&command.message);
+        BOOST_TEST((report == nullptr || report->workersRevision == 20U));
+    }
+    BOOST_TEST(logCount(fixture.take<write_log>(), "An item of the store is invalid.") == 0U);
+    // What is written next covers the revisions that were not told.
+    fixture.answerRead(item_scope::workers,
+                       pageOf({withRevision(workerItem(workerEntry("odd", "reads")), 31)}, 31));
+    const std::vector<items_update> updates = fixture.takeSent<items_update>();
+    BOOST_REQUIRE(!updates.empty());
+    BOOST_TEST(updates[0].afterRevision == 20U);
+    BOOST_TEST(updates[0].revision == 31U);
+    // That the item cannot be used any more is a change.
+    fixture.advance(seconds(1));
+    fixture.answerRead(item_scope::workers, pageOf({unusableItem("odd", 32)}, 32));
+    BOOST_TEST(fixture.takeSent<items_update>().size() == 9U);
+    BOOST_TEST(logCount(fixture.take<write_log>(), "An item of the store is invalid.") == 1U);
+}
+
+// Guards against reading the configuration's scope each time that an item of no meaning is written
+// to it.
+BOOST_AUTO_TEST_CASE(watchesOfItemsThatSayNothingArePaced)
+{
+    reader_fixture fixture(100);
+    item_page page = pageOf({}, 20);
+    page.ignoredCount = 1;
+    unsigned watches = 0;
+    const instant end = fixture.now + seconds(10);
+    while (fixture.now < end) {
+        if (fixture.inFlightRead(item_scope::configuration) != nullptr) {
+            ++watches;
+            ++page.revision;
+            fixture.answerRead(item_scope::configuration, page);
+        }
+        fixture.advance(milliseconds(10));
+    }
+    BOOST_TEST(watches <= 22U);
+    // A configuration is still read in time.
+    const instant written = fixture.now;
+    while (fixture.inFlightRead(item_scope::configuration) == nullptr)
+        fixture.advance(milliseconds(10));
+    BOOST_TEST((fixture.now - written < changeTimeMax));
+}
+
 // Guards against a watch whose changes are too large that is repeated, or followed by others
 // without a pause.
 BOOST_AUTO_TEST_CASE(tooLargeChangesAreListed)
--- a/tests/platform/odd_entries_test.py
+++ b/tests/platform/odd_entries_test.py
@@ -28,6 +28,8 @@
 # Link of the slowest VMs, 10 Mbit/s.
 SLOW_LINK_RATE = 1_250_000
 SERVED_MIN = 0.95
+# Calls of the store that a gateway may make each second while it watches two scopes.
+STORE_CALLS_PER_SECOND = 10
 
 
 def peak_memory_kib(gateway):
@@ -232,6 +234,22 @@
         self.check_service()
         self.check_restart()
 
+    def test_entries_that_are_written_often(self):
+        """Large and small ones, among the workers and beside the configuration."""
+        self.start()
+        for key, value, interval in (("servers/note", b"\xff" * LARGE_BYTES, 0.2),
+                                     ("servers/a", json.dumps(entry("x" * LARGE_BYTES)).encode(), 1),
+                                     ("servers/z", b"\xff", 0.01), ("op/note", b"\xff", 0.01),
+                                     ("op/large", b"\xff" * VALUE_BYTES, 0.5)):
+            self.writers.append(standins.OtherWriter(self.store, key, value, interval))
+        self.check_service()
+        started_at, calls = time.monotonic(), self.store.request_count
+        time.sleep(3)
+        rate = (self.store.request_count - calls) / (time.monotonic() - started_at)
+        print(f"{rate:.1f} calls of the store a second", flush=True)
+        self.assertLessEqual(rate, STORE_CALLS_PER_SECOND * self.gateway_count)
+        self.check_restart()
+
     def test_large_configuration(self):
         """A configuration of almost the greatest size is in force in time, beside other large items of
         the operator's prefix."""
--- a/tests/platform/odd_pages_test.cpp
+++ b/tests/platform/odd_pages_test.cpp
@@ -105,6 +105,7 @@
     for (const std::size_t unusable : {1U, 2U, 4U, 5U, 6U})
         BOOST_TEST(page->items[unusable].isUnusable());
     BOOST_TEST(page->items[2].revision == 3U);
+    BOOST_TEST(page->ignoredCount == 5U);
     BOOST_TEST(page->lastKey == "servers/i");
     BOOST_TEST(page->hasMore);
     BOOST_TEST(page->revision == 99U);
