Only advertise configurations with long texts

What would happen: a configuration of few routes was relayed whatever the size of its texts, up to 1 MB to each gateway of the failure domain at the same time, which is more than small VMs may hold.

Change: a configuration with more than 64 KiB of texts is advertised like one with many routes; the gateways then read it from the store.

Evidence: configurationWithLongTextsIsOnlyAdvertised fails without it. It was found by reading the path of the items, not by a run that ran out of memory.

--- a/decision/peer_messages.h
+++ b/decision/peer_messages.h
@@ -237,6 +237,9 @@
 /// are only advertised by a `reader_report`.
 constexpr std::size_t updateItemsMax = 64;
 constexpr std::size_t updateRoutesMax = 100;
+/// Maximum size of the texts of a configuration in one `items_update`, in bytes. The update is sent
+/// to each gateway of the failure domain.
+constexpr std::size_t updateConfigBytesMax = 65'536;
 
 /// Changes in one scope of the platform's store, relayed by a reader.
 struct items_update
--- a/decision/routing/items/item_relay.cpp
+++ b/decision/routing/items/item_relay.cpp
@@ -1,6 +1,8 @@
 #include "decision/routing/items/item_relay.h"
 
 #include <algorithm>
+#include <string>
+#include <utility>
 
 namespace almondnotch {
 
@@ -33,9 +35,25 @@
     return out;
 }
 
+/// Size of the texts in a configuration, in bytes.
+std::size_t textBytes(const route_config &config)
+{
+    std::size_t bytes = 0;
+    for (const host_route &route : config.routes) {
+        bytes += route.name.size() + route.host.size() + route.prefix.size();
+        for (const route_target &target : route.targets)
+            bytes += target.service.size() + sizeof(target.weight);
+    }
+    for (const std::pair<const std::string, service_spec> &entry : config.services)
+        bytes += entry.first.size() + entry.second.healthPath.size();
+    return bytes;
+}
+
 bool fitsIntoUpdate(const published_item &item)
 {
-    return !item.config || item.config->routes.size() <= updateRoutesMax;
+    return !item.config
+           || (item.config->routes.size() <= updateRoutesMax
+               && textBytes(*item.config) <= updateConfigBytesMax);
 }
 
 } // namespace
--- a/tests/decision/routing/odd_items_test.cpp
+++ b/tests/decision/routing/odd_items_test.cpp
@@ -101,6 +101,27 @@
     BOOST_TEST((fixture.now - written < changeTimeMax));
 }
 
+// Guards against a message to each gateway of the failure domain that holds a large configuration.
+BOOST_AUTO_TEST_CASE(configurationWithLongTextsIsOnlyAdvertised)
+{
+    reader_fixture fixture(100);
+    fixture.advance(seconds(1));
+    route_config config = shopRoutes(2);
+    config.routes[0].prefix = "/" + std::string(900'000, 'x') + "/";
+    fixture.takeSent<items_update>();
+    fixture.answerRead(item_scope::configuration,
+                       pageOf({withRevision(configItem(config), 20)}, 20));
+    BOOST_TEST(fixture.gateway->dump(fixture.now)["config_version"] == 2);
+    fixture.advance(milliseconds(100));
+    bool isAdvertised = false;
+    for (const send_peer_message &command : fixture.take<send_peer_message>()) {
+        BOOST_TEST(!std::holds_alternative<items_update>(command.message));
+        const reader_report *report = std::get_if<reader_report>(&command.message);
+        isAdvertised = isAdvertised || (report != nullptr && report->configurationRevision == 20U);
+    }
+    BOOST_TEST(isAdvertised);
+}
+
 // Guards against a watch whose changes are too large that is repeated, or followed by others
 // without a pause.
 BOOST_AUTO_TEST_CASE(tooLargeChangesAreListed)
