Teach the review's scripts the optional sections of the deploy file

Cause: the template has sections that are filled in only where a deployment has the figure; review/lib/harness.py knew placeholders only, so that all scripts ended with 2 (could not run). The cases and their checks are unchanged.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -64,6 +64,15 @@
                          f"{when - record.start:.3f}")
 
 
+def fill_in(template, values):
+    """Fills in a template of the deploy file: placeholders, and sections that are rendered if the
+    platform has a value of that name."""
+    def section(found):
+        return found.group(2) if found.group(1) in values else ""
+    text = re.sub(r"\{\{#([^}]*)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.DOTALL)
+    return re.sub(r"\{\{([^}]*)\}\}", lambda found: values[found.group(1)], text)
+
+
 class Gateway:
     """One process of the role `gateway`, run by the command of the deploy file."""
 
@@ -92,8 +101,7 @@
             "seeds": ",".join(self.seeds), "platform.address": self.store_address,
             "bounds.grace": "6s", "bounds.retryBudgetRatio": "0.2",
             "bounds.retryBudgetSlack": "56", "bounds.probesPerS": "60"}
-        text = re.sub(r"\{\{([^}]*)\}\}", lambda found: values[found.group(1)], text)
-        return text + f'\n[operator]\naddress = "127.0.0.1:{self.operator_port}"\n'
+        return fill_in(text, values) + f'\n[operator]\naddress = "127.0.0.1:{self.operator_port}"\n'
 
     def start(self):
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
