Tell of an unusable item once in a batch

What happened: an unusable item that was written many times before the watch that tells of it was relayed and logged as often as it was written, since only what was known before the batch was compared.

Change: the items of a watch are compared with the earlier ones of the same watch, too.

--- a/decision/routing/items/item_reader.cpp
+++ b/decision/routing/items/item_reader.cpp
@@ -1,6 +1,7 @@
 #include "decision/routing/items/item_reader.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include "core/mechanisms.h"
@@ -443,7 +444,7 @@
     }
     m_revision = std::max(m_revision, page.revision);
     m_nextReadAt = nextWatchTime(now, page);
-    std::erase_if(fresh, [this](const published_item &item) { return isUnusableAsBefore(item); });
+    fresh = withoutRepeatedFaults(std::move(fresh));
     if (fresh.empty())
         return;
     deliver({false, std::move(fresh), m_lastChangeRevision, m_revision}, batches);
@@ -465,6 +466,25 @@
     return std::max(now, next);
 }
 
+/// Removes the items that cannot be used and could not be used before either, as far as is known or
+/// by an earlier one of these items.
+std::vector<published_item>
+item_reader::withoutRepeatedFaults(std::vector<published_item> items) const
+{
+    std::map<std::string, bool> isUnusable;
+    std::vector<published_item> out;
+    for (published_item &item : items) {
+        const auto found = isUnusable.find(item.name);
+        const bool isRepeated = found == isUnusable.end() ? isUnusableAsBefore(item)
+                                                          : found->second && item.isUnusable();
+        if (isRepeated)
+            continue;
+        isUnusable.insert_or_assign(item.name, item.isUnusable());
+        out.push_back(std::move(item));
+    }
+    return out;
+}
+
 /// True if the item cannot be used, and could not be used before either.
 bool item_reader::isUnusableAsBefore(const published_item &item) const
 {
--- a/decision/routing/items/item_reader.h
+++ b/decision/routing/items/item_reader.h
@@ -177,6 +177,7 @@
     void listPageReceived(instant now, const item_page &page, std::vector<item_batch> &batches);
     void watchFinished(instant now, const item_page &page, std::vector<item_batch> &batches);
     instant nextWatchTime(instant now, const item_page &page) const;
+    std::vector<published_item> withoutRepeatedFaults(std::vector<published_item> items) const;
     bool isUnusableAsBefore(const published_item &item) const;
     void readFailed(instant now);
     duration retryDelay(const backoff_settings &backoff);
--- a/tests/decision/routing/odd_items_test.cpp
+++ b/tests/decision/routing/odd_items_test.cpp
@@ -76,6 +76,26 @@
     BOOST_TEST(logCount(fixture.take<write_log>(), "An item of the store is invalid.") == 1U);
 }
 
+// Guards against the same for an item that was written many times before the watch that tells of
+// it.
+BOOST_AUTO_TEST_CASE(unusableItemIsToldOnceInABatch)
+{
+    reader_fixture fixture(100);
+    fixture.takeSent<items_update>();
+    fixture.take<write_log>();
+    std::vector<published_item> written;
+    for (std::uint64_t revision = 20; revision < 120; ++revision)
+        written.push_back(unusableItem("odd", revision));
+    written.push_back(withRevision(workerItem(workerEntry("odd", "reads")), 120));
+    written.push_back(unusableItem("odd", 121));
+    fixture.answerRead(item_scope::workers, pageOf(written, 121));
+    const std::vector<items_update> updates = fixture.takeSent<items_update>();
+    BOOST_REQUIRE_EQUAL(updates.size(), 9U);
+    BOOST_TEST(updates[0].items.size() == 3U);
+    BOOST_TEST(updates[0].revision == 121U);
+    BOOST_TEST(logCount(fixture.take<write_log>(), "An item of the store is invalid.") == 2U);
+}
+
 // Guards against reading the configuration's scope each time that an item of no meaning is written
 // to it.
 BOOST_AUTO_TEST_CASE(watchesOfItemsThatSayNothingArePaced)
