End a silent list in time beside a watch

What happened: since reads of items have deadlines of their own, the timer for them was not set anew for a read with an earlier deadline.

Change: the timer is set to the earliest deadline.

Evidence: silent_list_is_an_error_beside_a_watch failed before. It was found by reading the change.

--- a/servers/platform_client/platform_client.cpp
+++ b/servers/platform_client/platform_client.cpp
@@ -192,8 +192,8 @@
          connectionIdleTimeMax, connectionAgeMax()});
     if (!prepared)
         return prepared;
-    if (readsItems && !m_deadlineTimer->isActive())
-        m_deadlineTimer->start(started.timeLimit);
+    if (readsItems && started.deadline < m_nextDeadline)
+        awaitDeadline(started.deadline);
     return m_curl->add(started.exchange->handle());
 }
 
@@ -227,6 +227,13 @@
         m_decision->deliver(items_read_progress {read});
 }
 
+void platform_client::awaitDeadline(instant deadline)
+{
+    m_nextDeadline = deadline;
+    if (deadline != instant::never())
+        m_deadlineTimer->start(deadline - m_loop->now());
+}
+
 /// Ends the reads of items whose deadline has passed, and waits for the next deadline.
 void platform_client::endOverdueReads()
 {
@@ -245,8 +252,7 @@
             next = std::min(next, reading.deadline);
         ++it;
     }
-    if (next != instant::never())
-        m_deadlineTimer->start(next - now);
+    awaitDeadline(next);
     updateGauges();
     for (const std::unique_ptr<pending_read> &ended : overdue) {
         m_counters.add("platform_requests_failed_total");
--- a/servers/platform_client/platform_client.h
+++ b/servers/platform_client/platform_client.h
@@ -76,6 +76,7 @@
     duration transferTimeMax(const pending_read &read) const;
     bool onItemBytes(pending_read &receiving, std::string_view bytes);
     void reportProgress();
+    void awaitDeadline(instant deadline);
     void endOverdueReads();
     void countBytes(const pending_read &ended);
     duration connectionAgeMax() const;
@@ -105,7 +106,10 @@
     std::vector<rejected_read> m_deferred;
     std::unique_ptr<timer_watcher> m_deferredTimer;
     std::unique_ptr<timer_watcher> m_progressTimer;
+    /// Expires at `m_nextDeadline`, the earliest deadline of a read of items, or before it if that
+    /// was extended.
     std::unique_ptr<timer_watcher> m_deadlineTimer;
+    instant m_nextDeadline = instant::never();
 };
 
 } // namespace almondnotch
--- a/tests/servers/platform_items_test.cpp
+++ b/tests/servers/platform_items_test.cpp
@@ -124,6 +124,22 @@
     }
 }
 
+// Guards against a list that waits for the end of a watch before it is given up.
+BOOST_FIXTURE_TEST_CASE(silent_list_is_an_error_beside_a_watch, items_fixture)
+{
+    read_items watch;
+    watch.read = read_id(1);
+    watch.afterRevision = 1;
+    watch.wait = seconds(20);
+    client->readItems(watch);
+    runFor(milliseconds(50));
+    const instant sentAt = loop->now();
+    const result<item_page> page = read({});
+    BOOST_REQUIRE(!page.has_value());
+    BOOST_TEST((page.error().code == error_code::timed_out));
+    BOOST_TEST((loop->now() - sentAt < seconds(1)));
+}
+
 // Guards against taking a truncated response for a whole one.
 BOOST_FIXTURE_TEST_CASE(truncated_response_of_items_is_an_error, items_fixture)
 {
