--- a/tests/decision/routing/evacuation_test.cpp
+++ b/tests/decision/routing/evacuation_test.cpp
@@ -29,14 +29,6 @@
     return item;
 }
 
-item_page pageOf(std::vector<published_item> items, std::uint64_t revision)
-{
-    item_page page;
-    page.items = std::move(items);
-    page.revision = revision;
-    return page;
-}
-
 /// A gateway with two workers of service "reads" in failure domain "near" and one in "far".
 struct evacuation_fixture : routing_fixture
 {
--- a/tests/decision/routing/odd_items_test.cpp
+++ b/tests/decision/routing/odd_items_test.cpp
@@ -23,14 +23,6 @@
     return item;
 }
 
-item_page pageOf(std::vector<published_item> items, std::uint64_t revision)
-{
-    item_page page;
-    page.items = std::move(items);
-    page.revision = revision;
-    return page;
-}
-
 std::size_t logCount(const std::vector<write_log> &logs, const std::string &message)
 {
     return static_cast<std::size_t>(
--- a/tests/decision/routing/published_items_test.cpp
+++ b/tests/decision/routing/published_items_test.cpp
@@ -6,14 +6,6 @@
 
 namespace {
 
-item_page pageOf(std::vector<published_item> items, std::uint64_t revision)
-{
-    item_page page;
-    page.items = std::move(items);
-    page.revision = revision;
-    return page;
-}
-
 result<item_page> failedWatch()
 {
     return fail(error_code::unavailable, "read store", "", "the connection was lost");
--- a/tests/decision/routing/routing_fixture.cpp
+++ b/tests/decision/routing/routing_fixture.cpp
@@ -55,6 +55,14 @@
     return item;
 }
 
+item_page pageOf(std::vector<published_item> items, std::uint64_t revision)
+{
+    item_page page;
+    page.items = std::move(items);
+    page.revision = revision;
+    return page;
+}
+
 published_item drainingWorkerItem(const std::string &name, std::uint64_t revision)
 {
     published_worker entry = workerEntry(name, "reads");
--- a/tests/decision/routing/routing_fixture.h
+++ b/tests/decision/routing/routing_fixture.h
@@ -26,6 +26,8 @@
 
 /// The item as the store returns it for a change at this revision.
 published_item withRevision(published_item item, std::uint64_t revision);
+/// A whole list, or the changes of a watch, at this revision of the store.
+item_page pageOf(std::vector<published_item> items, std::uint64_t revision);
 /// Item by which a worker of service "reads" announces its drain.
 published_item drainingWorkerItem(const std::string &name, std::uint64_t revision);
 
