Try each kind of odd entry alone

odd_entries_test.py tried most kinds of entries together. Now one of the greatest size, one whose value or key cannot be read, one that is written again and again, and one configuration of almost the greatest size are each tried alone, in a watch and in the lists at a start, and two of them by way of peers. The peak memory must stay under half of that of the smallest VMs; all of it was allowed before.

--- a/tests/platform/odd_entries_test.py
+++ b/tests/platform/odd_entries_test.py
@@ -23,8 +23,8 @@
 # Greatest value that the store takes (`valueBytes`).
 VALUE_BYTES = 1_048_576
 LARGE_BYTES = 900_000
-# Memory of the smallest VMs, 160 MB.
-MEMORY_KIB_MAX = 160_000_000 // 1024
+# Half of the memory of the smallest VMs, 160 MB.
+MEMORY_KIB_MAX = 80_000_000 // 1024
 # Link of the slowest VMs, 10 Mbit/s.
 SLOW_LINK_RATE = 1_250_000
 SERVED_MIN = 0.95
@@ -211,12 +211,30 @@
                 {"value": "e30=", "lease": {"x": "y" * 100_000}}, {"key": 7}, {"key": "\udcff"})):
             self.store.put_row(f"servers/row-{number}", fields)
 
-    def test_one_large_unreadable_entry(self):
+    def check_entry(self, write):
+        """Checks one entry alone: in a watch of the running processes, then in the lists at their
+        start. The stand-in lists three entries a page, so that it shares its page with others."""
         self.start()
-        self.store.put("servers/note", b"\xff" * LARGE_BYTES)
+        write("servers/note")
         self.check_service()
         self.check_restart()
 
+    def test_one_large_unreadable_entry(self):
+        self.check_entry(lambda key: self.store.put(key, b"\xff" * LARGE_BYTES))
+
+    def test_one_unreadable_entry_of_the_greatest_size(self):
+        self.check_entry(lambda key: self.store.put(key, b"\xff" * VALUE_BYTES))
+
+    def test_one_unreadable_value(self):
+        self.check_entry(lambda key: self.store.put_row(key, {"value": "***"}))
+
+    def test_one_unreadable_key(self):
+        self.check_entry(lambda key: self.store.put_row(key, {"key": "servers/\udcff"}))
+
+    def test_one_entry_of_the_greatest_size_that_is_written_often(self):
+        self.check_entry(lambda key: self.writers.append(
+            standins.OtherWriter(self.store, key, b"\xff" * VALUE_BYTES, 0.1)))
+
     def test_one_readable_entry_of_the_greatest_size(self):
         """The worker that it names is used."""
         self.start()
@@ -250,15 +268,24 @@
         self.assertLessEqual(rate, STORE_CALLS_PER_SECOND * self.gateway_count)
         self.check_restart()
 
+    def test_one_configuration_of_almost_the_greatest_size(self):
+        self.start()
+        self.check_config(**self.further_routes())
+        self.check_restart()
+
+    @staticmethod
+    def further_routes():
+        """Returns routes with which a configuration has almost the greatest size."""
+        route = dict(standins.configuration(1)["routes"]["r-read"])
+        return {f"r-further-{n}": dict(route, prefix=f"/further-{n}/") for n in range(5_580)}
+
     def test_large_configuration(self):
         """A configuration of almost the greatest size is in force in time, beside other large items of
         the operator's prefix."""
         self.start()
         self.store.put("op/evacuate/nowhere", b"\xff" * VALUE_BYTES)
         self.store.put("op/zz", b"\xff" * VALUE_BYTES)
-        route = dict(standins.configuration(1)["routes"]["r-read"])
-        further = {f"r-further-{n}": dict(route, prefix=f"/further-{n}/") for n in range(5_580)}
-        self.check_config(**further)
+        self.check_config(**self.further_routes())
         self.check_restart()
 
     def test_slow_link(self):
@@ -279,12 +306,21 @@
     gateway_count = 10
 
     def test_many_odd_entries(self):
+        self.check_relay(odd_values())
+
+    def test_one_unreadable_entry_of_the_greatest_size(self):
+        self.check_relay({"note": b"\xff" * VALUE_BYTES})
+
+    def test_one_readable_entry_with_a_long_name(self):
+        self.check_relay({"note": json.dumps(entry("x" * LARGE_BYTES)).encode()})
+
+    def check_relay(self, values):
         self.start()
         standins.wait_for(lambda: sum("relay the changes" in gateway.output()
                                       for gateway in self.gateways) >= self.gateway_count - 3, 15)
         followers = [gateway for gateway in self.gateways if self.is_follower(gateway)]
         watches = self.watch_count(followers)
-        for name, value in odd_values().items():
+        for name, value in values.items():
             self.store.put(f"servers/{name}", value)
             time.sleep(0.1)
         self.check_service()
@@ -312,7 +348,9 @@
     suite = unittest.TestSuite()
     names = unittest.TestLoader().getTestCaseNames(OddEntriesTest)
     suite.addTests(OddEntriesTest(name) for name in names)
-    suite.addTest(RelayedOddEntriesTest("test_many_odd_entries"))
+    suite.addTests(RelayedOddEntriesTest(name) for name in (
+        "test_many_odd_entries", "test_one_unreadable_entry_of_the_greatest_size",
+        "test_one_readable_entry_with_a_long_name"))
     return suite
 
 
