--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -591,7 +591,7 @@
 
 void route_gateway::state::logUnusable(const published_item &item, action_list &actions)
 {
-    if (item.fault.empty() || item.isFaultKnown)
+    if (!item.isUnusable() || item.isFaultKnown)
         return;
     counters.add("store_items_unusable_total");
     actions.push_back(unusableItemRecord(item));
--- a/servers/platform_client/platform_client.cpp
+++ b/servers/platform_client/platform_client.cpp
@@ -216,6 +216,15 @@
     return receiving.decoder->add(bytes);
 }
 
+/// Spares the wake-up after a response that arrived within one interval, as almost all do.
+void platform_client::stopProgressTimerIfIdle()
+{
+    const bool isIdle = std::none_of(m_reads.begin(), m_reads.end(),
+                                     [](const auto &entry) { return entry.second->hasProgress; });
+    if (isIdle)
+        m_progressTimer->stop();
+}
+
 void platform_client::reportProgress()
 {
     std::vector<read_id> progressed;
@@ -297,6 +306,7 @@
     const std::unique_ptr<pending_read> ended = std::move(found->second);
     m_reads.erase(found);
     countBytes(*ended);
+    stopProgressTimerIfIdle();
     updateGauges();
     response_reader &reader = ended->exchange->reader();
     const result<void> checked
--- a/servers/platform_client/platform_client.h
+++ b/servers/platform_client/platform_client.h
@@ -75,6 +75,7 @@
     result<void> send(pending_read &started);
     duration transferTimeMax(const pending_read &read) const;
     bool onItemBytes(pending_read &receiving, std::string_view bytes);
+    void stopProgressTimerIfIdle();
     void reportProgress();
     void awaitDeadline(instant deadline);
     void endOverdueReads();
