Check that the store has each watch of the configuration

Cause: a watch sent into the silence is dropped while its connection stays open. Only the end of the watch showed this, 4.4 s after it was sent; 3 s after the silence a configuration binds. Evidence: on each gateway logs "A watch got no answer in time" with age_ms 4024 to 4336, and right after it the missed version with source=list. The 5 s that decision 0008 allowed hold for workers only, whose leave binds if a stable store acknowledged it.

Change: 100 ms after a watch of the configuration, unless it was answered, a stale check of the store's revision follows. It is lost with the watch, which shows after 1.5 s; the scope is then listed at once. The checks moved to a class of their own.

--- a/decision/routing/items/item_reader.cpp
+++ b/decision/routing/items/item_reader.cpp
@@ -30,6 +30,9 @@
 /// exceeds this time is assumed to be lost: the store may have failed after it received the watch,
 /// while the connection stays open.
 constexpr duration watchAnswerMargin = milliseconds(400);
+/// Time from a watch to the check that shows whether it has reached the store. It must exceed the
+/// time that the store takes for a request, since it may fall silent while the watch is on its way.
+constexpr duration watchCheckDelay = milliseconds(100);
 /// Number of consecutive failed reads from which the store counts as unavailable.
 constexpr unsigned unavailableFailuresMin = 2;
 /// How much longer than the gateways that watch the store another one waits before it lists the
@@ -64,6 +67,7 @@
     m_sentAt = now;
     m_answerBeganAt = instant::never();
     m_nextReadAt = instant::never();
+    m_watchCheckAt = instant::never();
     m_readId = read_id {nextReadId++};
     read_items command;
     command.read = m_readId;
@@ -76,6 +80,8 @@
         command.afterRevision = m_revision;
         command.wait = nextWatchDuration();
         m_answerDeadline = now + command.wait + watchAnswerMargin;
+        if (m_settings.checksWatches && command.wait > catchUpWatchDuration)
+            m_watchCheckAt = now + watchCheckDelay;
     }
     m_isCatchingUp = false;
     actions.push_back(std::move(command));
@@ -188,8 +194,10 @@
 
 instant item_reader::nextWake() const
 {
+    if (isWatchInFlight())
+        return std::min({watchDeadline(), m_watchCheckAt, confirmationTime()});
     if (m_isReadInFlight)
-        return m_isListing ? instant::never() : std::min(watchDeadline(), confirmationTime());
+        return instant::never();
     return std::min(needsRead() ? m_nextReadAt : instant::never(), confirmationTime());
 }
 
@@ -555,14 +563,33 @@
     m_nextReadAt = listAt;
 }
 
+std::optional<read_id> item_reader::takeDueWatchCheck(instant now)
+{
+    if (!isWatchInFlight() || now < m_watchCheckAt)
+        return std::nullopt;
+    m_watchCheckAt = instant::never();
+    return m_readId;
+}
+
+void item_reader::watchDoubted(instant now, read_id watch, action_list &actions)
+{
+    if (isWatchInFlight() && watch == m_readId)
+        giveUpWatch(now, actions);
+}
+
+/// Lists the scope in place of a watch that seems to be lost.
+void item_reader::giveUpWatch(instant now, action_list &actions)
+{
+    m_counters.add("store_watches_given_up_total");
+    actions.push_back(watchGivenUpRecord(*this, readAge(now)));
+    readFailed(now);
+    relist(now);
+}
+
 void item_reader::timerExpired(instant now, std::uint64_t &nextReadId, action_list &actions)
 {
-    if (isWatchInFlight() && now >= watchDeadline()) {
-        m_counters.add("store_watches_given_up_total");
-        actions.push_back(watchGivenUpRecord(*this, readAge(now)));
-        readFailed(now);
-        relist(now);
-    }
+    if (isWatchInFlight() && now >= watchDeadline())
+        giveUpWatch(now, actions);
     if (now >= confirmationTime())
         relist(now);
     if (!m_isReadInFlight && needsRead() && m_nextReadAt <= now)
--- a/decision/routing/items/item_reader.h
+++ b/decision/routing/items/item_reader.h
@@ -19,12 +19,15 @@
 {
     item_scope scope = item_scope::configuration;
     /// Maximum time for which the store may hold a watch open. Also bounds the time for which a
-    /// lost watch stays undetected, since only the end of a watch shows that the store still
-    /// serves it.
+    /// lost watch stays undetected without `checksWatches`, since only the end of a watch shows
+    /// that the store still serves it.
     duration watchTimeout {seconds(4)};
     /// Delay between the end of a watch that reported changes and the start of the next one, so
     /// that changes in quick succession are fetched with a single request to the store.
     duration watchDelay {0};
+    /// Whether each watch is followed by a check of the store, so that a lost one is detected
+    /// within the time limit of a read that does not wait.
+    bool checksWatches = false;
     /// The first watch, and one that follows a watch that reported changes, starts no earlier than
     /// this long after `start()`, see `endFirstWatchHoldoff`. In the meantime the gateway learns
     /// whether other gateways relay the changes, so that it need not watch itself.
@@ -95,6 +98,12 @@
     /// \param nextReadId see `start`.
     void timerExpired(instant now, std::uint64_t &nextReadId, action_list &actions);
     instant nextWake() const;
+    /// \return the watch in flight if a check of the store is due that shows whether the watch has
+    /// reached it; the check then counts as sent. The result has to be passed to `watchDoubted`.
+    std::optional<read_id> takeDueWatchCheck(instant now);
+    /// The check that followed this watch got no answer, so the store has probably lost the watch
+    /// as well. If it is still in flight, the scope is listed again.
+    void watchDoubted(instant now, read_id watch, action_list &actions);
 
     /// Abandons the read in flight, if any, and lists the scope again at `listAt`. Called, for
     /// example, after the process was paused, since its watch may hang on a dead connection.
@@ -185,6 +194,7 @@
     std::vector<published_item> newItems(const std::vector<published_item> &items) const;
     update_fit fitOf(const items_update &update) const;
     void applyUpdate(const items_update &update, std::vector<item_batch> &batches);
+    void giveUpWatch(instant now, action_list &actions);
     void sendRead(instant now, std::uint64_t &nextReadId, action_list &actions);
     void listPageReceived(instant now, const item_page &page, std::vector<item_batch> &batches);
     void watchFinished(instant now, const item_page &page, std::vector<item_batch> &batches);
@@ -201,6 +211,8 @@
     counter_set &m_counters;
     bool m_isReadInFlight = false;
     read_id m_readId {};
+    /// See `takeDueWatchCheck`; `never` if the read in flight needs no check.
+    instant m_watchCheckAt = instant::never();
     /// When the last read was sent.
     instant m_sentAt;
     /// When the first bytes of its response were reported; `never` if none were.
--- a/decision/routing/items/reader_group.cpp
+++ b/decision/routing/items/reader_group.cpp
@@ -127,10 +127,15 @@
 {
     if (!mustCheckStore(now) || now < m_nextCheckAt)
         return false;
-    m_nextCheckAt = now + (isReader(now) ? m_settings.checkInterval : m_settings.ownCheckInterval);
+    checkSent(now);
     return true;
 }
 
+void reader_group::checkSent(instant now)
+{
+    m_nextCheckAt = now + (isReader(now) ? m_settings.checkInterval : m_settings.ownCheckInterval);
+}
+
 instant reader_group::nextWake(instant now) const
 {
     if (!isReader(now)) {
--- a/decision/routing/items/reader_group.h
+++ b/decision/routing/items/reader_group.h
@@ -121,6 +121,8 @@
     /// \return true if a check of the store is due; the check then counts as sent. Checks are sent
     /// by readers, and by a gateway that hears from no reader while its reads fail.
     bool takeDueCheck(instant now);
+    /// The store is being checked for another reason, so that the next check is due later.
+    void checkSent(instant now);
 
     instant nextWake(instant now) const;
     nlohmann::json dump(instant now) const;
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -10,6 +10,7 @@
 #include "decision/routing/items/item_reader.h"
 #include "decision/routing/items/item_relay.h"
 #include "decision/routing/items/reader_group.h"
+#include "decision/routing/items/store_checks.h"
 #include "decision/routing/items/store_log.h"
 #include "decision/routing/items/store_outage.h"
 #include "decision/routing/peer_group.h"
@@ -61,6 +62,10 @@
     if (scope == item_scope::workers) {
         out.watchDelay = workerWatchDelay;
         out.allowStaleInitialList = true;
+    } else {
+        // A configuration binds from its acknowledgement on, also while the store recovers. The end
+        // of a drain binds only once the store is stable, and until then a lost watch is detected.
+        out.checksWatches = true;
     }
     return out;
 }
@@ -110,7 +115,7 @@
                                         std::string_view source, action_list &actions);
     void logStoreState(bool wasFailing, const items_read_finished &input, action_list &actions);
     void updateOutage(instant now);
-    void checkFinished(instant now, bool isAnswered, action_list &actions);
+    void checkFinished(instant now, const store_checks::outcome &check, action_list &actions);
     void seeEra(instant now, std::uint64_t era);
     bool areReadsFailing() const;
     void startDueReads(instant now, action_list &actions);
@@ -146,9 +151,7 @@
     store_outage outage;
     std::unique_ptr<route_table> table;
     std::uint64_t nextReadId = 1;
-    /// Identifier of the check of the store that is in flight.
-    std::optional<read_id> pendingCheck;
-    bool wasLastCheckLost = false;
+    store_checks checks;
     /// Value of `reader_group::mustWatchStore` when the reads were last started.
     bool wasWatching = true;
     instant nextSweep;
@@ -170,7 +173,8 @@
       peers(settings.peers, random, counters),
       readers(settings.readers, settings.peers.self.vm, settings.peers.failureDomain),
       configReader(readerSettings(item_scope::configuration, settings), random, counters),
-      workerReader(readerSettings(item_scope::workers, settings), random, counters)
+      workerReader(readerSettings(item_scope::workers, settings), random, counters),
+      checks(counters)
 {
     // Until the process has joined the exchange, it assumes that it knows few of the gateways.
     pool.setGatewayGroup(instant(), peers.gatewayGroup(instant()));
@@ -338,10 +342,11 @@
 {
     if (input.page)
         readers.storeAnswered(now);
-    if (pendingCheck == input.read) {
+    if (const std::optional<store_checks::outcome> check
+        = checks.readFinished(input.read, input.page.has_value())) {
         if (input.page)
             seeEra(now, input.page->era);
-        checkFinished(now, input.page.has_value(), actions);
+        checkFinished(now, *check, actions);
         return;
     }
     std::vector<item_batch> batches;
@@ -374,16 +379,17 @@
 }
 
 /// A check of the store has ended. If the store answers, failed reads need not wait any longer.
-void route_gateway::state::checkFinished(instant now, bool isAnswered, action_list &actions)
+void route_gateway::state::checkFinished(instant now, const store_checks::outcome &check,
+                                         action_list &actions)
 {
-    pendingCheck.reset();
-    wasLastCheckLost = !isAnswered;
-    if (!isAnswered) {
-        counters.add("store_checks_failed_total");
+    if (check.isAnswered) {
+        configReader.storeAnswered(now);
+        workerReader.storeAnswered(now);
+    } else if (check.watch) {
+        configReader.watchDoubted(now, *check.watch, actions);
+    } else {
         return;
     }
-    configReader.storeAnswered(now);
-    workerReader.storeAnswered(now);
     startDueReads(now, actions);
 }
 
@@ -447,6 +453,10 @@
     }
     configReader.timerExpired(now, nextReadId, actions);
     workerReader.timerExpired(now, nextReadId, actions);
+    if (const std::optional<read_id> watch = configReader.takeDueWatchCheck(now)) {
+        readers.checkSent(now);
+        checks.send(read_id {nextReadId++}, watch, areReadsFailing(), actions);
+    }
     readers.setReadsFailing(areReadsFailing());
 }
 
@@ -494,16 +504,8 @@
         counters.add("reader_reports_sent_total");
         peers.broadcastToFailureDomain(report, actions);
     }
-    if (!readers.takeDueCheck(now) || pendingCheck)
-        return;
-    pendingCheck = read_id {nextReadId++};
-    read_items command;
-    command.read = *pendingCheck;
-    command.scope = item_scope::workers;
-    command.revisionOnly = true;
-    command.allowStale = true;
-    command.needsNewConnection = areReadsFailing() || wasLastCheckLost;
-    actions.push_back(command);
+    if (readers.takeDueCheck(now) && !checks.isAnyInFlight())
+        checks.send(read_id {nextReadId++}, std::nullopt, areReadsFailing(), actions);
 }
 
 void route_gateway::state::applyConfig(instant now, const item_batch &batch,
--- a/main/daemon/daemon_declarations.cpp
+++ b/main/daemon/daemon_declarations.cpp
@@ -174,9 +174,9 @@
              "How long callers may cache the entry addresses, as a number with the unit ms or s."),
         integer("routing.watch_s", 4, 1, 60, "s",
                 "Maximum duration of one watch (long poll) for changes of the platform's store. A "
-                "watch that the store has lost is detected 0.4 s after its end, so a shorter "
-                "duration bounds the age of the configuration and of the workers, and a longer "
-                "one saves calls to the platform."),
+                "watch of the workers that the store has lost is detected 0.4 s after its end, so "
+                "a shorter duration bounds the age of what is known of them, and a longer one "
+                "saves calls to the platform."),
         real("routing.retry_share", 0.2, 0, 1, "",
              "Maximum number of retries and hedges of a service, summed over all gateways, as a "
              "fraction of its requests. The gateways enforce a lower limit as a safety margin."),
