--- a/decision/routing/items/item_reader.cpp
+++ b/decision/routing/items/item_reader.cpp
@@ -1,7 +1,6 @@
 #include "decision/routing/items/item_reader.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
 #include "core/mechanisms.h"
@@ -204,7 +203,7 @@
 /// When the scope is listed to remove what was not written again; `never` if nothing is missing.
 instant item_reader::confirmationTime() const
 {
-    if (m_unconfirmedNames.empty() || m_isListing)
+    if (!m_known.hasUnconfirmed() || m_isListing)
         return instant::never();
     return m_isWatching ? m_confirmAt : m_confirmAt + confirmationRelayTime;
 }
@@ -231,7 +230,7 @@
     if (update.afterRevision > m_revision)
         return update_fit::early;
     const bool hasNews = update.revision > m_revision;
-    const std::uint64_t newestKnown = std::max(m_lastChangeRevision, m_newestItemRevision);
+    const std::uint64_t newestKnown = std::max(m_lastChangeRevision, m_known.newestRevision());
     return update.isListDifference && hasNews && update.afterRevision < newestKnown
                ? update_fit::incomplete
                : update_fit::complete;
@@ -257,8 +256,7 @@
     m_copyRevision = std::min(m_highestRevision, listRevision);
     m_revision = listRevision;
     m_lastChangeRevision = listRevision;
-    m_newestItemRevision = 0;
-    m_unconfirmedNames = m_knownNames;
+    m_known.beginEra();
     m_confirmAt = now + store_outage::renewalTimeMax;
     m_advertisedRevision = 0;
     std::erase_if(m_outOfOrder, [this](const items_update &stored) { return stored.era != m_era; });
@@ -269,26 +267,7 @@
 {
     batch.era = m_era;
     batch.copyRevision = m_copyRevision;
-    for (published_item &item : batch.items)
-        item.isFaultKnown = isUnusableAsBefore(item);
-    if (batch.isSnapshot) {
-        m_knownNames.clear();
-        m_unconfirmedNames.clear();
-        m_unusableNames.clear();
-    }
-    for (const published_item &item : batch.items) {
-        m_unconfirmedNames.erase(item.name);
-        if (item.isUnusable())
-            m_unusableNames.insert(item.name);
-        else
-            m_unusableNames.erase(item.name);
-        if (item.removed) {
-            m_knownNames.erase(item.name);
-        } else {
-            m_knownNames.insert(item.name);
-            m_newestItemRevision = std::max(m_newestItemRevision, item.revision);
-        }
-    }
+    m_known.apply(batch.items, batch.isSnapshot);
     batches.push_back(std::move(batch));
 }
 
@@ -325,21 +304,30 @@
         return batches;
     }
     eraSeen(now, update.era);
-    const bool isEraStart = update.era != 0 && update.afterRevision == 0;
-    const update_fit fit = isEraOutdated() ? update_fit::early : fitOf(update);
-    if (isEraStart ? !applyEraStart(now, update, batches) : fit != update_fit::complete) {
-        if (!isEraStart)
-            putAside(update, fit);
+    if (!tryApply(now, update, batches)) {
         revisionAdvertised(now, update.era, update.revision);
         return batches;
     }
-    if (!isEraStart)
-        applyUpdate(update, batches);
     applyStoredUpdates(batches);
     m_isCatchingUp = m_isCatchingUp && isBehind();
     return batches;
 }
 
+/// Applies an update, or puts it aside.
+/// \return true if it was applied.
+bool item_reader::tryApply(instant now, const items_update &update,
+                           std::vector<item_batch> &batches)
+{
+    if (update.era != 0 && update.afterRevision == 0)
+        return applyEraStart(now, update, batches);
+    const update_fit fit = isEraOutdated() ? update_fit::early : fitOf(update);
+    if (fit == update_fit::complete)
+        applyUpdate(update, batches);
+    else
+        putAside(update, fit);
+    return fit == update_fit::complete;
+}
+
 /// Applies the stored updates to which no earlier change is missing any more.
 void item_reader::applyStoredUpdates(std::vector<item_batch> &batches)
 {
@@ -472,7 +460,7 @@
     }
     m_revision = std::max(m_revision, page.revision);
     m_nextReadAt = nextWatchTime(now, page);
-    fresh = withoutRepeatedFaults(std::move(fresh));
+    fresh = m_known.withoutRepeatedFaults(std::move(fresh));
     if (fresh.empty())
         return;
     deliver({false, std::move(fresh), m_lastChangeRevision, m_revision}, batches);
@@ -487,39 +475,14 @@
         next = std::max<instant>(std::min(now, m_answerBeganAt) + m_settings.watchDelay,
                                  m_watchHoldoffUntil);
     const bool hasNews
-        = std::any_of(page.items.begin(), page.items.end(),
-                      [this](const published_item &item) { return !isUnusableAsBefore(item); });
+        = std::any_of(page.items.begin(), page.items.end(), [this](const published_item &item) {
+              return !m_known.isUnusableAsBefore(item);
+          });
     if (!hasNews && (!page.items.empty() || page.ignoredCount > 0))
         next = std::max<instant>(next, m_sentAt + uselessWatchInterval);
     return std::max(now, next);
 }
 
-/// Removes the items that cannot be used and could not be used before either, as far as is known or
-/// by an earlier one of these items.
-std::vector<published_item>
-item_reader::withoutRepeatedFaults(std::vector<published_item> items) const
-{
-    std::map<std::string, bool> isUnusable;
-    std::vector<published_item> out;
-    for (published_item &item : items) {
-        const auto found = isUnusable.find(item.name);
-        const bool isRepeated = found == isUnusable.end() ? isUnusableAsBefore(item)
-                                                          : found->second && item.isUnusable();
-        if (isRepeated)
-            continue;
-        isUnusable.insert_or_assign(item.name, item.isUnusable());
-        out.push_back(std::move(item));
-    }
-    return out;
-}
-
-/// True if the item cannot be used, and could not be used before either.
-bool item_reader::isUnusableAsBefore(const published_item &item) const
-{
-    return item.isUnusable() && m_unusableNames.contains(item.name)
-           && !m_unconfirmedNames.contains(item.name);
-}
-
 void item_reader::readFailed(instant now)
 {
     m_counters.add("store_reads_failed_total");
--- a/decision/routing/items/item_reader.h
+++ b/decision/routing/items/item_reader.h
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -11,6 +10,7 @@
 #include "core/time.h"
 #include "decision/actions.h"
 #include "decision/events.h"
+#include "decision/routing/items/known_items.h"
 #include "decision/routing/items/reader_group.h"
 
 namespace almondnotch {
@@ -182,6 +182,7 @@
     bool acceptEra(instant now, const item_page &page);
     void startEra(instant now, std::uint64_t listRevision);
     void deliver(item_batch batch, std::vector<item_batch> &batches);
+    bool tryApply(instant now, const items_update &update, std::vector<item_batch> &batches);
     bool applyEraStart(instant now, const items_update &update, std::vector<item_batch> &batches);
     void putAside(const items_update &update, update_fit fit);
     void applyStoredUpdates(std::vector<item_batch> &batches);
@@ -199,8 +200,6 @@
     void listPageReceived(instant now, const item_page &page, std::vector<item_batch> &batches);
     void watchFinished(instant now, const item_page &page, std::vector<item_batch> &batches);
     instant nextWatchTime(instant now, const item_page &page) const;
-    std::vector<published_item> withoutRepeatedFaults(std::vector<published_item> items) const;
-    bool isUnusableAsBefore(const published_item &item) const;
     void readFailed(instant now);
     duration retryDelay(const backoff_settings &backoff);
     /// Lists the scope again because changes may have been missed.
@@ -237,9 +236,6 @@
     std::uint64_t m_listRevision = 0;
     std::uint64_t m_revision = 0;
     std::uint64_t m_lastChangeRevision = 0;
-    /// Highest revision of an item that was known in this era. Items of a list can be later than
-    /// the revision up to which it is complete.
-    std::uint64_t m_newestItemRevision = 0;
     /// Era of the known items, and the latest one that an answer or another gateway has shown.
     std::uint64_t m_era = 0;
     std::uint64_t m_latestEra = 0;
@@ -247,11 +243,7 @@
     std::uint64_t m_copyRevision = 0;
     /// Highest revision known in any earlier era. A copy may be older than the previous one.
     std::uint64_t m_highestRevision = 0;
-    /// Names of the known items, and of those that were not yet seen in this era.
-    std::set<std::string, std::less<>> m_knownNames;
-    std::set<std::string, std::less<>> m_unconfirmedNames;
-    /// Names of the known items that cannot be used.
-    std::set<std::string, std::less<>> m_unusableNames;
+    known_items m_known;
     /// When the scope is listed to remove the unconfirmed items.
     instant m_confirmAt = instant::never();
     bool m_isWatching = true;
