Play a silent store amid changes and a frozen reader in the soak

It froze gateways for at most 2 s without regard to what changed meanwhile, and asked for the newest configuration 5 s after its last fault.

Change: soak_troubles.py plays both as sequences with drawn lengths, after the random faults, which stay as they were for each seed: the store falls silent for 0.2 to 0.8 s amid configurations, and a reader freezes for 2.5 to 5 s while workers join and leave, from eight gateways on.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -1,12 +1,13 @@
 """Randomized soak test with fault injection: real gateway processes, a fake store and fake workers.
 
-Usage: soak.py PATH_OF_ALMONDNOTCHD [--seed N] [--seconds S] [--seeds COUNT] [--gateways N]
+Usage: soak.py PATH_OF_ALMONDNOTCHD [--seed N] [--seconds S] [--seeds COUNT] [--gateways N] [--troubles N]
 
 With 8 gateways or more, two of them read the store for the others.
 
 Injected faults: gateways are killed, paused or shut down, and restarted; workers misbehave, drain,
 disappear and are replaced; the store is down, loses requests, compacts its history or publishes
 another configuration; a malformed registration is written to the store. Callers reuse their connections.
+After them come the troubles of soak_troubles.py, each as often as --troubles says, in random order.
 The test checks, from the records of callers and workers:
   - A booking runs at most once, and does not run if the response says that it did not.
   - A response is the one that a worker sent for this attempt.
@@ -18,7 +19,6 @@
 """
 import argparse
 import http.client
-import json
 import os
 import random
 import signal
@@ -27,7 +27,9 @@
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import soak_troubles  # noqa: E402
 import standins  # noqa: E402
+from soak_troubles import DRAIN_SECONDS, STABLE_SECONDS  # noqa: E402
 
 MODES = ("healthy", "healthy", "extra", "extra-late", "unframed", "unframed-reset", "unsealed",
          "reset", "shed", "pausing", "early", "failing", "silent", "refusal-again", "unnamed-refusal-again",
@@ -35,9 +37,6 @@
 CALLERS = 8
 RECOVERY_SECONDS = 15
 CONFIG_SECONDS = 5
-# Time after the last fault from which drains have to be obeyed, and the time limit for a drain.
-STABLE_SECONDS = 3
-DRAIN_SECONDS = 2
 SERVED_SHARE_MIN = 0.9
 # Time after a request for a pause from which it is checked, and how many requests may still come.
 PAUSE_NOTICE_SECONDS = 0.5
@@ -45,9 +44,9 @@
 
 
 class Soak:
-    def __init__(self, daemon, seed, seconds, gateways):
+    def __init__(self, daemon, seed, seconds, gateways, troubles):
         self.random = random.Random(seed)
-        self.daemon, self.seconds = daemon, seconds
+        self.daemon, self.seconds, self.troubles = daemon, seconds, troubles
         self.store = standins.Store()
         self.version = 1
         self.store.put("op/config", standins.configuration(self.version))
@@ -66,7 +65,9 @@
 
     def add_worker(self, service):
         self.created += 1
-        self.workers.append(standins.Worker(self.store, f"{service[0]}-{self.created}", service))
+        worker = standins.Worker(self.store, f"{service[0]}-{self.created}", service)
+        self.workers.append(worker)
+        return worker
 
     def new_gateway(self, number):
         seeds = ",".join(f"127.0.0.1:{one.peer_port}" for one in self.gateways[:2]) \
@@ -132,12 +133,15 @@
         elif kind == "compact":
             self.store.compact()
         elif kind == "config":
-            self.version += self.random.randrange(1, 5)
-            self.store.put("op/config", standins.configuration(self.version))
+            self.publish_configuration()
         else:
             self.store.put("servers/forged", self.random.choice(
                 standins.odd_registrations() + [self.random.randbytes(40)]))
 
+    def publish_configuration(self):
+        self.version += self.random.randrange(1, 5)
+        self.store.put("op/config", standins.configuration(self.version))
+
     def restart_gateway(self, number):
         ended = self.gateways[number]
 
@@ -165,6 +169,22 @@
         if kind in ("remove", "replace"):
             self.store.remove(f"servers/{worker.name}")
 
+    def retire_without_notice(self, worker):
+        """Removes the entry of a worker, which goes on serving."""
+        self.workers.remove(worker)
+        self.retired.append(worker)
+        self.store.remove(f"servers/{worker.name}")
+
+    def play_troubles(self):
+        """Returns the error texts of the troubles."""
+        drawn = soak_troubles.troubles_for(len(self.gateways)) * self.troubles
+        self.random.shuffle(drawn)
+        failures = []
+        for trouble in drawn:
+            self.faults.append((trouble.__name__,))
+            failures += trouble(self)
+        return failures
+
     def check(self):
         runs = {}
         for worker in self.workers + self.retired:
@@ -223,6 +243,7 @@
         recovered = self.wait_for_recovery()
         outdated = self.outdated_gateways()
         outdated += self.requests_to_draining_worker()
+        outdated += self.play_troubles()
         self.stop.set()
         for thread in callers:
             thread.join()
@@ -260,7 +281,7 @@
     @staticmethod
     def version_of(gateway):
         try:
-            return json.loads(gateway.get(gateway.operator_port, "/dump")[1])["config_version"]
+            return soak_troubles.dump_of(gateway)["config_version"]
         except (OSError, http.client.HTTPException) as error:
             return repr(error)
 
@@ -293,10 +314,11 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--gateways", type=int, default=3)
+    parser.add_argument("--troubles", type=int, default=1)
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
-        soak = Soak(options.daemon, seed, options.seconds, options.gateways)
+        soak = Soak(options.daemon, seed, options.seconds, options.gateways, options.troubles)
         failures = soak.run()
         served = sum(outcome[0] == 200 for _, outcome, _ in soak.answers.values())
         print(f"seed {seed}: {len(soak.answers)} requests, {served} served, "
