--- a/tests/decision/routing/lost_watch_test.cpp
+++ b/tests/decision/routing/lost_watch_test.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -135,12 +136,12 @@
 constexpr duration silenceMax = seconds(6);
 
 /// All silences are tried with watches that are sent before, as and after the store falls silent.
-template <typename MakeFixture>
-void checkSilences(const MakeFixture &makeFixture)
+template <typename Fixture>
+void checkSilences(std::unique_ptr<Fixture> (*makeFixture)())
 {
     for (duration silence = silenceMin; silence <= silenceMax; silence += milliseconds(100)) {
         for (duration lead {0}; lead <= milliseconds(16); lead += milliseconds(4)) {
-            const auto fixture = makeFixture();
+            const std::unique_ptr<Fixture> fixture = makeFixture();
             checkInForceInTime(*fixture, lead, silence);
         }
     }
