--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,5 +1,6 @@
 """Case 11: see claim.txt."""
 import os
+import socket
 import sys
 import threading
 import time
@@ -8,104 +9,123 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib-3"))
 import deployment as d  # noqa: E402
 
-GATEWAYS = 3
-REQUESTS_PER_SECOND = 40
-# How often the other writer writes the entry, in all.
-WRITES = 4
-
-
-def foreign_entries(worker):
-    """Entries that another writer may leave under a worker's key: each lacks a field that the pages
-    name, or has it with another type, and none is by the worker."""
-    entry = {"address": f"127.0.0.1:{worker.port}", "born": worker.born,
-             "info": {"service": "books", "version": "v1", "zone": worker.zone, "slots": 6},
-             "status": {"state": "ready", "seq": 1, "warmupLeft": "0ms"}}
-    lacking_version = {**entry, "info": {k: v for k, v in entry["info"].items() if k != "version"}}
-    lacking_seq = {**entry, "status": {k: v for k, v in entry["status"].items() if k != "seq"}}
-    odd_version = {**entry, "info": {**entry["info"], "version": 1}}
-    odd_seq = {**entry, "status": {**entry["status"], "seq": "one"}}
-    return [lacking_version, lacking_seq, odd_version, odd_seq]
-
-
-class Requester(threading.Thread):
-    """Sends bookings and reads at a steady rate to the gateways in turn."""
-
-    def __init__(self, record, gateways):
-        super().__init__(daemon=True)
-        self.record, self.gateways, self.stopping = record, gateways, threading.Event()
-
-    def run(self):
-        number = 0
-        while not self.stopping.wait(1 / REQUESTS_PER_SECOND):
-            number += 1
-            threading.Thread(target=self.send_one, daemon=True,
-                             args=(self.gateways[number % GATEWAYS], number % 4 != 0)).start()
-
-    def send_one(self, gateway, is_booking):
+# Machines of one zone: two large ones and the small ones, with their share of a core and their link.
+LARGE, SMALL = 2, 8
+LARGE_MACHINE, SMALL_MACHINE = (0.5, 200_000_000 / 8), (0.1, 10_000_000 / 8)
+# Routes that the configuration has grown by.
+ROUTES = 1200
+# Time between two configurations in quick succession, and how often two come.
+GAP = 0.33
+ROUNDS = 5
+CALM_GAP = 3.0
+CONFIG_APPLY = 2.5
+SERVICES = ("books-a", "books-b", "books-c")
+
+
+class Link:
+    """The way from a machine to the store, with a bandwidth in bytes a second."""
+
+    def __init__(self, target, bandwidth):
+        host, _, port = target.partition(":")
+        self.target, self.bandwidth = (host, int(port)), bandwidth
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            near, _ = self.listener.accept()
+            try:
+                far = socket.create_connection(self.target)
+            except OSError:
+                near.close()
+                continue
+            for one, other in ((near, far), (far, near)):
+                threading.Thread(target=self._pass_on, args=(one, other), daemon=True).start()
+
+    def _pass_on(self, one, other):
+        try:
+            while data := one.recv(int(self.bandwidth / 100)):
+                time.sleep(len(data) / self.bandwidth)
+                other.sendall(data)
+        except OSError:
+            pass
+        for connection in (one, other):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
+def configuration(version, service):
+    """A configuration that sends the bookings to this service and has many more routes."""
+    source = d.configuration(version)
+    source["routes"]["r-book"]["service"] = service
+    source["services"].update({name: source["services"]["reads"] for name in SERVICES})
+    for number in range(ROUTES):
+        source["routes"][f"r-{number:04d}"] = {**source["routes"]["r-read"],
+                                               "prefix": f"/further-{number:04d}/"}
+    return source
+
+
+def check(record, gateways, workers, version, service, acked):
+    """Sends a booking to each machine. Returns those whose booking another service ran."""
+    stale = []
+    for gateway in gateways:
         attempt = d.attempt_id()
-        method, kind = ("POST", "book") if is_booking else ("GET", "read")
-        answer = d.send(gateway, method, f"/{kind}/{attempt}", attempt, body=b"x" * 200)
-        self.record.line(f"{kind} {attempt} sent to {gateway.name} gets {answer.status} "
-                         f"{answer.headers.get('x-almondnotch-server-seal')}" if answer
-                         else f"{kind} {attempt} sent to {gateway.name} gets no answer")
-
-
-def heartbeats(worker, store, stopping):
-    """The worker reports itself each heartbeat; its entry is its own again then."""
-    while not stopping.wait(d.HEARTBEAT):
-        key, value = worker.beat()
-        if store.items[key]["value"] != worker.known_value:
-            store.put(key, value)
-            worker.known_value = store.items[key]["value"]
-            worker.record.line(f"{worker.name} writes its entry again")
+        since = time.monotonic() - acked
+        answer = d.send(gateway, "POST", f"/book/{attempt}", attempt, body=b"x")
+        ran = [worker.service for worker in workers
+               if any(arrived == attempt for _, arrived, _ in worker.arrivals)]
+        if ran and ran != [service]:
+            record.line(f"{since:.1f} s after the ack of version {version}, {gateway.name} sent booking "
+                        f"{attempt} to {ran[0]} instead of {service}; answered "
+                        f"{answer.status if answer else None}")
+            stale.append(gateway.name)
+    return stale
 
 
 def play(record, trouble):
     store = d.standins.Store()
-    store.put("op/config", d.configuration())
-    reads = [d.Worker(record, store, f"i-reads-{n}", "reads", "gp-a") for n in range(4)]
-    books = [d.Worker(record, store, f"i-books-{n}", "books", "gp-a") for n in range(3)]
-    victim = reads[0]
-    victim.known_value = store.items[f"servers/{victim.name}"]["value"]
-    gateways = [d.Gateway(record, store.server.address, f"front-gp-a-{n}", "gp-a")
-                for n in range(GATEWAYS)]
-    stopping = threading.Event()
-    requester = Requester(record, gateways)
+    version, turn = 1, 0
+    store.put("op/config", configuration(version, SERVICES[turn]))
+    workers = [d.Worker(record, store, f"i-{name}-{n}", name, "gp-a")
+               for name in SERVICES for n in range(2)]
+    gateways = []
+    for number in range(LARGE + SMALL):
+        cpu_share, bandwidth = LARGE_MACHINE if number < LARGE else SMALL_MACHINE
+        link = Link(store.server.address, bandwidth)
+        gateways.append(d.Gateway(record, link.address, f"front-gp-a-{number}", "gp-a", cpu_share))
+    late = []
     try:
-        seeds = [f"127.0.0.1:{gateway.control}" for gateway in gateways]
+        seeds = [f"127.0.0.1:{gateway.control}" for gateway in gateways[:3]]
         for gateway in gateways:
             gateway.start(seeds)
         for gateway in gateways:
             gateway.wait_until_ready()
-        threading.Thread(target=heartbeats, args=(victim, store, stopping), daemon=True).start()
-        time.sleep(d.STABLE_WINDOW + 1)
-        requester.start()
-        time.sleep(2)
-        for number in range(WRITES):
-            if trouble:
-                entry = foreign_entries(victim)[number]
-                store.put(f"servers/{victim.name}", entry)
-                record.line(f"another writer has written servers/{victim.name}: {entry}")
-            time.sleep(2 * d.HEARTBEAT)
-        requester.stopping.set()
-        time.sleep(2)
+        time.sleep(2 * d.STABLE_WINDOW)
+        for number in range(ROUNDS):
+            for _ in range(2):
+                version, turn = version + 1, (turn + 1) % len(SERVICES)
+                store.put("op/config", configuration(version, SERVICES[turn]))
+                acked = time.monotonic()
+                record.line(f"version {version} is acknowledged: bookings go to {SERVICES[turn]}")
+                time.sleep(GAP if trouble else CALM_GAP)
+            time.sleep(max(0.0, acked + CONFIG_APPLY + 0.5 - time.monotonic()))
+            stale = check(record, gateways, workers, version, SERVICES[turn], acked)
+            late += [(version, name) for name in stale]
+            if stale and number == ROUNDS - 1 or len(late) >= 3:
+                # How long it lasts: nothing changes any more.
+                time.sleep(20)
+                check(record, gateways, workers, version, SERVICES[turn], acked)
+                break
     finally:
-        stopping.set()
         for gateway in gateways:
             gateway.clean_up()
-    return judge(record, reads, books)
-
-
-def judge(record, reads, books):
-    """ROUTE: a request is run by a service to which no configuration ever sent allows it to go."""
-    wrong = [(worker.name, attempt, path) for workers, prefix in ((reads, "/read/"), (books, "/book/"))
-             for worker in workers for _, attempt, path in worker.arrivals
-             if not path.startswith(prefix)]
-    for name, attempt, path in wrong:
-        record.line(f"request {attempt} {path} was run by {name}")
-    if not any(worker.arrivals for worker in books):
-        raise d.CannotRun("no booking was run")
-    return f"ROUTE: {len(wrong)} bookings were run by a worker of the reads" if wrong else None
+    if not late:
+        return None
+    return (f"CONFIG: {len(late)} bookings, sent later than {CONFIG_APPLY} s after the ack of a version, "
+            "were run by the service of an older one")
 
 
 d.run_case(FOLDER, play)
--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -73,15 +73,16 @@
 class Gateway:
     """One machine of the deployment: an almondnotchd that can be stopped and started again."""
 
-    def __init__(self, record, store_address, name, zone):
+    def __init__(self, record, store_address, name, zone, cpu_share=0.2):
         self.record, self.store_address, self.name, self.zone = record, store_address, name, zone
+        self.cpu_share = cpu_share
         self.front, self.ready, self.directory, self.control, self.operator = ports.reserve_ports(5)
         self.folder = tempfile.TemporaryDirectory()
         self.process, self.started_at, self.seeds = None, 0.0, []
 
     def start(self, seeds=None):
         self.seeds = self.seeds if seeds is None else seeds
-        fields = {"node": self.name, "zone": self.zone, "limits": {"cpuShare": 0.2},
+        fields = {"node": self.name, "zone": self.zone, "limits": {"cpuShare": self.cpu_share},
                   "listen": {"front": f"127.0.0.1:{self.front}", "ready": f"127.0.0.1:{self.ready}",
                              "control": f"127.0.0.1:{self.control}",
                              "directory": f"127.0.0.1:{self.directory}"},
