Show in the state dump what each reader of the store waits for

The dump now has, for both scopes, the revision known and advertised, the updates put aside, and the read in flight or planned.

--- a/decision/routing/items/item_reader.cpp
+++ b/decision/routing/items/item_reader.cpp
@@ -559,4 +559,20 @@
         sendRead(now, nextReadId, actions);
 }
 
+nlohmann::json item_reader::dump(instant now) const
+{
+    nlohmann::json out = {{"revision", m_revision},
+                          {"advertised_revision", m_advertisedRevision},
+                          {"updates_put_aside", m_outOfOrder.size()},
+                          {"updates_put_aside_max", outOfOrderUpdatesMax},
+                          {"failures", m_failures},
+                          {"is_watching", m_isWatching},
+                          {"is_listing", m_isListing},
+                          {"is_read_in_flight", m_isReadInFlight},
+                          {"read_age_ms", toMilliseconds(readAge(now))}};
+    if (!m_isReadInFlight && needsRead())
+        out["next_read_ms"] = toMilliseconds(m_nextReadAt - now);
+    return out;
+}
+
 } // namespace almondnotch
--- a/decision/routing/items/item_reader.h
+++ b/decision/routing/items/item_reader.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include <nlohmann/json.hpp>
+
 #include "core/counters.h"
 #include "core/random_source.h"
 #include "core/time.h"
@@ -165,6 +167,8 @@
     {
         return era == m_era ? m_lastChangeRevision : 0;
     }
+    /// What is known, what other gateways have advertised, and the read in flight or planned.
+    nlohmann::json dump(instant now) const;
 
 private:
     /// How a relayed update relates to what is known.
--- a/tests/decision/routing/store_era_test.cpp
+++ b/tests/decision/routing/store_era_test.cpp
@@ -317,7 +317,7 @@
     BOOST_TEST(versionInForce(fixture) == 4);
     // The list of the other reader does not say what was removed up to its revision.
     relay(fixture, 6, 0, 125, {readyWorkerItem("w-2", 71)});
-    BOOST_TEST(fixture.gateway->dump(fixture.now)["store"]["workers_revision"] == 118);
+    BOOST_TEST(fixture.gateway->dump(fixture.now)["store"]["workers"]["revision"] == 118);
 }
 
 // Guards against a reader that does not notice the change of era while its watches wait, and does
