Read the store for as long as changes are known to be missing

Cause: an advertisement that came while a request was in flight was left to that request, which the store had answered before; its end checked only whether it brought anything, and later reports of the same revision counted as known. Trace on otherwise unchanged code: eight of eight followers at revision 9 with advertised_revision 10, no read in flight, none planned.

That changes are missing is now derived from what is known and what was told, noted whatever the reader does, and not a flag that each event handles. While it holds, a read is in flight or planned with a deadline; reader_behind_has_timely_read checks this after each event. Updates that were put aside are applied after each read.

--- a/decision/routing/items/item_reader.cpp
+++ b/decision/routing/items/item_reader.cpp
@@ -13,6 +13,9 @@
 
 /// Maximum number of times that the backoff is doubled.
 constexpr unsigned backoffDoublingsMax = 4;
+/// Range of the random factor of a delay between retries.
+constexpr double retryJitterMin = 0.75;
+constexpr double retryJitterMax = 1.25;
 /// Time for which the store may hold a watch open that requests advertised changes, or that is the
 /// first one after watching began.
 constexpr duration catchUpWatchDuration = milliseconds(50);
@@ -21,6 +24,9 @@
 /// How long advertised changes may take to arrive from another gateway before they are requested
 /// from the store.
 constexpr duration catchUpDelay = milliseconds(150);
+/// Maximum time until changes are requested again after a read that has not delivered any of those
+/// that are missing.
+constexpr duration catchUpDelayMax = seconds(1);
 /// Time after the advertisement of changes within which a watch in flight has to deliver them. The
 /// store delivers existing changes immediately, so a watch that exceeds this time is assumed to
 /// hang on a dead connection.
@@ -82,7 +88,8 @@
         if (m_settings.checksWatches && command.wait > catchUpWatchDuration)
             m_watchCheckAt = now + watchCheckDelay;
     }
-    m_isCatchingUp = false;
+    m_catchUpAt = now + catchUpDelay;
+    m_catchUpDeadline = now + catchUpTimeLimit;
     actions.push_back(std::move(command));
 }
 
@@ -139,6 +146,7 @@
 {
     if (era <= m_latestEra)
         return;
+    expectChanges(now);
     m_latestEra = era;
     m_mustRelist = true;
     // The answer to a list that was just sent tells its era itself.
@@ -181,14 +189,52 @@
         m_isListing = m_mustRelist;
         m_nextReadAt = std::min<instant>(m_nextReadAt, now + catchUpDelay);
     }
-    if (m_isListing || isEraOutdated() || revision <= std::max(m_revision, m_advertisedRevision))
+    const store_position advertised {era == 0 ? m_latestEra : era, revision};
+    if (advertised <= std::max(known(), m_advertised))
+        return;
+    expectChanges(now);
+    m_advertised = advertised;
+    m_advertisedAt = now;
+}
+
+/// Called before the reader learns of missing changes. If it knew of none, plans when they are
+/// requested, and by when a watch in flight has to deliver them. Later changes postpone neither.
+void item_reader::expectChanges(instant now)
+{
+    if (isBehind())
         return;
-    m_advertisedRevision = revision;
+    m_catchUpAt = std::max<instant>(now + catchUpDelay, m_earliestRetryAt);
     m_catchUpDeadline = now + catchUpTimeLimit;
-    if (m_isReadInFlight)
+}
+
+/// Called at the end of a read. If changes are still missing, plans when they are requested: those
+/// that were advertised during the read may still be relayed, and if it delivered none, the store
+/// gets some time.
+void item_reader::planCatchUp(instant now, const store_position &knownBefore)
+{
+    const bool isFruitless = isBehind() && known() == knownBefore;
+    m_fruitlessReads = isFruitless ? m_fruitlessReads + 1 : 0;
+    m_catchUpAt = std::max<instant>(now, m_advertisedAt + catchUpDelay);
+    if (!isFruitless)
         return;
-    m_isCatchingUp = true;
-    m_nextReadAt = now + catchUpDelay;
+    const unsigned doublings = std::min(m_fruitlessReads - 1, backoffDoublingsMax);
+    const duration delay = std::min<duration>(catchUpDelay * (1U << doublings), catchUpDelayMax);
+    m_catchUpAt = std::max<instant>(now + delay, m_earliestRetryAt);
+}
+
+/// When the next read starts if none is in flight; `never` if none is needed.
+instant item_reader::plannedReadAt() const
+{
+    const instant planned = m_isListing || m_isWatching ? m_nextReadAt : instant::never();
+    return isBehind() ? std::min(planned, std::max(m_catchUpAt, m_largeChangesHoldoffUntil))
+                      : planned;
+}
+
+bool item_reader::hasTimelyRead(instant now) const
+{
+    if (!m_isReadInFlight)
+        return plannedReadAt() <= now + scaled(catchUpDelayMax, retryJitterMax);
+    return m_isListing || watchDeadline() <= now + catchUpTimeLimit;
 }
 
 instant item_reader::nextWake() const
@@ -197,7 +243,7 @@
         return std::min({watchDeadline(), m_watchCheckAt, confirmationTime()});
     if (m_isReadInFlight)
         return instant::never();
-    return std::min(needsRead() ? m_nextReadAt : instant::never(), confirmationTime());
+    return std::min(plannedReadAt(), confirmationTime());
 }
 
 /// When the scope is listed to remove what was not written again; `never` if nothing is missing.
@@ -258,7 +304,6 @@
     m_lastChangeRevision = listRevision;
     m_known.beginEra();
     m_confirmAt = now + store_outage::renewalTimeMax;
-    m_advertisedRevision = 0;
     std::erase_if(m_outOfOrder, [this](const items_update &stored) { return stored.era != m_era; });
 }
 
@@ -295,10 +340,11 @@
 {
     std::vector<item_batch> batches;
     // Before the first list is complete, there is nothing to apply the update to. Changes that the
-    // list lacks are delivered by the next watch, or requested when another gateway advertises
-    // them.
-    if (!m_hasSynced)
+    // list lacks are delivered by the next watch or requested after it.
+    if (!m_hasSynced) {
+        revisionAdvertised(now, update.era, update.revision);
         return batches;
+    }
     if (isEarlierEra(update.era)) {
         m_counters.add("items_updates_outdated_total");
         return batches;
@@ -309,7 +355,6 @@
         return batches;
     }
     applyStoredUpdates(batches);
-    m_isCatchingUp = m_isCatchingUp && isBehind();
     return batches;
 }
 
@@ -331,6 +376,8 @@
 /// Applies the stored updates to which no earlier change is missing any more.
 void item_reader::applyStoredUpdates(std::vector<item_batch> &batches)
 {
+    if (isEraOutdated())
+        return;
     const auto isDone = [this, &batches](const items_update &stored) {
         const update_fit fit = fitOf(stored);
         if (fit == update_fit::complete)
@@ -373,38 +420,50 @@
     if (!m_isReadInFlight || input.read != m_readId)
         return false;
     m_isReadInFlight = false;
+    const store_position knownBefore = known();
+    readEnded(now, input, batches);
+    applyStoredUpdates(batches);
+    // The further pages of a list are requested at once.
+    if (!m_isListing || m_nextReadAt > now)
+        planCatchUp(now, knownBefore);
+    return true;
+}
+
+/// Handles the end of the read that was in flight.
+void item_reader::readEnded(instant now, const items_read_finished &input,
+                            std::vector<item_batch> &batches)
+{
     if (!input.page) {
         readFailed(now);
         // A store that compacts its history closes its watches. A watch resumed at that moment
         // would wait for the next change and miss the compacted ones.
         if (!m_isListing && isMechanismEnabled("list_after_cut"))
             restart(m_nextReadAt);
-        return true;
+        return;
     }
     if (!isEarlierEra(input.page->era)) {
         m_failures = 0;
         m_failuresSinceWatching = 0;
     }
     if (!acceptEra(now, *input.page))
-        return true;
+        return;
     m_hasReadSinceWatching = m_hasReadSinceWatching || m_isWatching;
     if (input.page->historyLost) {
         m_counters.add("store_history_lost_total");
         relist(now);
-        return true;
+        return;
     }
     if (input.page->changesTooLarge) {
         m_counters.add("store_changes_too_large_total");
         relist(now);
         m_largeChangesHoldoffUntil
             = now + std::max<duration>(m_settings.watchDelay, largeChangesHoldoffMin);
-        return true;
+        return;
     }
     if (m_isListing)
         listPageReceived(now, *input.page, batches);
     else
         watchFinished(now, *input.page, batches);
-    return true;
 }
 
 void item_reader::listPageReceived(instant now, const item_page &page,
@@ -444,8 +503,6 @@
                       m_revision};
     batch.startsEra = startsEra;
     deliver(std::move(batch), batches);
-    if (startsEra)
-        applyStoredUpdates(batches);
 }
 
 void item_reader::watchFinished(instant now, const item_page &page,
@@ -497,7 +554,7 @@
     const unsigned doublings = std::min(m_failures, backoffDoublingsMax);
     const duration delay
         = std::min<duration>(backoff.initialDelay * (1U << doublings), backoff.delayMax);
-    return scaled(delay, 0.75 + 0.5 * m_random.uniform());
+    return scaled(delay, retryJitterMin + (retryJitterMax - retryJitterMin) * m_random.uniform());
 }
 
 void item_reader::storeAnswered(instant now)
@@ -521,7 +578,6 @@
     m_allowStaleList = false;
     m_afterKey.clear();
     m_listedItems.clear();
-    m_advertisedRevision = 0;
     m_isReadInFlight = false;
     m_nextReadAt = listAt;
 }
@@ -555,14 +611,15 @@
         giveUpWatch(now, actions);
     if (now >= confirmationTime())
         relist(now);
-    if (!m_isReadInFlight && needsRead() && m_nextReadAt <= now)
+    if (!m_isReadInFlight && plannedReadAt() <= now)
         sendRead(now, nextReadId, actions);
 }
 
 nlohmann::json item_reader::dump(instant now) const
 {
     nlohmann::json out = {{"revision", m_revision},
-                          {"advertised_revision", m_advertisedRevision},
+                          {"advertised_revision", m_advertised.revision},
+                          {"is_behind", isBehind()},
                           {"updates_put_aside", m_outOfOrder.size()},
                           {"updates_put_aside_max", outOfOrderUpdatesMax},
                           {"failures", m_failures},
@@ -570,8 +627,8 @@
                           {"is_listing", m_isListing},
                           {"is_read_in_flight", m_isReadInFlight},
                           {"read_age_ms", toMilliseconds(readAge(now))}};
-    if (!m_isReadInFlight && needsRead())
-        out["next_read_ms"] = toMilliseconds(m_nextReadAt - now);
+    if (!m_isReadInFlight && plannedReadAt() != instant::never())
+        out["next_read_ms"] = toMilliseconds(plannedReadAt() - now);
     return out;
 }
 
--- a/decision/routing/items/item_reader.h
+++ b/decision/routing/items/item_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -63,6 +64,15 @@
     std::uint64_t copyRevision = 0;
 };
 
+/// A revision of the store. Revisions of different eras cannot be compared by their numbers.
+struct store_position
+{
+    std::uint64_t era = 0;
+    std::uint64_t revision = 0;
+
+    auto operator<=>(const store_position &) const = default; // NOLINT(modernize-use-nullptr)
+};
+
 /// Reads one scope of the platform's store: lists it page by page and then watches it. Lists it
 /// again if it may have missed changes, for example because the store has compacted its history or
 /// has not answered a watch in time. At most one read is in flight.
@@ -73,6 +83,9 @@
 /// If another gateway watches the scope and relays its changes, the reader does not watch. It then
 /// lists the scope once and requests changes only when some are missing.
 ///
+/// Whatever shows that changes are missing, and whatever happens to the read that was to deliver
+/// them: as long as `isBehind`, a read is in flight or planned, see `hasTimelyRead`.
+///
 /// A store that comes back from a copy begins a new era, in which it gives out revisions again.
 /// Revisions are therefore compared only within an era: answers, updates and reports of an earlier
 /// era are ignored, and a later one makes the reader list the scope, unless another gateway relays
@@ -130,7 +143,8 @@
     void eraSeen(instant now, std::uint64_t era);
     /// Another gateway has advertised that the store has changes up to `revision` of `era`. If they
     /// do not arrive shortly, they are requested from the store, or the scope is listed again if a
-    /// watch in flight should have delivered them. If the last reads failed, the advertisement
+    /// watch in flight should have delivered them. A read in flight may have been answered before
+    /// these changes; they are then requested after it. If the last reads failed, the advertisement
     /// shows that the store answers again. The list that would follow the failure is then omitted,
     /// unless the scope was never listed or changes were missed.
     void revisionAdvertised(instant now, std::uint64_t era, std::uint64_t revision);
@@ -138,9 +152,9 @@
     /// relayed ones are buffered until these arrive, since messages of different gateways can
     /// arrive out of order. A difference of lists that begins before the last known change may lack
     /// removals, so it only advertises its revision. Before the first list is complete, relayed
-    /// changes are ignored. An update of a later era that begins at revision 0 takes the place of
-    /// the list of that era; in the era that it begins, it says nothing about removals, so its
-    /// items are not applied. \return the changes that were not known before.
+    /// changes are only taken as advertised. An update of a later era that begins at revision 0
+    /// takes the place of the list of that era; in the era that it begins, it says nothing about
+    /// removals, so its items are not applied. \return the changes that were not known before.
     std::vector<item_batch> updateReceived(instant now, const items_update &update);
 
     item_scope scope() const { return m_settings.scope; }
@@ -167,6 +181,13 @@
     {
         return era == m_era ? m_lastChangeRevision : 0;
     }
+    /// True if an answer or another gateway has shown that the store has changes that are not
+    /// known.
+    bool isBehind() const { return isEraOutdated() || m_advertised > known(); }
+    /// Invariant of a reader that is behind: a read that can deliver the missing changes is in
+    /// flight or planned, and it ends or starts within a time that does not grow while further
+    /// changes are advertised. A list in flight ends with the time limit of the transport.
+    bool hasTimelyRead(instant now) const;
     /// What is known, what other gateways have advertised, and the read in flight or planned.
     nlohmann::json dump(instant now) const;
 
@@ -182,7 +203,10 @@
     };
 
     void endHoldoff(instant now, instant &until);
-    bool needsRead() const { return m_isListing || m_isWatching || m_isCatchingUp; }
+    store_position known() const { return {m_era, m_revision}; }
+    void expectChanges(instant now);
+    void planCatchUp(instant now, const store_position &knownBefore);
+    instant plannedReadAt() const;
     bool acceptEra(instant now, const item_page &page);
     void startEra(instant now, std::uint64_t listRevision);
     void deliver(item_batch batch, std::vector<item_batch> &batches);
@@ -191,7 +215,6 @@
     void putAside(const items_update &update, update_fit fit);
     void applyStoredUpdates(std::vector<item_batch> &batches);
     instant confirmationTime() const;
-    bool isBehind() const { return m_advertisedRevision > m_revision; }
     duration nextWatchDuration();
     bool needsNewConnection() const;
     bool isWatchInFlight() const { return m_isReadInFlight && !m_isListing; }
@@ -201,6 +224,7 @@
     void applyUpdate(const items_update &update, std::vector<item_batch> &batches);
     void giveUpWatch(instant now, action_list &actions);
     void sendRead(instant now, std::uint64_t &nextReadId, action_list &actions);
+    void readEnded(instant now, const items_read_finished &input, std::vector<item_batch> &batches);
     void listPageReceived(instant now, const item_page &page, std::vector<item_batch> &batches);
     void watchFinished(instant now, const item_page &page, std::vector<item_batch> &batches);
     instant nextWatchTime(instant now, const item_page &page) const;
@@ -252,12 +276,16 @@
     instant m_confirmAt = instant::never();
     bool m_isWatching = true;
     bool m_hasReadSinceWatching = false;
-    /// The next read requests changes that another gateway has advertised.
-    bool m_isCatchingUp = false;
-    /// Highest revision that other gateways have advertised since the last list began.
-    std::uint64_t m_advertisedRevision = 0;
-    /// If a watch in flight has not delivered the advertised changes by this time, the scope is
-    /// listed again.
+    /// Latest position that other gateways have advertised, and when.
+    store_position m_advertised;
+    instant m_advertisedAt;
+    /// When missing changes are requested. Only used while changes are missing and no read is in
+    /// flight.
+    instant m_catchUpAt;
+    /// Number of consecutive reads that left changes missing and delivered none.
+    unsigned m_fruitlessReads = 0;
+    /// If a watch in flight has not delivered the missing changes by this time, the scope is listed
+    /// again.
     instant m_catchUpDeadline;
     /// If the watch in flight has not been answered by this time, the scope is listed again.
     instant m_answerDeadline;
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -115,6 +115,7 @@
                                         std::string_view source, action_list &actions);
     void logStoreState(bool wasFailing, const items_read_finished &input, action_list &actions);
     void updateOutage(instant now);
+    void checkReaders(instant now);
     void checkFinished(instant now, const store_checks::outcome &check, action_list &actions);
     void seeEra(instant now, std::uint64_t era);
     bool areReadsFailing() const;
@@ -200,9 +201,20 @@
     if (stage == lifecycle_stage::leaving)
         endDrainIfDue(now, actions);
     updateOutage(now);
+    checkReaders(now);
     expectedWake = nextWake();
 }
 
+/// Whatever shows that changes of the store are missing, a read of them is in flight or planned.
+void route_gateway::state::checkReaders(instant now)
+{
+    for (const item_reader *reader : {&configReader, &workerReader}) {
+        if (reader->isBehind())
+            invariants.check("reader_behind_has_timely_read", reader->hasTimelyRead(now),
+                             reader->scope() == item_scope::workers ? "workers" : "configuration");
+    }
+}
+
 /// Refuses requests that are read while the process exits. All other requests have ended.
 void route_gateway::state::handleAfterExit(instant now, const event &input, action_list &actions)
 {
