Tell of quarantined requests first, and let records without room take turns

Cause: a digest told the 32 latest crash records. Each ordinary crash adds one for every request at work there, so that the records of a quarantined request were never told again. Trace on the unchanged code: before its SIGTERM each gateway has 74 records, the fatal request quarantined; after the restarts each has 32, without it.

Quarantined requests now go first, in turns, with the two records that decide; at least a quarter is for requests that crashed one worker, and those of the last 3 s take turns. A full table drops the oldest single crashes instead of ignoring new ones for 600 s, and full suspicions drop the oldest. Drains take turns in both halves: routing told the first 32 by name, the other half the latest 32. No message grows.

--- a/decision/calls/quarantine_table.cpp
+++ b/decision/calls/quarantine_table.cpp
@@ -1,6 +1,7 @@
 #include "decision/calls/quarantine_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace almondnotch {
 
@@ -12,24 +13,81 @@
 constexpr std::size_t suspectedWorkersMax = 1024;
 /// Number of different workers that a request must have crashed to be quarantined.
 constexpr std::size_t crashesForQuarantine = 2;
+/// Of each message, one part in this many is for requests that crashed one worker.
+constexpr std::size_t singleCrashesShare = 4;
+/// When the table is full, room is made for one part in this many of it at once.
+constexpr std::uint32_t evictedShare = 16;
+
+std::uint64_t requestOf(std::uint64_t digest)
+{
+    return digest;
+}
+
+std::uint64_t requestOf(const crash_record &record)
+{
+    return record.requestDigest;
+}
+
+/// Rows that follow `last`, at most `limit`, in the order of their requests and beginning anew at
+/// the end. Sets `last` to the request of the last one.
+template <typename Row>
+std::vector<Row> takeTurns(std::vector<Row> rows, std::size_t limit, std::uint64_t &last)
+{
+    const auto next = std::find_if(rows.begin(), rows.end(),
+                                   [last](const Row &row) { return requestOf(row) > last; });
+    std::rotate(rows.begin(), next, rows.end());
+    rows.resize(std::min(rows.size(), limit));
+    if (!rows.empty())
+        last = requestOf(rows.back());
+    return rows;
+}
+
+bool isLater(const crash_record &left, const crash_record &right)
+{
+    return left.age < right.age;
+}
+
+/// Crashes of one request, the latest one first.
+std::vector<crash_record> latestFirst(instant now, std::uint64_t request,
+                                      const std::map<std::string, instant> &crashes)
+{
+    std::vector<crash_record> records;
+    records.reserve(crashes.size());
+    for (const std::pair<const std::string, instant> &crash : crashes)
+        records.push_back({request, crash.first, now - crash.second});
+    std::sort(records.begin(), records.end(), isLater);
+    return records;
+}
 
 } // namespace
 
 void quarantine_table::connectionBroke(instant now, std::uint64_t requestDigest,
                                        const std::string &worker)
 {
-    if (!m_suspicions.contains(worker) && m_suspicions.size() >= suspectedWorkersMax) {
-        m_counters.add("crash_suspicions_dropped_total");
-        return;
-    }
+    if (!m_suspicions.contains(worker) && m_suspicions.size() >= suspectedWorkersMax)
+        makeRoomForSuspectedWorker();
     std::vector<suspicion> &suspicions = m_suspicions[worker];
     if (suspicions.size() >= suspicionsPerWorkerMax) {
         m_counters.add("crash_suspicions_dropped_total");
-        return;
+        suspicions.erase(suspicions.begin());
     }
     suspicions.push_back({requestDigest, now});
 }
 
+/// Removes the suspicions against the worker whose last one is the oldest: they are the next that
+/// can no longer be confirmed.
+void quarantine_table::makeRoomForSuspectedWorker()
+{
+    const auto oldest
+        = std::min_element(m_suspicions.begin(), m_suspicions.end(),
+                           [](const std::pair<const std::string, std::vector<suspicion>> &left,
+                              const std::pair<const std::string, std::vector<suspicion>> &right) {
+                               return left.second.back().brokenAt < right.second.back().brokenAt;
+                           });
+    m_counters.add("crash_suspicions_dropped_total", oldest->second.size());
+    m_suspicions.erase(oldest);
+}
+
 void quarantine_table::workerUnreachable(instant now, const std::string &worker)
 {
     const auto found = m_suspicions.find(worker);
@@ -51,11 +109,9 @@
 void quarantine_table::recordCrash(instant crashedAt, std::uint64_t requestDigest,
                                    const std::string &worker)
 {
-    if (!m_crashes.contains(requestDigest) && m_crashes.size() >= m_requestsMax) {
-        m_counters.add("crash_records_dropped_total");
-        return;
-    }
-    std::map<std::string, instant> &workers = m_crashes[requestDigest];
+    if (!m_crashes.contains(requestDigest) && m_crashes.size() >= m_requestsMax)
+        makeRoomForRequest();
+    crashes_by_worker &workers = m_crashes[requestDigest];
     const bool wasQuarantined = workers.size() >= crashesForQuarantine;
     workers.emplace(worker, crashedAt);
     m_counters.add("crash_records_total");
@@ -63,6 +119,34 @@
         m_counters.add("requests_quarantined_total");
 }
 
+/// Removes the requests that crashed one worker longest ago. If all crashed several, removes the
+/// one whose quarantine ends first.
+void quarantine_table::makeRoomForRequest()
+{
+    using eviction = std::pair<instant, std::uint64_t>;
+    std::vector<eviction> singles;
+    eviction firstToEnd {instant::never(), 0};
+    for (const std::pair<const std::uint64_t, crashes_by_worker> &entry : m_crashes) {
+        const std::vector<crash_record> latest = latestFirst(instant(), entry.first, entry.second);
+        const crash_record &deciding = latest.at(std::min(latest.size(), crashesForQuarantine) - 1);
+        const eviction candidate {entry.second.at(deciding.worker), entry.first};
+        if (latest.size() < crashesForQuarantine)
+            singles.push_back(candidate);
+        else
+            firstToEnd = std::min(firstToEnd, candidate);
+    }
+    const std::size_t count
+        = std::min<std::size_t>(singles.size(), std::max(m_requestsMax / evictedShare, 1U));
+    std::partial_sort(singles.begin(), singles.begin() + static_cast<std::ptrdiff_t>(count),
+                      singles.end());
+    singles.resize(count);
+    if (singles.empty())
+        singles.push_back(firstToEnd);
+    for (const eviction &oldest : singles)
+        m_crashes.erase(oldest.second);
+    m_counters.add("crash_records_dropped_total", singles.size());
+}
+
 void quarantine_table::addRemoteCrash(instant now, const crash_record &record)
 {
     const instant crashedAt = now - record.age;
@@ -103,25 +187,66 @@
     }
 }
 
-std::vector<crash_record> quarantine_table::recentCrashes(instant now, std::size_t limit) const
+std::vector<crash_record> quarantine_table::takeCrashes(instant now, std::size_t limit)
 {
-    std::vector<crash_record> all;
-    for (const std::pair<const std::uint64_t, std::map<std::string, instant>> &entry : m_crashes) {
-        for (const std::pair<const std::string, instant> &crash : entry.second)
-            all.push_back({entry.first, crash.first, now - crash.second});
+    std::vector<crash_record> records;
+    takeSingleCrashes(now, limit, records);
+    std::vector<crash_record> quarantined;
+    const std::size_t singlesMin = std::min(records.size(), limit / singleCrashesShare);
+    takeQuarantined(now, limit - singlesMin, quarantined);
+    records.resize(std::min(records.size(), limit - quarantined.size()));
+    records.insert(records.begin(), quarantined.begin(), quarantined.end());
+    return records;
+}
+
+/// Takes the two latest crashes of each quarantined request, of as many requests as fit.
+void quarantine_table::takeQuarantined(instant now, std::size_t limit,
+                                       std::vector<crash_record> &records)
+{
+    std::vector<std::uint64_t> requests;
+    for (const std::pair<const std::uint64_t, crashes_by_worker> &entry : m_crashes) {
+        if (isQuarantined(now, entry.first))
+            requests.push_back(entry.first);
+    }
+    for (const std::uint64_t request :
+         takeTurns(requests, limit / crashesForQuarantine, m_lastTakenQuarantined)) {
+        const std::vector<crash_record> latest = latestFirst(now, request, m_crashes.at(request));
+        records.insert(records.end(), latest.begin(), latest.begin() + crashesForQuarantine);
+    }
+}
+
+/// Takes the crashes of requests that are not quarantined.
+void quarantine_table::takeSingleCrashes(instant now, std::size_t limit,
+                                         std::vector<crash_record> &records)
+{
+    std::vector<crash_record> singles;
+    for (const std::pair<const std::uint64_t, crashes_by_worker> &entry : m_crashes) {
+        if (isQuarantined(now, entry.first))
+            continue;
+        const auto latest
+            = std::max_element(entry.second.begin(), entry.second.end(),
+                               [](const std::pair<const std::string, instant> &left,
+                                  const std::pair<const std::string, instant> &right) {
+                                   return left.second < right.second;
+                               });
+        singles.push_back({entry.first, latest->first, now - latest->second});
+    }
+    const auto isNew = [](const crash_record &record) { return record.age <= newCrashTime; };
+    const std::ptrdiff_t newCount = std::count_if(singles.begin(), singles.end(), isNew);
+    if (static_cast<std::size_t>(newCount) > limit) {
+        std::erase_if(singles, [isNew](const crash_record &record) { return !isNew(record); });
+        records = takeTurns(singles, limit, m_lastTakenNew);
+        return;
     }
-    std::sort(all.begin(), all.end(), [](const crash_record &left, const crash_record &right) {
-        return left.age < right.age;
-    });
-    if (all.size() > limit)
-        all.resize(limit);
-    return all;
+    std::sort(singles.begin(), singles.end(), isLater);
+    singles.resize(std::min(singles.size(), limit));
+    records = std::move(singles);
 }
 
 nlohmann::json quarantine_table::dump(instant now) const
 {
     nlohmann::json rows = nlohmann::json::array();
-    for (const std::pair<const std::uint64_t, std::map<std::string, instant>> &entry : m_crashes) {
+    for (const std::pair<const std::uint64_t, crashes_by_worker> &entry : m_crashes) {
         nlohmann::json workers = nlohmann::json::array();
         for (const std::pair<const std::string, instant> &crash : entry.second)
             workers.push_back(
--- a/decision/calls/quarantine_table.h
+++ b/decision/calls/quarantine_table.h
@@ -20,6 +20,11 @@
 /// worker proves to be unreachable within `confirmWindow`. A request that crashed two different
 /// workers is quarantined. Gateways exchange their crash records, so that a request is also
 /// detected if its caller sends it through different gateways.
+///
+/// Each crash of a worker adds a record for every request that was in progress there, so ordinary
+/// crashes make many records of requests that crashed one worker only. Where records compete for
+/// room, in the table or in a message, those of quarantined requests go first: a process that has
+/// just started knows of them only by such messages.
 class quarantine_table
 {
 public:
@@ -27,6 +32,9 @@
     /// A crashed process refuses connections immediately, so a failure after this time has another
     /// cause. The window is long enough for the probe budget to allow one probe.
     static constexpr duration confirmWindow = seconds(5);
+    /// Time after a crash within which other gateways have to learn of it, because the request may
+    /// crash a second worker through one of them.
+    static constexpr duration newCrashTime = seconds(3);
 
     /// \param counters must outlive the table.
     quarantine_table(duration quarantineTime, std::uint32_t requestsMax, counter_set &counters)
@@ -54,8 +62,11 @@
     /// Removes suspicions older than `confirmWindow` and crashes older than the quarantine time.
     void expire(instant now);
 
-    /// Most recent crashes, at most `limit`, to be sent to other gateways.
-    std::vector<crash_record> recentCrashes(instant now, std::size_t limit) const;
+    /// Takes the crashes to be sent to other gateways with the next message, at most `limit`. The
+    /// quarantined requests take turns, each with the two crashes that keep it quarantined longest.
+    /// At least a quarter of `limit` is for requests that crashed one worker, the latest ones
+    /// first; if there are more from the last `newCrashTime`, these take turns.
+    std::vector<crash_record> takeCrashes(instant now, std::size_t limit);
 
     nlohmann::json dump(instant now) const;
 
@@ -66,7 +77,14 @@
         instant brokenAt;
     };
 
+    /// Workers that a request crashed, with the times of the crashes.
+    using crashes_by_worker = std::map<std::string, instant>;
+
     void recordCrash(instant crashedAt, std::uint64_t requestDigest, const std::string &worker);
+    void makeRoomForRequest();
+    void makeRoomForSuspectedWorker();
+    void takeQuarantined(instant now, std::size_t limit, std::vector<crash_record> &records);
+    void takeSingleCrashes(instant now, std::size_t limit, std::vector<crash_record> &records);
 
     duration m_quarantineTime;
     /// Maximum number of requests in `m_crashes`.
@@ -74,8 +92,12 @@
     counter_set &m_counters;
     /// Suspicions by worker.
     std::map<std::string, std::vector<suspicion>> m_suspicions;
-    /// Workers that each request crashed, with the times of the crashes, by request digest.
-    std::map<std::uint64_t, std::map<std::string, instant>> m_crashes;
+    /// Crashes by request digest.
+    std::map<std::uint64_t, crashes_by_worker> m_crashes;
+    /// Last quarantined request whose crashes were taken.
+    std::uint64_t m_lastTakenQuarantined = 0;
+    /// Last request that crashed one worker, among the new ones, whose crash was taken.
+    std::uint64_t m_lastTakenNew = 0;
 };
 
 } // namespace almondnotch
--- a/decision/fleet/fleet.cpp
+++ b/decision/fleet/fleet.cpp
@@ -14,6 +14,7 @@
 #include "decision/fleet/membership.h"
 #include "decision/fleet/peer_checks.h"
 #include "decision/fleet/platform_reader.h"
+#include "decision/fleet/record_turns.h"
 #include "decision/fleet/rendezvous.h"
 #include "decision/fleet/vm_list.h"
 
@@ -85,17 +86,6 @@
     return age > duration::max() - elapsed ? duration::max() : age + elapsed;
 }
 
-/// Returns up to `maxCount` rows from `cursor` on, wrapping around, and advances `cursor` by the
-/// number of returned rows.
-template <typename T>
-std::vector<T> takeRoundRobin(const std::vector<T> &rows, std::size_t maxCount, std::size_t &cursor)
-{
-    std::vector<T> out;
-    for (std::size_t i = 0; i < std::min(maxCount, rows.size()); ++i)
-        out.push_back(rows[cursor++ % rows.size()]);
-    return out;
-}
-
 membership_settings membershipSettings(const fleet_settings &settings)
 {
     membership_settings out;
@@ -282,7 +272,7 @@
     if (!options.full)
         return digest;
     digest.unresponsivePeers = members.unresponsivePeers(now, settings.exchangeInterval, random);
-    digest.drains = takeRoundRobin(localState.drains, digestRecordsMax, drainCursor);
+    digest.drains = takeFirstAndRoundRobin(localState.drains, digestRecordsMax, drainCursor);
     for (worker_drain &drain : digest.drains)
         drain.age = advanceAge(drain.age, now - localStateSetAt);
     digest.crashes = takeRoundRobin(localState.crashes, digestRecordsMax, crashCursor);
--- a/decision/gateway.cpp
+++ b/decision/gateway.cpp
@@ -7,6 +7,7 @@
 
 #include "core/mechanisms.h"
 #include "core/random_source.h"
+#include "decision/balance/drain_table.h"
 #include "decision/calls/call_runner.h"
 #include "decision/calls/quarantine_table.h"
 #include "decision/claims/claim_table.h"
@@ -35,9 +36,6 @@
 /// forwarding calls to its successor. The other gateways learn of the handover in the meantime.
 constexpr int forwardingExchangeIntervals = 2;
 
-/// Maximum number of records of one kind in one exchange with a peer.
-constexpr std::size_t recordsPerExchangeMax = 32;
-
 /// Stages in the lifecycle of the process, in this order.
 enum class lifecycle_stage { serving, leaving, handing_over, forwarding, finished };
 
@@ -457,8 +455,8 @@
 {
     local_state localState;
     localState.callsInProgress = static_cast<std::uint32_t>(calls.inProgress());
-    localState.drains = loadBalancer->recentDrains(now, recordsPerExchangeMax);
-    localState.crashes = quarantine.recentCrashes(now, recordsPerExchangeMax);
+    localState.drains = loadBalancer->recentDrains(now, drain_table::drainsMax);
+    localState.crashes = quarantine.takeCrashes(now, digestRecordsMax);
     localState.handovers = claims.handovers(now);
     membership->setLocalState(std::move(localState));
 }
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -7,6 +7,7 @@
 
 #include "core/random_source.h"
 #include "decision/calls/quarantine_table.h"
+#include "decision/fleet/record_turns.h"
 #include "decision/routing/items/item_reader.h"
 #include "decision/routing/items/item_relay.h"
 #include "decision/routing/items/reader_group.h"
@@ -132,7 +133,7 @@
                              action_list &actions);
     void updateRemovalGracePeriods(instant now);
     void logUnusable(const published_item &item, action_list &actions);
-    gossip_payload gossipPayload(instant now) const;
+    gossip_payload takeGossipPayload(instant now);
     void restrictAdmission(instant now);
     void endDrainIfDue(instant now, action_list &actions);
 
@@ -143,6 +144,8 @@
     worker_pool pool;
     worker_change_log changeLog;
     quarantine_table quarantine;
+    /// See `takeRoundRobin`.
+    std::size_t drainCursor = 0;
     request_runner runner;
     startup_queue startupQueue;
     peer_group peers;
@@ -279,14 +282,12 @@
     handleWorkerChanges(now, "probe", nullptr, actions);
 }
 
-gossip_payload route_gateway::state::gossipPayload(instant now) const
+/// What the next digest tells of workers. What has no room goes into later ones.
+gossip_payload route_gateway::state::takeGossipPayload(instant now)
 {
-    gossip_payload out;
-    for (const std::pair<std::string, duration> &drainingWorker :
-         pool.recentDrains(now, drainGossipTime))
-        out.drains.push_back({drainingWorker.first, drainingWorker.second});
-    out.crashes = quarantine.recentCrashes(now, digestRecordsMax);
-    return out;
+    return {takeFirstAndRoundRobin(pool.recentDrains(now, drainGossipTime), digestRecordsMax,
+                                   drainCursor),
+            quarantine.takeCrashes(now, digestRecordsMax)};
 }
 
 void route_gateway::state::on(instant now, const peer_message_received &input, action_list &actions)
@@ -306,7 +307,8 @@
     handleWorkerChanges(now, "gossip", nullptr, actions);
     for (const crash_record &crash : digest.crashes)
         quarantine.addRemoteCrash(now, crash);
-    peers.digestArrived(now, digest, gossipPayload(now), actions);
+    peers.digestArrived(
+        now, digest, digest.replyRequested ? takeGossipPayload(now) : gossip_payload {}, actions);
     runner.setGatewayCount(peers.gatewayCount(now));
 }
 
@@ -382,7 +384,7 @@
     if (!hasJoined && isReady()) {
         hasJoined = true;
         peers.start(now);
-        peers.timerExpired(now, gossipPayload(now), actions);
+        peers.timerExpired(now, takeGossipPayload(now), actions);
         actions.push_back(write_log {log_level::info, "gateway", "The gateway is ready.", {}});
     }
     if (hasJoined)
@@ -651,7 +653,7 @@
     if (hasJoined) {
         // The payload is built only if an exchange is due, not whenever a timer expires.
         if (now >= peers.nextWake())
-            peers.timerExpired(now, gossipPayload(now), actions);
+            peers.timerExpired(now, takeGossipPayload(now), actions);
         sendDueReports(now, actions);
     }
     if (now >= nextSweep) {
--- a/decision/routing/workers/worker_pool.cpp
+++ b/decision/routing/workers/worker_pool.cpp
@@ -191,15 +191,17 @@
     m_counters.add("worker_drains_learned_total");
 }
 
-std::vector<std::pair<std::string, duration>> worker_pool::recentDrains(instant now,
-                                                                        duration window) const
+std::vector<worker_drain> worker_pool::recentDrains(instant now, duration window) const
 {
-    std::vector<std::pair<std::string, duration>> out;
+    std::vector<worker_drain> out;
     for (const std::pair<const std::string, instant> &entry : m_drainOrRemovalAt) {
         const duration age = now - entry.second;
         if (age <= window)
-            out.emplace_back(entry.first, age);
+            out.push_back({entry.first, age});
     }
+    std::stable_sort(
+        out.begin(), out.end(),
+        [](const worker_drain &left, const worker_drain &right) { return left.age < right.age; });
     return out;
 }
 
--- a/decision/routing/workers/worker_pool.h
+++ b/decision/routing/workers/worker_pool.h
@@ -14,6 +14,7 @@
 #include "core/counters.h"
 #include "core/time.h"
 #include "decision/events.h"
+#include "decision/peer_messages.h"
 #include "decision/routing/items/published.h"
 #include "decision/routing/workers/cold_limits.h"
 #include "decision/routing/workers/evacuations.h"
@@ -65,9 +66,8 @@
     /// answers, and the entry is not one of a copy.
     /// \param age time since any gateway first observed this.
     void applyDrain(instant now, const std::string &name, duration age, bool isStoreUnreachable);
-    /// Workers that began to drain or were removed within the last `window`, with the time since
-    /// then.
-    std::vector<std::pair<std::string, duration>> recentDrains(instant now, duration window) const;
+    /// Workers that began to drain or were removed within the last `window`, the latest first.
+    std::vector<worker_drain> recentDrains(instant now, duration window) const;
 
     /// Changes of known workers since the last call, in the order in which they were applied.
     std::vector<worker_change> takeChanges() { return std::exchange(m_changes, {}); }
--- a/tests/decision/routing/routing_fixture.cpp
+++ b/tests/decision/routing/routing_fixture.cpp
@@ -113,7 +113,7 @@
     return item;
 }
 
-routing_fixture::routing_fixture(routing_settings settings)
+routing_fixture::routing_fixture(routing_settings settings, instant startAt) : now(startAt)
 {
     result<std::unique_ptr<decision_core>> created = route_gateway::create(std::move(settings));
     if (!created)
--- a/tests/decision/routing/routing_fixture.h
+++ b/tests/decision/routing/routing_fixture.h
@@ -47,7 +47,8 @@
 class routing_fixture
 {
 public:
-    explicit routing_fixture(routing_settings settings = localGatewaySettings());
+    explicit routing_fixture(routing_settings settings = localGatewaySettings(),
+                             instant startAt = instant(seconds(100)));
 
     /// Answers the first lists of both scopes with these workers and this configuration, so that
     /// the gateway becomes ready.
@@ -107,7 +108,7 @@
     }
 
     std::unique_ptr<decision_core> gateway;
-    instant now {seconds(100)};
+    instant now;
     /// Actions that were not taken yet. Reads and probes are not included.
     action_list actions;
     bool answersProbes = true;
