Move the times of catching up into a class of their own

item_reader decides whether changes are missing; catch_up_plan knows what was advertised, when it is requested and until when a watch may deliver it.

--- a/decision/routing/items/item_reader.cpp
+++ b/decision/routing/items/item_reader.cpp
@@ -21,16 +21,6 @@
 constexpr duration catchUpWatchDuration = milliseconds(50);
 /// Maximum random reduction of the duration of a watch, as a fraction of it.
 constexpr double watchJitterFraction = 0.1;
-/// How long advertised changes may take to arrive from another gateway before they are requested
-/// from the store.
-constexpr duration catchUpDelay = milliseconds(150);
-/// Maximum time until changes are requested again after a read that has not delivered any of those
-/// that are missing.
-constexpr duration catchUpDelayMax = seconds(1);
-/// Time after the advertisement of changes within which a watch in flight has to deliver them. The
-/// store delivers existing changes immediately, so a watch that exceeds this time is assumed to
-/// hang on a dead connection.
-constexpr duration catchUpTimeLimit = milliseconds(600);
 /// How much longer than its requested wait a watch may take until its answer arrives. A watch that
 /// exceeds this time is assumed to be lost: the store may have failed after it received the watch,
 /// while the connection stays open.
@@ -88,8 +78,7 @@
         if (m_settings.checksWatches && command.wait > catchUpWatchDuration)
             m_watchCheckAt = now + watchCheckDelay;
     }
-    m_catchUpAt = now + catchUpDelay;
-    m_catchUpDeadline = now + catchUpTimeLimit;
+    m_catchUp.readSent(now);
     actions.push_back(std::move(command));
 }
 
@@ -151,11 +140,11 @@
     m_mustRelist = true;
     // The answer to a list that was just sent tells its era itself.
     const bool isFirstPageInFlight = m_isListing && m_isReadInFlight && m_afterKey.empty();
-    if (!m_hasSynced || (isFirstPageInFlight && readAge(now) <= catchUpDelay))
+    if (!m_hasSynced || (isFirstPageInFlight && readAge(now) <= catch_up_plan::relayTime))
         return;
     relist(now);
     // A follower first waits for the list that the readers relay.
-    m_nextReadAt = m_isWatching ? now : now + catchUpDelay;
+    m_nextReadAt = m_isWatching ? now : now + catch_up_plan::relayTime;
 }
 
 /// Checks the era of an answer. If the answer cannot be used, the scope is listed again.
@@ -187,54 +176,36 @@
         // The reads of this gateway failed, but the store answers other gateways again. The scope
         // need not be listed as long as the store still has the changes since `m_revision`.
         m_isListing = m_mustRelist;
-        m_nextReadAt = std::min<instant>(m_nextReadAt, now + catchUpDelay);
+        m_nextReadAt = std::min<instant>(m_nextReadAt, now + catch_up_plan::relayTime);
     }
     const store_position advertised {era == 0 ? m_latestEra : era, revision};
-    if (advertised <= std::max(known(), m_advertised))
+    if (advertised <= std::max(known(), m_catchUp.advertised()))
         return;
     expectChanges(now);
-    m_advertised = advertised;
-    m_advertisedAt = now;
+    m_catchUp.positionAdvertised(now, advertised);
 }
 
-/// Called before the reader learns of missing changes. If it knew of none, plans when they are
-/// requested, and by when a watch in flight has to deliver them. Later changes postpone neither.
+/// Called before the reader learns of missing changes.
 void item_reader::expectChanges(instant now)
 {
-    if (isBehind())
-        return;
-    m_catchUpAt = std::max<instant>(now + catchUpDelay, m_earliestRetryAt);
-    m_catchUpDeadline = now + catchUpTimeLimit;
-}
-
-/// Called at the end of a read. If changes are still missing, plans when they are requested: those
-/// that were advertised during the read may still be relayed, and if it delivered none, the store
-/// gets some time.
-void item_reader::planCatchUp(instant now, const store_position &knownBefore)
-{
-    const bool isFruitless = isBehind() && known() == knownBefore;
-    m_fruitlessReads = isFruitless ? m_fruitlessReads + 1 : 0;
-    m_catchUpAt = std::max<instant>(now, m_advertisedAt + catchUpDelay);
-    if (!isFruitless)
-        return;
-    const unsigned doublings = std::min(m_fruitlessReads - 1, backoffDoublingsMax);
-    const duration delay = std::min<duration>(catchUpDelay * (1U << doublings), catchUpDelayMax);
-    m_catchUpAt = std::max<instant>(now + delay, m_earliestRetryAt);
+    if (!isBehind())
+        m_catchUp.changesExpected(now, m_earliestRetryAt);
 }
 
 /// When the next read starts if none is in flight; `never` if none is needed.
 instant item_reader::plannedReadAt() const
 {
     const instant planned = m_isListing || m_isWatching ? m_nextReadAt : instant::never();
-    return isBehind() ? std::min(planned, std::max(m_catchUpAt, m_largeChangesHoldoffUntil))
-                      : planned;
+    return isBehind()
+               ? std::min(planned, std::max(m_catchUp.requestAt(), m_largeChangesHoldoffUntil))
+               : planned;
 }
 
 bool item_reader::hasTimelyRead(instant now) const
 {
     if (!m_isReadInFlight)
-        return plannedReadAt() <= now + scaled(catchUpDelayMax, retryJitterMax);
-    return m_isListing || watchDeadline() <= now + catchUpTimeLimit;
+        return plannedReadAt() <= now + scaled(catch_up_plan::requestDelayMax, retryJitterMax);
+    return m_isListing || watchDeadline() <= now + catch_up_plan::watchTimeLimit;
 }
 
 instant item_reader::nextWake() const
@@ -257,7 +228,7 @@
 /// Time by which the watch in flight has to be answered.
 instant item_reader::watchDeadline() const
 {
-    return isBehind() ? std::min(m_catchUpDeadline, m_answerDeadline) : m_answerDeadline;
+    return isBehind() ? std::min(m_catchUp.watchDeadline(), m_answerDeadline) : m_answerDeadline;
 }
 
 std::vector<published_item> item_reader::newItems(const std::vector<published_item> &items) const
@@ -411,7 +382,7 @@
         return;
     m_answerBeganAt = std::min(m_answerBeganAt, now);
     m_answerDeadline = std::max<instant>(m_answerDeadline, now + watchAnswerMargin);
-    m_catchUpDeadline = std::max<instant>(m_catchUpDeadline, now + watchAnswerMargin);
+    m_catchUp.readProgressed(now, watchAnswerMargin);
 }
 
 bool item_reader::readFinished(instant now, const items_read_finished &input,
@@ -423,9 +394,13 @@
     const store_position knownBefore = known();
     readEnded(now, input, batches);
     applyStoredUpdates(batches);
-    // The further pages of a list are requested at once.
-    if (!m_isListing || m_nextReadAt > now)
-        planCatchUp(now, knownBefore);
+    // A list, or its next page, is requested at once.
+    if (m_isListing && m_nextReadAt <= now)
+        return true;
+    if (isBehind() && known() == knownBefore)
+        m_catchUp.readWasFruitless(now, m_earliestRetryAt);
+    else
+        m_catchUp.readDelivered(now);
     return true;
 }
 
@@ -618,7 +593,7 @@
 nlohmann::json item_reader::dump(instant now) const
 {
     nlohmann::json out = {{"revision", m_revision},
-                          {"advertised_revision", m_advertised.revision},
+                          {"advertised_revision", m_catchUp.advertised().revision},
                           {"is_behind", isBehind()},
                           {"updates_put_aside", m_outOfOrder.size()},
                           {"updates_put_aside_max", outOfOrderUpdatesMax},
--- a/decision/routing/items/item_reader.h
+++ b/decision/routing/items/item_reader.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -13,6 +12,7 @@
 #include "core/time.h"
 #include "decision/actions.h"
 #include "decision/events.h"
+#include "decision/routing/items/catch_up_plan.h"
 #include "decision/routing/items/known_items.h"
 #include "decision/routing/items/reader_group.h"
 
@@ -64,15 +64,6 @@
     std::uint64_t copyRevision = 0;
 };
 
-/// A revision of the store. Revisions of different eras cannot be compared by their numbers.
-struct store_position
-{
-    std::uint64_t era = 0;
-    std::uint64_t revision = 0;
-
-    auto operator<=>(const store_position &) const = default; // NOLINT(modernize-use-nullptr)
-};
-
 /// Reads one scope of the platform's store: lists it page by page and then watches it. Lists it
 /// again if it may have missed changes, for example because the store has compacted its history or
 /// has not answered a watch in time. At most one read is in flight.
@@ -183,7 +174,7 @@
     }
     /// True if an answer or another gateway has shown that the store has changes that are not
     /// known.
-    bool isBehind() const { return isEraOutdated() || m_advertised > known(); }
+    bool isBehind() const { return isEraOutdated() || m_catchUp.advertised() > known(); }
     /// Invariant of a reader that is behind: a read that can deliver the missing changes is in
     /// flight or planned, and it ends or starts within a time that does not grow while further
     /// changes are advertised. A list in flight ends with the time limit of the transport.
@@ -205,7 +196,6 @@
     void endHoldoff(instant now, instant &until);
     store_position known() const { return {m_era, m_revision}; }
     void expectChanges(instant now);
-    void planCatchUp(instant now, const store_position &knownBefore);
     instant plannedReadAt() const;
     bool acceptEra(instant now, const item_page &page);
     void startEra(instant now, std::uint64_t listRevision);
@@ -276,17 +266,8 @@
     instant m_confirmAt = instant::never();
     bool m_isWatching = true;
     bool m_hasReadSinceWatching = false;
-    /// Latest position that other gateways have advertised, and when.
-    store_position m_advertised;
-    instant m_advertisedAt;
-    /// When missing changes are requested. Only used while changes are missing and no read is in
-    /// flight.
-    instant m_catchUpAt;
-    /// Number of consecutive reads that left changes missing and delivered none.
-    unsigned m_fruitlessReads = 0;
-    /// If a watch in flight has not delivered the missing changes by this time, the scope is listed
-    /// again.
-    instant m_catchUpDeadline;
+    /// When missing changes are requested.
+    catch_up_plan m_catchUp;
     /// If the watch in flight has not been answered by this time, the scope is listed again.
     instant m_answerDeadline;
     /// The scope has to be listed before changes can be requested: it was never listed, the store
