Play quick changes of a large configuration and a fatal request in the soak

quick_changes: a configuration that is too large to be relayed changes twice in quick succession; two large machines read it before the small ones, whose links have 10 Mbit/s. fatal_request: a request crashes workers, others crash while they are at work, the gateways are started again in turn, and the request comes again.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -2,7 +2,7 @@
 
 Usage: soak.py PATH_OF_ALMONDNOTCHD [--seed N] [--seconds S] [--seeds COUNT] [--gateways N] [--troubles N]
 
-With 8 gateways or more, two of them read the store for the others.
+With 8 gateways or more, two of them read the store for the others. All but two run on small machines.
 
 Injected faults: gateways are killed, paused or shut down, and restarted; workers misbehave, drain,
 disappear and are replaced; the store is down, loses requests, compacts its history or publishes
@@ -35,6 +35,8 @@
          "reset", "shed", "pausing", "early", "failing", "silent", "refusal-again", "unnamed-refusal-again",
          "endless-head", "endless-body", "endless-noise")
 CALLERS = 8
+# The other gateways run on small machines.
+LARGE_MACHINES = 2
 RECOVERY_SECONDS = 15
 CONFIG_SECONDS = 5
 SERVED_SHARE_MIN = 0.9
@@ -72,7 +74,8 @@
     def new_gateway(self, number):
         seeds = ",".join(f"127.0.0.1:{one.peer_port}" for one in self.gateways[:2]) \
             if self.gateways else None
-        return standins.Gateway([self.daemon], self.store, f"vm-{number}", seeds)
+        return standins.Gateway([self.daemon], self.store, f"vm-{number}", seeds,
+                                is_small=number >= LARGE_MACHINES)
 
     def run_caller(self, number):
         """Runs one caller, which reuses its connection, never retries and records responses."""
@@ -138,9 +141,13 @@
             self.store.put("servers/forged", self.random.choice(
                 standins.odd_registrations() + [self.random.randbytes(40)]))
 
-    def publish_configuration(self):
+    def publish_configuration(self, services=(), **extra_routes):
+        """Publishes the next version, with further services and routes."""
         self.version += self.random.randrange(1, 5)
-        self.store.put("op/config", standins.configuration(self.version))
+        configuration = standins.configuration(self.version, **extra_routes)
+        for service in services:
+            configuration["services"][service] = configuration["services"]["reads"]
+        self.store.put("op/config", configuration)
 
     def restart_gateway(self, number):
         ended = self.gateways[number]
@@ -305,6 +312,7 @@
         for worker in self.workers + self.retired:
             worker.server.stop_serving()
         self.store.server.stop_serving()
+        self.store.small_server.stop_serving()
 
 
 def main():
--- a/tests/platform/soak_troubles.py
+++ b/tests/platform/soak_troubles.py
@@ -1,8 +1,10 @@
 """Troubles that a soak plays as a whole, one after the other, because each is a sequence in time: what
 a process believes to know is checked at the moment from which it has to be true. The store, the
 gateways and the workers are those of the soak; lengths and distances are drawn by its random source."""
+import http.client
 import json
 import signal
+import threading
 import time
 
 import standins
@@ -14,6 +16,10 @@
 # Time limits from the acknowledgement of the store, for a configuration and for a worker's removal.
 CONFIG_SECONDS = 2
 DRAIN_SECONDS = 2
+# Rate of the store's answers over the link of a small machine, in bytes a second.
+SLOW_LINK_RATE = 1_250_000
+# Reads of a request that crashes workers that may still reach one after the third crash.
+FATAL_RETRIES_MAX = 3
 
 
 def sleep_until(at):
@@ -88,6 +94,120 @@
             "gateways that were not frozen"] if late else []
 
 
+def quick_changes(soak):
+    """A configuration that is too large to be relayed changes twice in quick succession. Large machines
+    read it before the small ones, whose links are slow. The last version has to be in force in each
+    gateway in time."""
+    settle(soak)
+    rng = soak.random
+    route = standins.configuration(1)["routes"]["r-read"]
+    routes = {f"r-{number}": {**route, "prefix": f"/further-{number}/"}
+              for number in range(rng.randrange(600, 1000))}
+    failures = []
+    soak.store.small_rate = SLOW_LINK_RATE
+    for _ in range(3):
+        soak.publish_configuration(**routes)
+        time.sleep(rng.uniform(0.1, 0.4))
+        soak.publish_configuration(**routes)
+        time.sleep(CONFIG_SECONDS + 0.5)
+        versions = [dump_of(gateway)["config_version"] for gateway in soak.gateways]
+        failures += [f"vm-{number} has configuration {version} instead of {soak.version} after quick "
+                     "changes" for number, version in enumerate(versions) if version != soak.version]
+    soak.store.small_rate = None
+    soak.publish_configuration()
+    return failures
+
+
+def fatal_request(soak):
+    """A request crashes workers and is refused from then on. Workers crash for other reasons, the
+    gateways are started again in turn, and the request comes again: it may not reach more workers
+    than retries are allowed."""
+    settle(soak)
+    route = {**standins.configuration(1)["routes"]["r-read"], "prefix": "/fragile/", "service": "fragile"}
+    soak.publish_configuration(services=("fragile",), **{"r-fragile": route})
+    workers = [standins.Worker(soak.store, f"f-{soak.created}-{number}", "fragile") for number in range(8)]
+    fatal_path = f"/fragile/fatal-{soak.created}"
+    for worker in workers:
+        worker.crashing_path = fatal_path
+    time.sleep(STABLE_SECONDS)
+
+    def fatal_runs():
+        return sum(run[2] == fatal_path for worker in workers for run in worker.runs)
+
+    # Its caller asks at one gateway after the other, until it is refused.
+    for attempt in range(4):
+        send_reads([soak.gateways[attempt % 2]], [fatal_path])
+        time.sleep(0.3)
+    start_again(workers)
+    crashed = fatal_runs()
+    for number in range(soak.random.randrange(5, 9)):
+        crash_ordinarily(soak, workers, number)
+    for number in range(len(soak.gateways)):
+        soak.gateways[number].terminate()
+        soak.gateways[number].process.wait()
+        soak.gateways[number].kill_and_clean_up()
+        soak.gateways[number] = soak.new_gateway(number)
+        standins.wait_for(soak.gateways[number].is_ready)
+    time.sleep(STABLE_SECONDS + 1)
+    runs_before = fatal_runs()
+    for _ in range(2):
+        send_reads(soak.gateways, [fatal_path] * len(soak.gateways))
+        time.sleep(0.3)
+    late = fatal_runs() - runs_before
+    soak.publish_configuration()
+    for worker in workers:
+        soak.store.remove(f"servers/{worker.name}")
+        worker.crash()
+    if crashed < 2:
+        return [f"the fatal request crashed {crashed} workers, which shows nothing"]
+    return [f"the fatal request reached {late} workers after its quarantine"] \
+        if late > FATAL_RETRIES_MAX else []
+
+
+def crash_ordinarily(soak, workers, number):
+    """Two workers crash while they are at work, each of their requests with a path of its own."""
+    for worker in workers:
+        worker.service_time = 0.4
+    paths = [f"/fragile/{number}-{i}" for i in range(4 * len(workers))]
+    sender = threading.Thread(target=send_reads, args=(soak.gateways, paths))
+    sender.start()
+    time.sleep(0.3)
+    for worker in soak.random.sample(workers, 2):
+        worker.crash()
+    sender.join()
+    start_again(workers)
+    for worker in workers:
+        worker.service_time = 0
+    time.sleep(0.5)
+
+
+def send_reads(gateways, paths):
+    """Sends a read of each path at the same time, to the gateways in turn."""
+    def send(number, path):
+        caller = standins.Caller(gateways[number % len(gateways)].entry_port)
+        try:
+            caller.send("GET", path, f"f{time.monotonic_ns():x}")
+        except (OSError, http.client.HTTPException):
+            pass
+        finally:
+            caller.close()
+    threads = [threading.Thread(target=send, args=row) for row in enumerate(paths)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def start_again(workers):
+    """Starts the workers that have crashed. Their crashes show before."""
+    time.sleep(1)
+    for worker in workers:
+        if not worker.is_up:
+            worker.start()
+    time.sleep(0.5)
+
+
 def troubles_for(gateway_count):
     """The troubles that fit this number of gateways."""
-    return [silent_moment] + ([frozen_reader] if gateway_count >= READERS_GATEWAYS_MIN else [])
+    return [silent_moment] + ([frozen_reader, quick_changes] if gateway_count >= READERS_GATEWAYS_MIN
+                              else [fatal_request])
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -46,6 +46,7 @@
 
     def __init__(self, handler):
         super().__init__(("127.0.0.1", 0), handler)
+        self.connections = set()
         self.address = f"127.0.0.1:{self.server_address[1]}"
         threading.Thread(target=self.serve_forever, kwargs={"poll_interval": 0.05},
                          daemon=True).start()
@@ -53,15 +54,35 @@
     def handle_error(self, request, client_address):
         pass
 
+    def process_request(self, request, client_address):
+        self.connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self.connections.discard(request)
+        super().shutdown_request(request)
+
     def stop_serving(self):
         self.shutdown()
         self.server_close()
 
+    def crash(self):
+        """Ends as a process that crashes: connections are reset, and further ones refused."""
+        self.stop_serving()
+        for connection in list(self.connections):
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                connection.shutdown(socket.SHUT_RDWR)
+                connection.close()
+            except OSError:
+                pass
+
 
 class Store:
     """A fake of the platform's key-value store with revisions, lists, watches, compaction and
     outages. `is_down` rejects requests; `is_silent` loses those that arrive, also after it ends.
-    `restore` brings it back from a copy. Its answers name the `era` if there is one."""
+    `restore` brings it back from a copy. Its answers name the `era` if there is one. At `small_server`
+    it serves small machines, whose links can be slow."""
 
     LOST_REQUEST_SECONDS = 30
 
@@ -72,14 +93,14 @@
         self.is_down, self.is_silent, self.interruptions = False, False, 0
         self.era = None
         # Rate of the answers in bytes a second and connection, as over a slow link; None for any.
-        self.rate = None
+        self.rate, self.small_rate = None, None
         store = self
 
         class StoreHandler(Handler):
             def do_GET(self):
                 store.answer(self)
 
-        self.server = Server(StoreHandler)
+        self.server, self.small_server = Server(StoreHandler), Server(StoreHandler)
 
     def put(self, key, value):
         text = value if isinstance(value, bytes) else json.dumps(value).encode()
@@ -161,15 +182,16 @@
     def _reply(self, handler, body):
         headers = [] if self.era is None else [("Store-Era", str(self.era))]
         text = json.dumps(body).encode()
-        if self.rate is None:
+        rate = self.small_rate if handler.server is self.small_server else self.rate
+        if rate is None:
             handler.reply(410 if body is None else 200, headers, text)
             return
         headers.append(("Content-Length", str(len(text))))
         handler.reply(410 if body is None else 200, headers, framed=False)
-        step = self.rate // 50
+        step = rate // 50
         for start in range(0, len(text), step):
             handler.wfile.write(text[start:start + step])
-            time.sleep(len(text[start:start + step]) / self.rate)
+            time.sleep(len(text[start:start + step]) / rate)
 
     def _watch(self, handler, query):
         after, interruptions = int(query["after"]), self.interruptions
@@ -310,6 +332,9 @@
         self.arrivals, self.pauses = [], []
         self.broken_response, self.resets = BROKEN_RESPONSES["within the status line"], False
         self.odd_status = "000"
+        # Path of the requests that crash the worker as soon as they run.
+        self.crashing_path = None
+        self.is_up = True
         self.lock = threading.Lock()
         self.running = 0
         worker = self
@@ -320,10 +345,23 @@
 
             do_POST = do_PUT = do_GET
 
-        self.server = Server(WorkerHandler)
+        self.handler = WorkerHandler
+        self.start()
+
+    def start(self):
+        """Starts a lifetime, at an address of its own, and registers it."""
+        self.server = Server(self.handler)
         self.born = int(time.time() * 1000)
+        self.is_up = True
         self.register()
 
+    def crash(self):
+        with self.lock:
+            if not self.is_up:
+                return
+            self.is_up = False
+        self.server.crash()
+
     def register(self, state="ready"):
         self.store.put(f"servers/{self.name}", {
             "address": self.server.address, "born": self.born,
@@ -403,6 +441,8 @@
             self.runs.append((attempt, handler.command, handler.path, body, time.monotonic()))
             self.headers.append(dict(handler.headers))
             self.running += 1
+        if self.crashing_path == handler.path:
+            self.crash()
         time.sleep(self.service_time)
         with self.lock:
             self.running -= 1
@@ -466,9 +506,11 @@
 
 
 class Gateway:
-    """An almondnotchd process that listens on loopback addresses."""
+    """An almondnotchd process that listens on loopback addresses. On a small machine it has less of a
+    processor than on others, and reads the store at its `small_server`."""
 
-    def __init__(self, daemon, store, name, seeds=None):
+    def __init__(self, daemon, store, name, seeds=None, is_small=False):
+        server, share = (store.small_server, 0.1) if is_small else (store.server, 0.5)
         self.entry_port, self.readiness_port, self.directory_port, self.peer_port, \
             self.operator_port = ports.reserve_ports(5)
         self.folder = tempfile.TemporaryDirectory()
@@ -477,6 +519,7 @@
             file.write(f"""[vm]
 name = "{name}"
 failure_domain = "a"
+processor_share = {share}
 [entry]
 address = "127.0.0.1:{self.entry_port}"
 [operator]
@@ -486,7 +529,7 @@
 seeds = "{seeds or ''}"
 keys = "k1:0123456789abcdef"
 [platform]
-address = "{store.server.address}"
+address = "{server.address}"
 [fleet]
 exchange_interval_ms = 200
 gateways_assumed = 1
