--- a/decision/calls/quarantine_table.cpp
+++ b/decision/calls/quarantine_table.cpp
@@ -18,14 +18,21 @@
 /// When the table is full, room is made for one part in this many of it at once.
 constexpr std::uint32_t evictedShare = 16;
 
+/// Latest crash of a request that is not quarantined.
+struct single_crash
+{
+    std::uint64_t request = 0;
+    duration age {0};
+};
+
 std::uint64_t requestOf(std::uint64_t digest)
 {
     return digest;
 }
 
-std::uint64_t requestOf(const crash_record &record)
+std::uint64_t requestOf(const single_crash &crash)
 {
-    return record.requestDigest;
+    return crash.request;
 }
 
 /// Rows that follow `last`, at most `limit`, in the order of their requests and beginning anew at
@@ -42,9 +49,24 @@
     return rows;
 }
 
-bool isLater(const crash_record &left, const crash_record &right)
+/// The latest of these crashes, at most `limit`. If there are more new ones, these take turns.
+/// \param last see `takeTurns`.
+std::vector<single_crash> takeLatest(std::vector<single_crash> crashes, std::size_t limit,
+                                     std::uint64_t &last)
 {
-    return left.age < right.age;
+    const auto isOld
+        = [](const single_crash &crash) { return crash.age > quarantine_table::newCrashTime; };
+    const std::ptrdiff_t oldCount = std::count_if(crashes.begin(), crashes.end(), isOld);
+    if (crashes.size() - static_cast<std::size_t>(oldCount) > limit) {
+        std::erase_if(crashes, isOld);
+        return takeTurns(std::move(crashes), limit, last);
+    }
+    const std::size_t count = std::min(crashes.size(), limit);
+    std::partial_sort(
+        crashes.begin(), crashes.begin() + static_cast<std::ptrdiff_t>(count), crashes.end(),
+        [](const single_crash &left, const single_crash &right) { return left.age < right.age; });
+    crashes.resize(count);
+    return crashes;
 }
 
 /// Crashes of one request, the latest one first.
@@ -55,7 +77,9 @@
     records.reserve(crashes.size());
     for (const std::pair<const std::string, instant> &crash : crashes)
         records.push_back({request, crash.first, now - crash.second});
-    std::sort(records.begin(), records.end(), isLater);
+    std::sort(
+        records.begin(), records.end(),
+        [](const crash_record &left, const crash_record &right) { return left.age < right.age; });
     return records;
 }
 
@@ -161,16 +185,27 @@
 bool quarantine_table::isQuarantined(instant now, std::uint64_t requestDigest) const
 {
     const auto found = m_crashes.find(requestDigest);
-    if (found == m_crashes.end())
-        return false;
+    return found != m_crashes.end() && isQuarantined(now, found->second);
+}
+
+bool quarantine_table::isQuarantined(instant now, const crashes_by_worker &crashes) const
+{
     const std::ptrdiff_t recent
-        = std::count_if(found->second.begin(), found->second.end(),
+        = std::count_if(crashes.begin(), crashes.end(),
                         [this, now](const std::pair<const std::string, instant> &crash) {
                             return now - crash.second < m_quarantineTime;
                         });
     return static_cast<std::size_t>(recent) >= crashesForQuarantine;
 }
 
+instant quarantine_table::latestCrashTime(const crashes_by_worker &crashes)
+{
+    instant latest;
+    for (const std::pair<const std::string, instant> &crash : crashes)
+        latest = std::max(latest, crash.second);
+    return latest;
+}
+
 void quarantine_table::expire(instant now)
 {
     for (auto it = m_crashes.begin(); it != m_crashes.end();) {
@@ -189,58 +224,31 @@
 
 std::vector<crash_record> quarantine_table::takeCrashes(instant now, std::size_t limit)
 {
-    std::vector<crash_record> records;
-    takeSingleCrashes(now, limit, records);
-    std::vector<crash_record> quarantined;
-    const std::size_t singlesMin = std::min(records.size(), limit / singleCrashesShare);
-    takeQuarantined(now, limit - singlesMin, quarantined);
-    records.resize(std::min(records.size(), limit - quarantined.size()));
-    records.insert(records.begin(), quarantined.begin(), quarantined.end());
-    return records;
-}
-
-/// Takes the two latest crashes of each quarantined request, of as many requests as fit.
-void quarantine_table::takeQuarantined(instant now, std::size_t limit,
-                                       std::vector<crash_record> &records)
-{
-    std::vector<std::uint64_t> requests;
+    std::vector<std::uint64_t> quarantined;
+    std::vector<single_crash> singles;
     for (const std::pair<const std::uint64_t, crashes_by_worker> &entry : m_crashes) {
-        if (isQuarantined(now, entry.first))
-            requests.push_back(entry.first);
-    }
-    for (const std::uint64_t request :
-         takeTurns(requests, limit / crashesForQuarantine, m_lastTakenQuarantined)) {
-        const std::vector<crash_record> latest = latestFirst(now, request, m_crashes.at(request));
-        records.insert(records.end(), latest.begin(), latest.begin() + crashesForQuarantine);
+        if (isQuarantined(now, entry.second))
+            quarantined.push_back(entry.first);
+        else
+            singles.push_back({entry.first, now - latestCrashTime(entry.second)});
     }
-}
+    const std::size_t singlesMin = std::min(singles.size(), limit / singleCrashesShare);
+    quarantined = takeTurns(std::move(quarantined), (limit - singlesMin) / crashesForQuarantine,
+                            m_lastTakenQuarantined);
+    singles = takeLatest(std::move(singles), limit - quarantined.size() * crashesForQuarantine,
+                         m_lastTakenNew);
 
-/// Takes the crashes of requests that are not quarantined.
-void quarantine_table::takeSingleCrashes(instant now, std::size_t limit,
-                                         std::vector<crash_record> &records)
-{
-    std::vector<crash_record> singles;
-    for (const std::pair<const std::uint64_t, crashes_by_worker> &entry : m_crashes) {
-        if (isQuarantined(now, entry.first))
-            continue;
-        const auto latest
-            = std::max_element(entry.second.begin(), entry.second.end(),
-                               [](const std::pair<const std::string, instant> &left,
-                                  const std::pair<const std::string, instant> &right) {
-                                   return left.second < right.second;
-                               });
-        singles.push_back({entry.first, latest->first, now - latest->second});
-    }
-    const auto isNew = [](const crash_record &record) { return record.age <= newCrashTime; };
-    const std::ptrdiff_t newCount = std::count_if(singles.begin(), singles.end(), isNew);
-    if (static_cast<std::size_t>(newCount) > limit) {
-        std::erase_if(singles, [isNew](const crash_record &record) { return !isNew(record); });
-        records = takeTurns(singles, limit, m_lastTakenNew);
-        return;
-    }
-    std::sort(singles.begin(), singles.end(), isLater);
-    singles.resize(std::min(singles.size(), limit));
-    records = std::move(singles);
+    std::vector<crash_record> records;
+    const auto addLatest = [this, now, &records](std::uint64_t request, std::size_t count) {
+        const std::vector<crash_record> latest = latestFirst(now, request, m_crashes.at(request));
+        records.insert(records.end(), latest.begin(),
+                       latest.begin() + static_cast<std::ptrdiff_t>(count));
+    };
+    for (const std::uint64_t request : quarantined)
+        addLatest(request, crashesForQuarantine);
+    for (const single_crash &crash : singles)
+        addLatest(crash.request, 1);
+    return records;
 }
 
 nlohmann::json quarantine_table::dump(instant now) const
@@ -253,7 +261,7 @@
                 {{"worker", crash.first}, {"age_ms", toMilliseconds(now - crash.second)}});
         rows.push_back({{"request_digest", entry.first},
                         {"workers", workers},
-                        {"quarantined", isQuarantined(now, entry.first)}});
+                        {"quarantined", isQuarantined(now, entry.second)}});
     }
     return {{"requests", rows},
             {"requests_max", m_requestsMax},
--- a/decision/calls/quarantine_table.h
+++ b/decision/calls/quarantine_table.h
@@ -83,8 +83,8 @@
     void recordCrash(instant crashedAt, std::uint64_t requestDigest, const std::string &worker);
     void makeRoomForRequest();
     void makeRoomForSuspectedWorker();
-    void takeQuarantined(instant now, std::size_t limit, std::vector<crash_record> &records);
-    void takeSingleCrashes(instant now, std::size_t limit, std::vector<crash_record> &records);
+    bool isQuarantined(instant now, const crashes_by_worker &crashes) const;
+    static instant latestCrashTime(const crashes_by_worker &crashes);
 
     duration m_quarantineTime;
     /// Maximum number of requests in `m_crashes`.
