--- a/tests/decision/routing/crash_gossip_test.cpp
+++ b/tests/decision/routing/crash_gossip_test.cpp
@@ -157,7 +157,25 @@
     }
 }
 
-// Guards against the same if many requests are quarantined: all take turns.
+// Guards against gateways that, all started at once, do not refuse a request again after it has
+// crashed two workers: what they knew of it is lost, since none of them has a disk.
+BOOST_AUTO_TEST_CASE(gatewaysStartedAtOnceQuarantineARequestAnew)
+{
+    gateway_group_fixture group;
+    group.advance(stableWindow);
+    quarantine(group, fatalRequest);
+    group.crashOrdinarily(2);
+    for (unsigned gateway = 0; gateway < gatewayCount; ++gateway)
+        group.restart(gateway);
+    group.advance(stableWindow);
+    BOOST_TEST(group.quarantinedAt(fatalRequest) == 0U);
+    quarantine(group, fatalRequest);
+    group.advance(stableWindow);
+    BOOST_TEST(group.quarantinedAt(fatalRequest) == gatewayCount);
+}
+
+// Guards against requests of which a gateway that was started again is not told, because many others
+// are quarantined as well.
 BOOST_AUTO_TEST_CASE(gatewayStartedAgainLearnsOfAllQuarantinedRequests)
 {
     constexpr std::uint64_t requestCount = 60;
