--- a/tests/decision/routing/crash_gossip_test.cpp
+++ b/tests/decision/routing/crash_gossip_test.cpp
@@ -174,8 +174,8 @@
     BOOST_TEST(group.quarantinedAt(fatalRequest) == gatewayCount);
 }
 
-// Guards against requests of which a gateway that was started again is not told, because many others
-// are quarantined as well.
+// Guards against requests of which a gateway that was started again is not told, because many
+// others are quarantined as well.
 BOOST_AUTO_TEST_CASE(gatewayStartedAgainLearnsOfAllQuarantinedRequests)
 {
     constexpr std::uint64_t requestCount = 60;
