Name the predicate of old crashes, and handle the end of a read by that name

The check of the house rules found two uses of auto that it does not allow. No change of behaviour: routing, gossip and calls tests 18 of 18; all of decision/ and its tests clean in the linter.

--- a/decision/calls/quarantine_table.cpp
+++ b/decision/calls/quarantine_table.cpp
@@ -49,13 +49,16 @@
     return rows;
 }
 
+bool isOld(const single_crash &crash)
+{
+    return crash.age > quarantine_table::newCrashTime;
+}
+
 /// The latest of these crashes, at most `limit`. If there are more new ones, these take turns.
 /// \param last see `takeTurns`.
 std::vector<single_crash> takeLatest(std::vector<single_crash> crashes, std::size_t limit,
                                      std::uint64_t &last)
 {
-    const auto isOld
-        = [](const single_crash &crash) { return crash.age > quarantine_table::newCrashTime; };
     const std::ptrdiff_t oldCount = std::count_if(crashes.begin(), crashes.end(), isOld);
     if (crashes.size() - static_cast<std::size_t>(oldCount) > limit) {
         std::erase_if(crashes, isOld);
@@ -102,14 +105,14 @@
 /// can no longer be confirmed.
 void quarantine_table::makeRoomForSuspectedWorker()
 {
-    const auto oldest
+    const auto found
         = std::min_element(m_suspicions.begin(), m_suspicions.end(),
                            [](const std::pair<const std::string, std::vector<suspicion>> &left,
                               const std::pair<const std::string, std::vector<suspicion>> &right) {
                                return left.second.back().brokenAt < right.second.back().brokenAt;
                            });
-    m_counters.add("crash_suspicions_dropped_total", oldest->second.size());
-    m_suspicions.erase(oldest);
+    m_counters.add("crash_suspicions_dropped_total", found->second.size());
+    m_suspicions.erase(found);
 }
 
 void quarantine_table::workerUnreachable(instant now, const std::string &worker)
--- a/decision/routing/items/item_reader.cpp
+++ b/decision/routing/items/item_reader.cpp
@@ -392,7 +392,7 @@
         return false;
     m_isReadInFlight = false;
     const store_position knownBefore = known();
-    readEnded(now, input, batches);
+    handleReadEnd(now, input, batches);
     applyStoredUpdates(batches);
     // A list, or its next page, is requested at once.
     if (m_isListing && m_nextReadAt <= now)
@@ -405,8 +405,8 @@
 }
 
 /// Handles the end of the read that was in flight.
-void item_reader::readEnded(instant now, const items_read_finished &input,
-                            std::vector<item_batch> &batches)
+void item_reader::handleReadEnd(instant now, const items_read_finished &input,
+                                std::vector<item_batch> &batches)
 {
     if (!input.page) {
         readFailed(now);
--- a/decision/routing/items/item_reader.h
+++ b/decision/routing/items/item_reader.h
@@ -214,7 +214,8 @@
     void applyUpdate(const items_update &update, std::vector<item_batch> &batches);
     void giveUpWatch(instant now, action_list &actions);
     void sendRead(instant now, std::uint64_t &nextReadId, action_list &actions);
-    void readEnded(instant now, const items_read_finished &input, std::vector<item_batch> &batches);
+    void handleReadEnd(instant now, const items_read_finished &input,
+                       std::vector<item_batch> &batches);
     void listPageReceived(instant now, const item_page &page, std::vector<item_batch> &batches);
     void watchFinished(instant now, const item_page &page, std::vector<item_batch> &batches);
     instant nextWatchTime(instant now, const item_page &page) const;
--- a/decision/routing/route_gateway.cpp
+++ b/decision/routing/route_gateway.cpp
@@ -144,7 +144,7 @@
     worker_pool pool;
     worker_change_log changeLog;
     quarantine_table quarantine;
-    /// See `takeRoundRobin`.
+    /// See `takeFirstAndRoundRobin`.
     std::size_t drainCursor = 0;
     request_runner runner;
     startup_queue startupQueue;
