--- a/tests/platform/soak_troubles.py
+++ b/tests/platform/soak_troubles.py
@@ -18,7 +18,7 @@
 DRAIN_SECONDS = 2
 # Rate of the store's answers over the link of a small machine, in bytes a second.
 SLOW_LINK_RATE = 1_250_000
-# Reads of a request that crashes workers that may still reach one after the third crash.
+# Number of workers that a quarantined request may still reach.
 FATAL_RETRIES_MAX = 3
 
 
@@ -120,8 +120,8 @@
 
 def fatal_request(soak):
     """A request crashes workers and is refused from then on. Workers crash for other reasons, the
-    gateways are started again in turn, and the request comes again: it may not reach more workers
-    than retries are allowed."""
+    gateways are started again in turn, and the request comes again: only a few workers may be reached
+    by it."""
     settle(soak)
     route = {**standins.configuration(1)["routes"]["r-read"], "prefix": "/fragile/", "service": "fragile"}
     soak.publish_configuration(services=("fragile",), **{"r-fragile": route})
@@ -199,7 +199,7 @@
 
 
 def start_again(workers):
-    """Starts the workers that have crashed. Their crashes show before."""
+    """Starts the workers that have crashed, once the gateways have noticed."""
     time.sleep(1)
     for worker in workers:
         if not worker.is_up:
