--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -16,6 +16,7 @@
   - After that, a worker that drains gets no more requests.
   - A worker that said in a response that it leaves gets no later requests from that gateway.
   - A worker that asked a gateway for a pause gets no more than two requests from it meanwhile.
+  - No invariant of a gateway has failed.
 """
 import argparse
 import http.client
@@ -251,6 +252,7 @@
         outdated = self.outdated_gateways()
         outdated += self.requests_to_draining_worker()
         outdated += self.play_troubles()
+        outdated += self.failed_invariants()
         self.stop.set()
         for thread in callers:
             thread.join()
@@ -274,6 +276,12 @@
                 return wrong
             time.sleep(0.2)
 
+    def failed_invariants(self):
+        """Returns an error text for each invariant that has failed in a gateway that runs."""
+        return [f"vm-{number}: invariant {name} failed: {row}"
+                for number, gateway in enumerate(self.gateways)
+                for name, row in soak_troubles.dump_of(gateway)["invariants"].items() if row["failures"]]
+
     def requests_to_draining_worker(self):
         """Drains a worker. Returns an error text if it gets requests after DRAIN_SECONDS."""
         time.sleep(STABLE_SECONDS)
